Attack the cluster fault by fault in virtual time

Cause: nothing was proved yet under faults. Change: a fixture that runs whole entry VMs, workers and the log in virtual time with cuts, pauses and an absent log; 14 tests. What they found, each red first: (1) every unanswered exchange renewed the presumed lease, so tasks of a dead worker never moved on; none is granted now while answers fail. (2) A VM that woke from a pause took cells over from owners it had not had time to hear; it judges silence only after being awake, reading the log and seeing the present owner for 3.5 s. (3) Single failures of the log counted as the log being away and refused jobs; it takes 1 s of failures now. (4) After a planned stop the leaver was still the first candidate for its own cells. (5) The worker stand-in lost its checkpoint when stopped and could spin on rounding.

--- a/pimentocross/cli/entry.py
+++ b/pimentocross/cli/entry.py
@@ -1,8 +1,8 @@
 """The command that runs an entry process."""
 
+from pathlib import Path
 import signal
 import sys
-from pathlib import Path
 from typing import Annotated
 
 import eliot
--- a/pimentocross/cli/output.py
+++ b/pimentocross/cli/output.py
@@ -1,7 +1,7 @@
 """Prints results: readable, or as JSON where output is data."""
 
-import json
 from collections.abc import Mapping, Sequence
+import json
 from typing import Any, NoReturn
 
 import typer
--- a/pimentocross/cli/standin.py
+++ b/pimentocross/cli/standin.py
@@ -1,7 +1,7 @@
 """Commands that run each stand-in as its own process."""
 
-import sys
 from pathlib import Path
+import sys
 from typing import Annotated
 
 import trio
--- a/pimentocross/contracts/const.py
+++ b/pimentocross/contracts/const.py
@@ -2,7 +2,11 @@
 
 from typing import Final
 
+# A log that has failed for this long is taken to be away.
+AWAY_AFTER: Final = 1.0
 LONG_POLL: Final = 5.0
+# On top of the long poll; a read that takes longer has failed.
+READ_PATIENCE: Final = 4.0
 READ_BACKOFF_FIRST: Final = 0.05
 READ_BACKOFF_MOST: Final = 1.0
 APPEND_BACKOFF_FIRST: Final = 0.05
--- a/pimentocross/contracts/fold.py
+++ b/pimentocross/contracts/fold.py
@@ -4,11 +4,11 @@
 same state; a record that does not apply is rejected by all of them alike.
 """
 
-import uuid
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from enum import StrEnum
 from typing import Generic, NamedTuple, Protocol, TypeVar
+import uuid
 
 import trio
 
@@ -136,7 +136,8 @@
         self._outbox: deque[_Pending] = deque()
         self._outbox_filled = trio.Event()
         self._changed = trio.Event()
-        self._failing = False
+        self._failing_since = float("inf")
+        self._steady_since = float("inf")
         self._snapshot_at = 0
         self._snapshots_seen = 0
 
@@ -162,8 +163,14 @@
 
     @property
     def log_away(self) -> bool:
-        """True while the newest operation on the log has failed."""
-        return self._failing
+        """True once every operation on the log has failed for a while."""
+        failed_for = trio.current_time() - self._failing_since
+        return failed_for >= const.AWAY_AFTER
+
+    @property
+    def steady_since(self) -> float:
+        """Since when every read has been answered; infinite if not."""
+        return self._steady_since
 
     @property
     def since_snapshot(self) -> int:
@@ -182,14 +189,19 @@
             sent_at = trio.current_time()
             wait = const.LONG_POLL if self.ready else 0.0
             try:
-                page = await self._log.read(self._stream, self._position, wait)
-            except LogUnavailableError:
+                with trio.fail_after(wait + const.READ_PATIENCE):
+                    page = await self._log.read(
+                        self._stream, self._position, wait
+                    )
+            except (LogUnavailableError, trio.TooSlowError):
                 self._note_failure()
+                self._steady_since = float("inf")
                 await trio.sleep(backoff)
                 backoff = min(backoff * 2, const.READ_BACKOFF_MOST)
                 continue
             backoff = const.READ_BACKOFF_FIRST
-            self._failing = False
+            self._failing_since = float("inf")
+            self._steady_since = min(self._steady_since, trio.current_time())
             self._take_page(page, sent_at)
 
     async def run_writer(self) -> None:
@@ -205,7 +217,7 @@
                 backoff = min(backoff * 2, const.APPEND_BACKOFF_MOST)
                 continue
             backoff = const.APPEND_BACKOFF_FIRST
-            self._failing = False
+            self._failing_since = float("inf")
 
     @staticmethod
     def new_body(body: RecordBody) -> RecordBody:
@@ -335,7 +347,7 @@
             self._outbox.remove(pending)
 
     def _note_failure(self) -> None:
-        self._failing = True
+        self._failing_since = min(self._failing_since, trio.current_time())
         self.log_failures += 1
 
     @staticmethod
--- a/pimentocross/entry/caller_api.py
+++ b/pimentocross/entry/caller_api.py
@@ -1,14 +1,14 @@
 """What callers ask of an entry VM: services and jobs, over HTTP."""
 
-import math
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 
+from eliot import start_action
+from expression import Result
 import msgspec
 import trio
 import xxhash
-from eliot import start_action
-from expression import Result
 
 from pimentocross.config.schema import Configuration, ServiceConfig
 from pimentocross.contracts.drain import Drain, DrainingError
--- a/pimentocross/entry/const.py
+++ b/pimentocross/entry/const.py
@@ -9,6 +9,8 @@
 SYNC_INTERVAL: Final = 1.0
 CLAIM_INTERVAL: Final = 0.5
 SUSPECT_AFTER: Final = 3.5
+# A loop that is later than this was paused.
+PAUSE_LEAST: Final = 1.0
 # How long a fresh VM looks for peers before it takes itself for the first.
 FIRST_LOOK: Final = 1.5
 JOIN_TIMEOUT: Final = 5.0
--- a/pimentocross/entry/forwarder.py
+++ b/pimentocross/entry/forwarder.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import trio
 from expression import Error, Ok, Result
+import trio
 
 from pimentocross.config.schema import Configuration, ServiceConfig
 from pimentocross.contracts.retry_budget import RetryBudget
--- a/pimentocross/entry/idempotency.py
+++ b/pimentocross/entry/idempotency.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from expression import Error, Ok, Result
 import trio
 import xxhash
-from expression import Error, Ok, Result
 
 from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
 from pimentocross.entry import const
--- a/pimentocross/entry/jobs.py
+++ b/pimentocross/entry/jobs.py
@@ -3,8 +3,8 @@
 import secrets
 from typing import Protocol
 
-import trio
 from expression import Error, Ok, Result
+import trio
 
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.fold import Outcome, StreamFold
--- a/pimentocross/entry/membership.py
+++ b/pimentocross/entry/membership.py
@@ -72,7 +72,7 @@
         self._dialed_in: dict[str, float] = {}
         self._gone_since: dict[str, float] = {}
         self._acknowledged_by: set[str] = set()
-        self._joined = False
+        self._leaving: set[str] = set()
 
     @property
     def links(self) -> list[PeerLink]:
@@ -106,12 +106,21 @@
         found = [
             Candidate(link.identity.process, link.identity.zone)
             for link in self.live()
-            if link.identity is not None and link.identity.process in members
+            if link.identity is not None
+            and link.identity.process in members
+            and link.identity.process not in self._leaving
         ]
         if self._mine.process in members:
             found.append(Candidate(self._mine.process, self._mine.zone))
         return found
 
+    def note_leaving(self, process: str, leaving: bool) -> None:
+        """Notes whether a peer is about to stop."""
+        if leaving:
+            self._leaving.add(process)
+        else:
+            self._leaving.discard(process)
+
     def note_dialed_in(self, peer: PeerIdentity) -> None:
         """Notes that a peer has dialed this one."""
         self._dialed_in[peer.address] = trio.current_time()
--- a/pimentocross/entry/node.py
+++ b/pimentocross/entry/node.py
@@ -1,9 +1,9 @@
 """One entry process: all roles put together, started and stopped."""
 
-import secrets
-import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+import secrets
+import time
 from typing import Any, NamedTuple
 
 import trio
@@ -240,11 +240,15 @@
             for load in [owner.load()]
         ]
         return Heartbeat(
-            self._config.state.version, self._book.in_flight(), cells
+            self._config.state.version,
+            self._book.in_flight(),
+            cells,
+            self._drain.begun,
         )
 
     def note_heartbeat(self, process: str, heartbeat: Heartbeat) -> None:
         """Takes in how full a peer's cells are; see `LoadBook`."""
+        self._peers.note_leaving(process, heartbeat.leaving)
         self._loads[process] = {
             cell: CellLoad(pending, 0, free)
             for cell, _, pending, free in heartbeat.cells
--- a/pimentocross/entry/operator_api.py
+++ b/pimentocross/entry/operator_api.py
@@ -1,7 +1,7 @@
 """What operators ask of an entry VM, over HTTP with a token."""
 
-import hmac
 from collections.abc import Callable
+import hmac
 from typing import Any, NamedTuple
 
 import msgspec
--- a/pimentocross/entry/ownership.py
+++ b/pimentocross/entry/ownership.py
@@ -44,6 +44,9 @@
         self._on_targets = on_targets
         self._owned: dict[str, CellOwner] = {}
         self._handing_over = False
+        self._looked_at = 0.0
+        self._awake_since = 0.0
+        self._epochs: dict[str, tuple[int, float]] = {}
 
     @property
     def owned(self) -> dict[str, CellOwner]:
@@ -59,6 +62,7 @@
         """Claims and runs cells, for ever."""
         async with trio.open_nursery() as nursery:
             while True:
+                self._note_awake()
                 for cell in self._cells():
                     if self._authority.owns(cell_resource(cell)):
                         self._begin(cell, nursery)
@@ -90,16 +94,42 @@
     def _should_claim(self, cell: str) -> bool:
         if self._handing_over or not self._authority.may_claim():
             return False
-        if self._authority.fold.log_away:
-            return False
         owner = self.owner_of(cell)
-        if owner and self._is_alive(owner):
+        if owner and (self._is_alive(owner) or not self._can_judge(cell)):
             return False
-        ranked = rank_candidates(
-            cell_resource(cell), cell, self._peers.candidates()
-        )
+        # Who has just released it is leaving, whether it has said so or not.
+        last = self._authority.fold.state.ownership(cell_resource(cell))
+        candidates = [
+            c for c in self._peers.candidates() if c.process != last.process
+        ]
+        ranked = rank_candidates(cell_resource(cell), cell, candidates)
         return bool(ranked) and ranked[0] == self._authority.process
 
+    def _note_awake(self) -> None:
+        """Notices a pause of this process: its peers have been unheard."""
+        now = trio.current_time()
+        if now - self._looked_at > const.CLAIM_INTERVAL + const.PAUSE_LEAST:
+            self._awake_since = now
+        self._looked_at = now
+
+    def _can_judge(self, cell: str) -> bool:
+        """True if silence of the owner means more than one's own trouble.
+
+        That takes a while awake, with the log answering, and under the
+        present owner; else a VM that wakes up would take over from owners
+        that it has not had the time to hear.
+        """
+        epoch = self._authority.epoch(cell_resource(cell))
+        now = trio.current_time()
+        if self._epochs.get(cell, (0, 0.0))[0] != epoch:
+            self._epochs[cell] = (epoch, now)
+        since = max(
+            self._awake_since,
+            self._authority.fold.steady_since,
+            self._epochs[cell][1],
+        )
+        return now - since >= const.SUSPECT_AFTER
+
     def _is_alive(self, process: str) -> bool:
         if process == self._authority.process:
             return True
--- a/pimentocross/entry/targets.py
+++ b/pimentocross/entry/targets.py
@@ -1,7 +1,7 @@
 """Targets of each service as all cells' owners tell, and which to take."""
 
-import random
 from collections.abc import Iterable
+import random
 from typing import NamedTuple
 
 import trio
--- a/pimentocross/links/greeting.py
+++ b/pimentocross/links/greeting.py
@@ -9,10 +9,10 @@
 one is replaced by the other; each side proves with its first.
 """
 
+from collections.abc import Sequence
 import hashlib
 import hmac
 import secrets
-from collections.abc import Sequence
 from typing import Any, NamedTuple, TypeVar
 
 from pimentocross.codec import MessageError, convert
--- a/pimentocross/links/http_server.py
+++ b/pimentocross/links/http_server.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, NamedTuple
 
-import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
+import trio
 
 from pimentocross.links.asgi import App, Receive, Scope, Send
 
--- a/pimentocross/links/messages.py
+++ b/pimentocross/links/messages.py
@@ -14,11 +14,13 @@
         config: Configuration version in force at the sender.
         in_flight: Requests that it has at targets, by address.
         cells: Cells it owns: name, epoch, pending tasks, free slots.
+        leaving: Whether it is about to stop, and so takes nothing over.
     """
 
     config: int
     in_flight: list[tuple[str, int]]
     cells: list[tuple[str, int, int, int]]
+    leaving: bool
 
 
 class HeartbeatReply(NamedTuple):
--- a/pimentocross/observe/problems.py
+++ b/pimentocross/observe/problems.py
@@ -1,7 +1,7 @@
 """Refusals and failures as problem documents (RFC 9457)."""
 
-import math
 from enum import StrEnum
+import math
 from typing import NamedTuple
 
 from pimentocross.links.asgi import PROBLEM_JSON, HttpReply, json_reply
--- a/pimentocross/standins/dev.py
+++ b/pimentocross/standins/dev.py
@@ -1,10 +1,10 @@
 """Everything in one process: platform, workers, entry VMs and callers."""
 
-import random
-import socket
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+import random
+import socket
 from typing import NamedTuple
 
 import trio
--- a/pimentocross/standins/journal.py
+++ b/pimentocross/standins/journal.py
@@ -1,8 +1,8 @@
 """What workers and services really did, noted by themselves for checks."""
 
-import time
 from collections.abc import Iterable
 from enum import StrEnum
+import time
 from typing import IO, NamedTuple
 
 import msgspec
--- a/pimentocross/standins/worker.py
+++ b/pimentocross/standins/worker.py
@@ -1,11 +1,11 @@
 """A stand-in of a worker: runs tasks under leases, reports with a lag."""
 
-import hmac
-import uuid
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+import hmac
 from typing import NamedTuple
+import uuid
 
 import msgspec
 import trio
@@ -49,6 +49,7 @@
 
 _BODY_MOST = 4 * 1024 * 1024
 _REAP_INTERVAL = 0.1
+_SLOWEST = 0.01
 _USAGE_INTERVAL = 1.0
 # A checkpoint is the share of the work done, times this.
 _CHECKPOINT_SCALE = 1_000_000
@@ -97,16 +98,34 @@
         self.scope = trio.CancelScope()
         self.rate_changed = trio.Event()
         self.seconds = _read_input(spec).seconds
-        self.done_seconds = _read_checkpoint(spec) * self.seconds
+        self._done_seconds = _read_checkpoint(spec) * self.seconds
+        self._counted_at = trio.current_time()
+
+    @property
+    def seconds_left(self) -> float:
+        """How long it still takes at the present rate."""
+        return (self.seconds - self._done_seconds) / self._rate
 
     @property
     def checkpoint(self) -> str:
         """Where the task could resume."""
         if self.spec.kind is not TaskKind.BATCH or not self.seconds:
             return ""
-        share = self.done_seconds / self.seconds
+        share = self._done_seconds / self.seconds
         return str(int(share * _CHECKPOINT_SCALE))
 
+    @property
+    def _rate(self) -> float:
+        return max(self.throttle, _SLOWEST)
+
+    def count_progress(self) -> None:
+        """Adds what was done since the last count, while it runs."""
+        now = trio.current_time()
+        if self.state is TaskState.RUNNING:
+            done = self._done_seconds + (now - self._counted_at) * self._rate
+            self._done_seconds = min(done, self.seconds)
+        self._counted_at = now
+
     def report(self) -> TaskReport:
         """Returns what the worker says of it."""
         return TaskReport(
@@ -267,21 +286,17 @@
             self._end(task, ended)
 
     async def _work(self, task: _Task) -> None:
-        while task.done_seconds < task.seconds:
-            began = trio.current_time()
-            rate = max(task.throttle, 0.01)
-            left = (task.seconds - task.done_seconds) / rate
-            try:
-                with trio.move_on_after(left):
-                    await task.rate_changed.wait()
-            finally:
-                worked = (trio.current_time() - began) * rate
-                done = task.done_seconds + worked
-                task.done_seconds = min(done, task.seconds)
+        done = False
+        while not done:
+            with trio.move_on_after(task.seconds_left) as scope:
+                await task.rate_changed.wait()
+            # Rounding may leave a rest that no clock can step through.
+            done = scope.cancelled_caught
 
     def _throttle(self, task: _Task | None, share: float) -> None:
         if task is None or task.state is not TaskState.RUNNING:
             return
+        task.count_progress()
         task.throttle = share
         task.rate_changed.set()
         task.rate_changed = trio.Event()
@@ -290,6 +305,7 @@
     def _end(self, task: _Task | None, state: TaskState) -> None:
         if task is None or task.state is not TaskState.RUNNING:
             return
+        task.count_progress()
         task.state = state
         ended_at = trio.current_time()
         if state is TaskState.LAPSED:
--- a/pimentocross/vms/worker.py
+++ b/pimentocross/vms/worker.py
@@ -91,6 +91,9 @@
         self._met = False
         self._ever_met = False
         self._lease_ends_at = float("-inf")
+        self._granted_until = 0.0
+        self._service_granted_until = 0.0
+        self._doubtful = False
         self._starts: dict[str, Start] = {}
         self._commands: list[Command] = []
         self._commanded = trio.Event()
@@ -181,17 +184,15 @@
         commands = [*self._starts.values(), *self._commands]
         commands = commands[: const.COMMANDS_MOST] if self._met else []
         request = self._build(commands)
-        sent_at = trio.current_time()
-        if self._met:
-            lease_end = sent_at + self._authority.timing.lease_wait
-            self._lease_ends_at = max(self._lease_ends_at, lease_end)
         try:
             reply = await self._link.exchange(request)
         except WorkerUnreachableError:
+            self._doubtful = True
             return False
         except WorkerRefusedError as error:
             self._note_refusal(error.refusal, events)
             return False
+        self._doubtful = False
         if self._stopped:
             return True
         self._note_reply(request, reply, events)
@@ -201,20 +202,30 @@
     def _build(self, commands: Sequence[Command]) -> Exchange:
         self._sequence += 1
         now = trio.current_time()
-        lease = self._authority.timing.lease
         not_after = min(self._authority.acts_until, now + const.COMMAND_TTL)
+        if self._met and not self._doubtful:
+            self._grant(now)
         return Exchange(
             self._cell,
             self._epoch,
             self._sequence,
             self._incarnation if self._met else "",
             self._to_worker_clock(not_after),
-            self._to_worker_clock(now + lease),
-            self._to_worker_clock(now + const.SERVICE_LEASE),
+            self._to_worker_clock(self._granted_until),
+            self._to_worker_clock(self._service_granted_until),
             self._seen if self._met else 0,
             [COMMANDS.pack(command) for command in commands],
         )
 
+    def _grant(self, now: float) -> None:
+        # While answers fail, none is granted: each try could land and renew,
+        # and the lease that has to lapse would move on for ever.
+        timing = self._authority.timing
+        self._granted_until = now + timing.lease
+        self._service_granted_until = now + const.SERVICE_LEASE
+        lease_end = now + timing.lease_wait
+        self._lease_ends_at = max(self._lease_ends_at, lease_end)
+
     def _to_worker_clock(self, at: float) -> float:
         # The worker read its clock before its reply came in, so the result
         # is at the latest the moment meant, never after it.
--- a/pimentocross/zones/candidates.py
+++ b/pimentocross/zones/candidates.py
@@ -1,7 +1,7 @@
 """Who would own a resource: rendezvous hashing, weighted to be near it."""
 
-import math
 from collections.abc import Iterable
+import math
 from typing import Final, NamedTuple
 
 import xxhash
--- a/pimentocross/zones/cell.py
+++ b/pimentocross/zones/cell.py
@@ -1,7 +1,7 @@
 """A cell as its owner runs it: jobs, standing tasks and workers."""
 
-import heapq
 from collections.abc import Callable, Sequence
+import heapq
 from typing import NamedTuple
 
 import trio
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,12 +1,15 @@
 """Tests: functions, gathered into one suite; fixtures are in `fixtures`."""
 
+from collections.abc import Awaitable, Callable
 import importlib
 import inspect
 import pkgutil
-import unittest
+import random
 from types import FunctionType, ModuleType
+import unittest
 
 import trio
+from trio._core import _run as trio_run
 from trio.testing import MockClock
 
 _PREFIX = "test_"
@@ -26,6 +29,15 @@
     return suite
 
 
+def run_virtual(function: Callable[[], Awaitable[None]], seed: int = 0) -> None:
+    """Runs a test in virtual time, tasks in an order drawn from a seed."""
+    # trio shuffles runnable tasks by a generator of its own.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[attr-defined,misc,unused-ignore]
+    trio_run._r = random.Random(seed)  # type: ignore[attr-defined,misc,unused-ignore]
+    # The clock jumps whenever every task waits.
+    trio.run(function, clock=MockClock(autojump_threshold=0))
+
+
 def _gather(module: ModuleType) -> list[unittest.TestCase]:
     return [
         _make_case(function)
@@ -43,8 +55,7 @@
         elif getattr(function, "real_time", False):
             trio.run(function)
         else:
-            # Virtual time: the clock jumps when every task waits.
-            trio.run(function, clock=MockClock(autojump_threshold=0))
+            run_virtual(function)
 
     run.__name__ = function.__name__
     description = f"{function.__module__}.{function.__name__}"
--- /dev/null
+++ b/tests/fixtures.py
@@ -0,0 +1,464 @@
+"""Fixtures that the tests share: a whole cluster in virtual time."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+
+import trio
+from trio.testing import memory_stream_pair
+
+from pimentocross.config.load import load_configuration
+from pimentocross.config.schema import Configuration
+from pimentocross.config.state import KINDS, ConfigChanged
+from pimentocross.contracts.authority import Timing
+from pimentocross.contracts.fold import Verdict
+from pimentocross.entry.node import EntryNode, Platform
+from pimentocross.entry.settings import EntrySettings
+from pimentocross.links.greeting import Credentials
+from pimentocross.links.peer import StreamDialer
+from pimentocross.platform.log import LogUnavailableError, ReadPage, RecordBody
+from pimentocross.platform.vms import Vm, VmRole, VmState
+from pimentocross.platform.workers import (
+    Exchange,
+    ExchangeReply,
+    WorkerLink,
+    WorkerUnreachableError,
+)
+from pimentocross.standins.checks import (
+    Run,
+    find_over_commit,
+    find_two_places,
+    read_runs,
+)
+from pimentocross.standins.direct import DirectDialer
+from pimentocross.standins.faults import FaultPlan
+from pimentocross.standins.journal import Journal
+from pimentocross.standins.log import LogStandin
+from pimentocross.standins.vms import VmListStandin
+from pimentocross.standins.worker import WorkerShape, WorkerStandin
+
+TIMING = Timing(confidence=20.0, lease=10.0)
+
+FILES = {
+    "10.yaml": """\
+cluster: test
+zones:
+  north: {region: r, workers: 3}
+  south: {region: r, workers: 3}
+workers: {processors: 8, memory: 32GB, slots: 8, connections: 64, per_rack: 8}
+tenants:
+  counter: {weight: 2}
+  planning: {weight: 1}
+objective: {tail_latency: 0.7, batch_throughput: 0.2, evictions: 0.1}
+services:
+  stock:
+    tenant: counter
+    replicas: 2
+    size: {processors: 1, memory: 1GB}
+batch:
+  plan:
+    tenant: planning
+    size: {processors: 2, memory: 4GB}
+    run_time: 5s
+watches:
+  labels:
+    tenant: planning
+    size: {processors: 1, memory: 1GB}
+    zone: north
+    instances: 2
+"""
+}
+
+
+def configuration(files: dict[str, str] | None = None) -> Configuration:
+    """Returns the tests' configuration, checked."""
+    loaded = load_configuration(files or FILES)
+    assert loaded.is_ok(), loaded.error
+    return loaded.ok
+
+
+class Gate:
+    """Lets one process's messages pass, or holds them while it is paused.
+
+    Attributes:
+        cut: Addresses, and "log", that it can't reach.
+    """
+
+    def __init__(self) -> None:
+        """Starts open."""
+        self.cut: set[str] = set()
+        self._open = trio.Event()
+        self._open.set()
+
+    def pause(self) -> None:
+        """Holds every message from and to the process."""
+        self._open = trio.Event()
+
+    def resume(self) -> None:
+        """Lets all of them pass."""
+        self._open.set()
+
+    async def wait(self) -> None:
+        """Waits until messages pass."""
+        await self._open.wait()
+
+
+class GatedLog:
+    """The log service as one process reaches it."""
+
+    def __init__(self, log: LogStandin, gate: Gate) -> None:
+        """Puts a gate before the log."""
+        self._log = log
+        self._gate = gate
+
+    async def append(self, stream: str, bodies: Sequence[RecordBody]) -> int:
+        """Appends through the gate."""
+        await self._pass()
+        first = await self._log.append(stream, bodies)
+        await self._pass(sent=True)
+        return first
+
+    async def read(self, stream: str, start: int, wait: float) -> ReadPage:
+        """Reads through the gate."""
+        await self._pass()
+        page = await self._log.read(stream, start, wait)
+        await self._pass()
+        return page
+
+    async def _pass(self, *, sent: bool = False) -> None:
+        await self._gate.wait()
+        if "log" in self._gate.cut:
+            raise LogUnavailableError("cut off", sent=sent)
+
+
+class GatedDialer:
+    """Workers as one process reaches them."""
+
+    def __init__(self, dialer: DirectDialer, gate: Gate) -> None:
+        """Puts a gate before the workers."""
+        self._dialer = dialer
+        self._gate = gate
+
+    def link(self, address: str) -> WorkerLink:
+        """Returns a gated link."""
+        return _GatedLink(self._dialer.link(address), address, self._gate)
+
+
+class _GatedLink:
+    def __init__(self, link: WorkerLink, address: str, gate: Gate) -> None:
+        self._link = link
+        self._address = address
+        self._gate = gate
+
+    async def exchange(self, request: Exchange) -> ExchangeReply:
+        """Exchanges through the gate, in a little time."""
+        await self._pass()
+        reply = await self._link.exchange(request)
+        await self._pass()
+        return reply
+
+    async def _pass(self) -> None:
+        await trio.sleep(0.001)
+        await self._gate.wait()
+        if self._address in self._gate.cut:
+            raise WorkerUnreachableError("cut off")
+
+
+class GatedStream(trio.abc.Stream):
+    """A stream between two entry VMs; while cut it is silent, not closed."""
+
+    def __init__(self, stream: trio.abc.Stream, gate: Gate, other: str) -> None:
+        """Puts this side's gate before a stream to another entry VM."""
+        self._stream = stream
+        self._gate = gate
+        self._other = other
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends, or drops the data while cut."""
+        await trio.sleep(0.0005)
+        await self._gate.wait()
+        if self._other not in self._gate.cut:
+            await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Returns at once: the memory has room."""
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receives what the other side sent."""
+        data = await self._stream.receive_some(max_bytes)
+        await self._gate.wait()
+        return bytes(data)
+
+    async def aclose(self) -> None:
+        """Closes, unseen by the other side while cut."""
+        if self._other not in self._gate.cut:
+            await self._stream.aclose()
+
+
+class Entry:
+    """An entry VM of the cluster."""
+
+    def __init__(self, node: EntryNode, gate: Gate) -> None:
+        """Takes its process and its gate; `run` runs it."""
+        self.node = node
+        self.gate = gate
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+        return self.node.peers.mine.name
+
+    @property
+    def address(self) -> str:
+        """Its peer address."""
+        return self.node.peers.mine.address
+
+    async def run(self) -> None:
+        """Runs its roles and its peer listener, until killed."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self.node.run_roles)
+
+    def kill(self) -> None:
+        """Ends it without a word."""
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+            self._nursery = None
+
+    def accept(self, stream: trio.abc.Stream) -> None:
+        """Takes a connection of a peer."""
+        if self._nursery is None:
+            raise OSError("no listener")
+        self._nursery.start_soon(
+            self.node.peer_listener.serve_connection, stream
+        )
+
+
+class Cluster:
+    """Entry VMs, workers and a platform in one process and virtual time."""
+
+    def __init__(self, nursery: trio.Nursery, files: dict[str, str]) -> None:
+        """Starts with the platform only."""
+        self.log = LogStandin(retention=100_000.0, seed=1)
+        self.vms = VmListStandin()
+        self.journal = Journal()
+        self.dialer = DirectDialer()
+        self.workers: dict[str, WorkerStandin] = {}
+        self.entries: dict[str, Entry] = {}
+        self.killed_at: dict[str, float] = {}
+        self.config = configuration(files)
+        self._files = files
+        self._nursery = nursery
+        self._started = 0
+        self._worker_scopes: dict[str, trio.CancelScope] = {}
+
+    @property
+    def nodes(self) -> list[EntryNode]:
+        """Nodes of the live entry VMs."""
+        return [entry.node for entry in self.entries.values()]
+
+    def add_worker(self, name: str, zone: str) -> WorkerStandin:
+        """Starts a worker, or a new process in an old one's place."""
+        shape = WorkerShape(name, zone, self.config.workers.resources)
+        worker = WorkerStandin(shape, self.journal)
+        worker.service_address = f"{name}:1"
+        self.workers[name] = self.dialer.workers[name] = worker
+        scope = self._worker_scopes[name] = trio.CancelScope()
+        self._nursery.start_soon(_run_in, scope, worker.run)
+        vm = Vm(
+            name,
+            VmRole.WORKER,
+            name,
+            zone,
+            "rack",
+            VmState.LIVE,
+            worker.incarnation,
+        )
+        self.vms.put(vm)
+        return worker
+
+    def kill_worker(self, name: str) -> None:
+        """Ends a worker without a word; the VM list does not know yet."""
+        worker = self.workers.pop(name)
+        del self.dialer.workers[name]
+        self._worker_scopes.pop(name).cancel()
+        self.killed_at[worker.incarnation] = trio.current_time()
+
+    def add_entry(
+        self, name: str, zone: str, *, keys: Sequence[bytes] = (b"key",)
+    ) -> Entry:
+        """Starts an entry VM's process, or a new one in an old one's place."""
+        settings = EntrySettings(
+            name,
+            zone,
+            name,
+            0,
+            0,
+            1,
+            Credentials("test", keys),
+            "token",
+            TIMING,
+            retention=100_000.0,
+        )
+        gate = Gate()
+        platform = Platform(
+            GatedLog(self.log, gate),
+            self.vms,
+            GatedDialer(self.dialer, gate),
+        )
+        # Process ids carry the start time; virtual time has none, so count.
+        self._started += 1
+        process = f"{name}:{self._started:x}:id"
+        node = EntryNode(
+            settings, platform, dial=self._make_dial(name), process=process
+        )
+        entry = Entry(node, gate)
+        self.entries[name] = entry
+        self.vms.put(
+            Vm(
+                name,
+                VmRole.ENTRY,
+                entry.address,
+                zone,
+                "rack",
+                VmState.LIVE,
+                process,
+            )
+        )
+        self._nursery.start_soon(entry.run)
+        return entry
+
+    def kill_entry(self, name: str) -> None:
+        """Ends an entry VM's process without a word."""
+        entry = self.entries.pop(name)
+        entry.kill()
+        self.killed_at[entry.node.process] = trio.current_time()
+
+    def cut(self, name: str, other: str) -> None:
+        """Cuts an entry VM off from the log, a worker or another one."""
+        self.entries[name].gate.cut.add(other)
+        if other in self.entries:
+            self.entries[other].gate.cut.add(name)
+
+    def mend(self, name: str) -> None:
+        """Mends all that an entry VM was cut off from."""
+        self.entries[name].gate.cut.clear()
+        for entry in self.entries.values():
+            entry.gate.cut.discard(name)
+
+    async def apply(self, files: dict[str, str], base: int = 0) -> Verdict:
+        """Publishes files through any entry VM."""
+        record = KINDS.encode(ConfigChanged(base, files, []))
+        return await self.nodes[0].config.publish(record, timeout=10.0)
+
+    def owner(self, cell: str) -> EntryNode | None:
+        """Returns the live entry VM that runs a cell and may act."""
+        for node in self.nodes:
+            owner = node.owned.get(cell)
+            acts = node.authority.may_act(f"cell:{cell}")
+            if owner is not None and owner.opened and acts:
+                return node
+        return None
+
+    async def wait_owner(self, cell: str) -> EntryNode:
+        """Waits until some entry VM runs a cell."""
+        await wait_for(lambda: self.owner(cell) is not None)
+        node = self.owner(cell)
+        assert node is not None
+        return node
+
+    async def submit(
+        self, cell: str, job: str, seconds: float = 5.0, timeout: float = 10.0
+    ) -> Verdict:
+        """Submits a job to the owner of a cell."""
+        node = await self.wait_owner(cell)
+        return await node.owned[cell].accept(
+            f"{cell}.{job}",
+            "planning",
+            "plan",
+            1,
+            f'{{"seconds": {seconds}}}',
+            timeout,
+        )
+
+    def job_state(self, job: str) -> str:
+        """Returns a job's state as its cell's owner tells."""
+        cell = job.partition(".")[0]
+        node = self.owner(cell)
+        found = node.owned[cell].fold.state.jobs.get(job) if node else None
+        return found.state if found is not None else ""
+
+    def runs(self) -> list[Run]:
+        """Returns all tries of tasks on workers."""
+        return read_runs(self.journal.entries, self.killed_at)
+
+    def check(self) -> None:
+        """Checks what must hold at every moment."""
+        broken = find_two_places(self.runs())
+        capacity = self.config.workers.resources
+        broken += find_over_commit(self.journal.entries, capacity)
+        assert not broken, broken
+
+    def _make_dial(self, name: str) -> StreamDialer:
+        async def dial(address: str) -> trio.abc.Stream:
+            other = self.entries.get(address.partition(":")[0])
+            gate = self.entries[name].gate
+            await gate.wait()
+            if other is None or other.name in gate.cut:
+                raise OSError("no listener")
+            near, far = memory_stream_pair()
+            other.accept(GatedStream(far, other.gate, name))
+            return GatedStream(near, gate, other.name)
+
+        return dial
+
+
+async def _run_in(
+    scope: trio.CancelScope, run: Callable[[], Awaitable[None]]
+) -> None:
+    with scope:
+        await run()
+
+
+async def wait_for(
+    condition: Callable[[], bool], timeout: float = 120.0
+) -> None:
+    """Waits, in virtual time, until a condition holds."""
+    with trio.fail_after(timeout):
+        while not condition():
+            await trio.sleep(0.05)
+
+
+@asynccontextmanager
+async def open_cluster(
+    *,
+    entries: int = 3,
+    workers: int = 3,
+    files: dict[str, str] | None = None,
+    log_faults: FaultPlan | None = None,
+) -> AsyncIterator[Cluster]:
+    """Runs a cluster with its configuration in force; checks it at the end.
+
+    Args:
+        entries: Entry VMs, spread over the zones.
+        workers: Workers in each zone.
+        files: Its configuration.
+        log_faults: What the log shows from the start.
+    """
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery, files or FILES)
+        if log_faults is not None:
+            cluster.log.faults.plan = log_faults
+        zones = sorted(cluster.config.zones)
+        for zone in zones:
+            for number in range(workers):
+                cluster.add_worker(f"{zone}-w{number}", zone)
+        for number in range(entries):
+            cluster.add_entry(f"e{number}", zones[number % len(zones)])
+        await wait_for(lambda: all(n.config.ready for n in cluster.nodes))
+        verdict = await cluster.apply(files or FILES)
+        assert verdict.accepted, verdict
+        yield cluster
+        cluster.check()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,229 @@
+"""A whole cluster in virtual time, attacked fault by fault."""
+
+import trio
+
+from pimentocross.contracts.fold import Outcome
+from pimentocross.platform.workers import TaskKind
+from pimentocross.standins.checks import finished_tasks
+from pimentocross.standins.faults import FaultPlan
+from tests.fixtures import FILES, TIMING, Cluster, open_cluster, wait_for
+
+
+def _running(cluster: Cluster, kind: TaskKind) -> int:
+    return sum(
+        spec.kind is kind
+        for worker in cluster.workers.values()
+        for spec in worker.running.values()
+    )
+
+
+async def test_services_watches_and_jobs_run() -> None:
+    async with open_cluster() as cluster:
+        await wait_for(lambda: _running(cluster, TaskKind.SERVICE) == 2)
+        await wait_for(lambda: _running(cluster, TaskKind.WATCH) == 2)
+        assert (await cluster.submit("north", "a")).accepted
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        assert finished_tasks(cluster.runs())["north.a/0"] == 1
+
+
+async def test_job_survives_the_death_of_its_cells_owner() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=60.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        first = await cluster.wait_owner("north")
+        cluster.kill_entry(first.peers.mine.name)
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        runs = [r for r in cluster.runs() if r.task == "north.a/0"]
+        # The worker was reachable, so its task was adopted, not run again.
+        assert len(runs) == 1
+
+
+async def test_worker_dies_and_its_task_resumes_once_after_the_lease() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=30.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        run = next(r for r in cluster.runs() if r.task == "north.a/0")
+        cluster.kill_worker(run.machine)
+        killed = trio.current_time()
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        runs = [r for r in cluster.runs() if r.task == "north.a/0"]
+        assert len(runs) == 2
+        assert runs[1].started - killed >= TIMING.lease - 2.1
+
+
+async def test_owner_and_worker_die_together() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=20.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        run = next(r for r in cluster.runs() if r.task == "north.a/0")
+        owner = await cluster.wait_owner("north")
+        cluster.cut(owner.peers.mine.name, run.machine)
+        cluster.kill_entry(owner.peers.mine.name)
+        # The worker runs on under its lease, unseen by everyone.
+        for entry in cluster.entries.values():
+            entry.gate.cut.add(run.machine)
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        assert finished_tasks(cluster.runs())["north.a/0"] >= 1
+
+
+async def test_paused_owner_wakes_after_it_was_superseded() -> None:
+    async with open_cluster() as cluster:
+        owner = await cluster.wait_owner("north")
+        name = owner.peers.mine.name
+        assert (await cluster.submit("north", "a", seconds=40.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        cluster.entries[name].gate.pause()
+        await wait_for(lambda: cluster.owner("north") not in (None, owner))
+        await trio.sleep(TIMING.takeover_wait + 5)
+        cluster.entries[name].gate.resume()
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        await trio.sleep(20)
+        assert not owner.owned.get("north")
+
+
+async def test_work_goes_on_while_the_log_is_away() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=5.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        cluster.log.faults.plan = FaultPlan(away=True)
+        await trio.sleep(2)
+        verdict = await cluster.submit("north", "b", timeout=3.0)
+        assert verdict.outcome is Outcome.NOT_SENT
+        await trio.sleep(30)
+        # Far longer than confidence and lease: nothing lapsed meanwhile.
+        assert _running(cluster, TaskKind.WATCH) == 2
+        assert cluster.job_state("north.a") == "accepted"
+        cluster.log.faults.plan = FaultPlan()
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        runs = [r for r in cluster.runs() if r.task == "north.a/0"]
+        assert len(runs) == 1
+        assert cluster.job_state("north.b") == ""
+
+
+async def test_only_the_owner_is_cut_off_from_the_log() -> None:
+    async with open_cluster() as cluster:
+        owner = await cluster.wait_owner("north")
+        cluster.cut(owner.peers.mine.name, "log")
+        # Its peers tell it what the log holds, so it stays confirmed.
+        await trio.sleep(40)
+        assert cluster.owner("north") is owner
+
+
+async def test_owner_cut_off_from_everyone_falls_silent() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=90.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        owner = await cluster.wait_owner("north")
+        name = owner.peers.mine.name
+        for other in [*cluster.entries, "log"]:
+            if other != name:
+                cluster.cut(name, other)
+        await wait_for(lambda: cluster.owner("north") not in (None, owner))
+        await trio.sleep(TIMING.confidence + 1)
+        assert not owner.authority.may_act("cell:north")
+        cluster.mend(name)
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        assert finished_tasks(cluster.runs())["north.a/0"] == 1
+
+
+async def test_lost_replies_of_the_log_double_nothing() -> None:
+    faults = FaultPlan(lose_replies=0.3, lose_requests=0.2)
+    async with open_cluster(log_faults=faults) as cluster:
+        for number in range(10):
+            verdict = await cluster.submit("north", f"j{number}", timeout=60.0)
+            assert verdict.accepted
+        jobs = [f"north.j{number}" for number in range(10)]
+        await wait_for(
+            lambda: all(cluster.job_state(j) == "finished" for j in jobs)
+        )
+        done = finished_tasks(cluster.runs())
+        assert all(done[f"{job}/0"] == 1 for job in jobs)
+
+
+async def test_fresh_entry_vm_joins_while_the_log_is_away() -> None:
+    async with open_cluster() as cluster:
+        await cluster.wait_owner("north")
+        version = cluster.nodes[0].config.state.version
+        cluster.log.faults.plan = FaultPlan(away=True)
+        await trio.sleep(5)
+        fresh = cluster.add_entry("e9", "north")
+        await wait_for(
+            lambda: fresh.node.config.state.version == version, timeout=10
+        )
+        assert fresh.node.get_config() is not None
+        assert not fresh.node.authority.may_claim()
+        cluster.log.faults.plan = FaultPlan()
+        await wait_for(fresh.node.authority.may_claim)
+
+
+async def test_leaving_worker_is_emptied_and_its_task_resumes() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=30.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        await trio.sleep(15)
+        run = next(r for r in cluster.runs() if r.task == "north.a/0")
+        cluster.vms.leave(run.machine)
+        worker = cluster.workers[run.machine]
+        await wait_for(lambda: not worker.running, timeout=6)
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        runs = [r for r in cluster.runs() if r.task == "north.a/0"]
+        assert len(runs) == 2
+        # It went on from its checkpoint: about 15 s were left.
+        assert runs[1].ended - runs[1].started < 20
+        await trio.sleep(20)
+        assert not worker.running
+
+
+async def test_planned_stop_hands_cells_over_at_once() -> None:
+    async with open_cluster() as cluster:
+        assert (await cluster.submit("north", "a", seconds=30.0)).accepted
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 1)
+        owner = await cluster.wait_owner("north")
+        began = trio.current_time()
+        await owner.drain()
+        cluster.kill_entry(owner.peers.mine.name)
+        await cluster.wait_owner("north")
+        assert trio.current_time() - began < 3
+        await wait_for(lambda: cluster.job_state("north.a") == "finished")
+        runs = [r for r in cluster.runs() if r.task == "north.a/0"]
+        assert len(runs) == 1
+
+
+async def test_members_that_are_gone_are_removed_after_the_wait() -> None:
+    async with open_cluster() as cluster:
+        await cluster.wait_owner("north")
+        await wait_for(
+            lambda: len(cluster.nodes[0].authority.fold.state.members) == 3
+        )
+        gone = cluster.entries["e2"].node.process
+        cluster.kill_entry("e2")
+        cluster.vms.remove("e2")
+        began = trio.current_time()
+        members = cluster.nodes[0].authority.fold.state.members
+        await wait_for(lambda: gone not in members)
+        assert trio.current_time() - began >= TIMING.takeover_wait
+
+
+async def test_racing_operators_one_wins_and_none_reverts() -> None:
+    async with open_cluster() as cluster:
+        base = cluster.nodes[0].config.state.version
+        text = FILES["10.yaml"]
+        verdicts = []
+
+        async def change(replicas: int) -> None:
+            changed = text.replace("replicas: 2", f"replicas: {replicas}")
+            verdicts.append(
+                await cluster.apply({"10.yaml": changed}, base=base)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change, 3)
+            nursery.start_soon(change, 4)
+        assert sorted(v.outcome for v in verdicts) == ["accepted", "rejected"]
+        version = max(v.offset for v in verdicts if v.accepted) + 1
+        await wait_for(
+            lambda: all(
+                n.config.state.version == version for n in cluster.nodes
+            ),
+            timeout=1,
+        )
