--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,256 @@
+"""Starts the product and its stand-ins as processes on this machine."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+import os
+from pathlib import Path
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any, NamedTuple
+
+import httpcore
+import msgspec
+
+from pimentocross.config.load import load_configuration, read_folder
+from pimentocross.config.schema import Configuration
+from pimentocross.standins.dev import free_port
+from pimentocross.standins.journal import JournalEntry, read_journal
+
+HOST = "127.0.0.1"
+TOKEN = "bench-token"
+_KEY = "bench-key"
+_START_TIMEOUT = 60.0
+
+
+class EntryAddress(NamedTuple):
+    """Where an entry process listens, as host:port each."""
+
+    name: str
+    zone: str
+    caller: str
+    operator: str
+    peer: str
+
+
+class Resources(NamedTuple):
+    """What a process has used.
+
+    Attributes:
+        cpu_seconds: Processor time.
+        memory: Resident bytes.
+    """
+
+    cpu_seconds: float
+    memory: int
+
+
+class Processes:
+    """Processes by name, each ended by its pid at the end."""
+
+    def __init__(self, folder: Path) -> None:
+        """Takes a folder for their output and journals."""
+        self.folder = folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Starts `pimentocross` with arguments."""
+        output = (self.folder / f"{name}.out").open("ab")
+        environment = {
+            **os.environ,
+            "PIMENTOCROSS_PEER_KEYS": _KEY,
+            "PIMENTOCROSS_WORKER_KEY": _KEY,
+            "PIMENTOCROSS_OPERATOR_TOKEN": TOKEN,
+        }
+        self._running[name] = subprocess.Popen(
+            [sys.executable, "-m", "pimentocross", *arguments],
+            stdout=output,
+            stderr=output,
+            env=environment,
+        )
+        output.close()
+
+    def kill(self, name: str) -> float:
+        """Kills a process; returns when, on the monotonic clock."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+        return time.monotonic()
+
+    def stop(self, name: str, timeout: float) -> int:
+        """Asks a process to stop; returns its exit code."""
+        process = self._running.pop(name)
+        process.terminate()
+        return process.wait(timeout)
+
+    def pause(self, name: str) -> None:
+        """Freezes a process."""
+        self._running[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        self._running[name].send_signal(signal.SIGCONT)
+
+    def used(self, name: str) -> Resources:
+        """Returns what a process has used since its start."""
+        pid = self._running[name].pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+        parts = fields.split()
+        ticks = int(parts[11]) + int(parts[12])
+        pages = int(parts[21])
+        return Resources(
+            ticks / os.sysconf("SC_CLK_TCK"),
+            pages * os.sysconf("SC_PAGE_SIZE"),
+        )
+
+    def end(self) -> None:
+        """Kills what still runs."""
+        for name in list(self._running):
+            self._running[name].send_signal(signal.SIGCONT)
+            self.kill(name)
+
+
+class Cluster(NamedTuple):
+    """The processes of a cluster and where they listen."""
+
+    processes: Processes
+    config: Configuration
+    log: str
+    vm_list: str
+    entries: dict[str, EntryAddress]
+    workers: list[str]
+
+    def start_entry(self, name: str) -> None:
+        """Starts an entry process, also in the place of a dead one."""
+        entry = self.entries[name]
+        arguments = [
+            "entry",
+            f"--name={name}",
+            f"--zone={entry.zone}",
+            f"--cluster={self.config.cluster}",
+            f"--log={self.log}",
+            f"--vm-list={self.vm_list}",
+            f"--host={HOST}",
+            f"--caller-port={_port(entry.caller)}",
+            f"--operator-port={_port(entry.operator)}",
+            f"--peer-port={_port(entry.peer)}",
+        ]
+        self.processes.start(name, *arguments)
+        vm = [name, "entry", entry.peer, entry.zone, "rack-0", "live", name]
+        ask("PUT", f"http://{self.vm_list}/vms/{name}", vm)
+
+    def journal(self) -> list[JournalEntry]:
+        """Returns what all workers have noted."""
+        entries: list[JournalEntry] = []
+        for path in self.processes.folder.glob("*.journal"):
+            with path.open("rb") as lines:
+                entries.extend(read_journal(lines))
+        return entries
+
+
+def ask(
+    method: str, url: str, body: object = None, token: str = TOKEN
+) -> tuple[int, Any]:
+    """Sends JSON; returns status and decoded reply, or 0 for no answer."""
+    headers = [("Authorization", f"Bearer {token}")]
+    timeouts = dict.fromkeys(["connect", "read", "write", "pool"], 60.0)
+    content = msgspec.json.encode(body) if body is not None else b""
+    try:
+        reply = httpcore.request(
+            method,
+            url,
+            headers=headers,
+            content=content,
+            extensions={"timeout": timeouts},
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return 0, None
+    return reply.status, msgspec.json.decode(reply.content)
+
+
+@contextmanager
+def open_processes() -> Iterator[Processes]:
+    """Gives a place for processes; ends them all at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        processes = Processes(Path(folder))
+        try:
+            yield processes
+        finally:
+            processes.end()
+
+
+@contextmanager
+def open_process_cluster(
+    folder: Path, entries: int, *, retention: float = 3600.0
+) -> Iterator[Cluster]:
+    """Runs a configuration's workers and so many entry processes."""
+    config = load_configuration(read_folder(folder)).ok
+    with open_processes() as processes:
+        log, vm_list = (f"{HOST}:{free_port()}" for _ in range(2))
+        processes.start(
+            "log",
+            "standin",
+            "log",
+            f"--port={_port(log)}",
+            f"--retention={retention}",
+        )
+        processes.start("vms", "standin", "vms", f"--port={_port(vm_list)}")
+        _wait_answers(
+            [f"http://{log}/streams/x?from=0", f"http://{vm_list}/vms"]
+        )
+        zones = sorted(config.zones)
+        addresses = {}
+        for number in range(entries):
+            zone = zones[number % len(zones)]
+            name = f"entry-{number}"
+            ports = [f"{HOST}:{free_port()}" for _ in range(3)]
+            addresses[name] = EntryAddress(name, zone, *ports)
+        workers = _start_workers(processes, config, vm_list)
+        cluster = Cluster(processes, config, log, vm_list, addresses, workers)
+        for name in addresses:
+            cluster.start_entry(name)
+        _wait_answers(
+            [f"http://{e.operator}/config" for e in addresses.values()]
+        )
+        yield cluster
+
+
+def _start_workers(
+    processes: Processes, config: Configuration, vm_list: str
+) -> list[str]:
+    names = []
+    size = config.workers
+    for zone, declared in config.zones.items():
+        for number in range(declared.workers):
+            name = f"{zone}-w{number}"
+            names.append(name)
+            processes.start(
+                name,
+                "standin",
+                "worker",
+                name,
+                f"--zone={zone}",
+                f"--vm-list={vm_list}",
+                f"--port={free_port()}",
+                f"--processors={size.processors}",
+                f"--memory={size.memory}",
+                f"--slots={size.slots}",
+                f"--connections={size.connections}",
+                f"--journal={processes.folder / name}.journal",
+            )
+    return names
+
+
+def _wait_answers(urls: list[str]) -> None:
+    deadline = time.monotonic() + _START_TIMEOUT
+    for url in urls:
+        while ask("GET", url)[0] == 0:
+            if time.monotonic() > deadline:
+                raise TimeoutError(url)
+            time.sleep(0.1)
+
+
+def _port(address: str) -> str:
+    return address.rpartition(":")[2]
--- /dev/null
+++ b/bench/rehearsal.py
@@ -0,0 +1,337 @@
+"""A rehearsal of disasters with real processes; exits 0 only if all held.
+
+7 entry processes over 3 availability zones and 24 workers serve steady calls
+and jobs, while 2 entry processes are killed, 1 is paused past its leases, the
+log is away for 30 s and loses replies, and 3 workers die.
+"""
+
+from collections import Counter
+from pathlib import Path
+import random
+import sys
+import time
+from typing import NamedTuple
+
+import trio
+
+from bench.processes import Cluster, ask, open_process_cluster
+from pimentocross.config.load import read_folder
+from pimentocross.standins.caller import CallerStandin, CallKind
+from pimentocross.standins.checks import (
+    find_false_not_run,
+    find_over_commit,
+    find_served_twice,
+    find_two_places,
+    finished_tasks,
+    read_runs,
+)
+from pimentocross.standins.journal import JournalEntry
+
+_FOLDER = Path(__file__).parent.parent / "examples" / "quetzal"
+_ENTRIES = 7
+_TRAFFIC = 110.0
+_CALLS_PER_SECOND = 30.0
+_JOBS_PER_SECOND = 1.5
+_POST_SHARE = 0.2
+_REPEAT_SHARE = 0.5
+_CALL_TIMEOUT = 5.0
+_SETTLE = 120.0
+_SERVICE = "juguetes-stock"
+
+
+class Fault(NamedTuple):
+    """Something that happens at a time; see `_Director`."""
+
+    at: float
+    action: str
+    subject: str = ""
+
+
+# Seconds from the start of the traffic. Owners are looked up when it happens.
+PLAN = [
+    Fault(10.0, "kill owner", "zona-norte"),
+    Fault(15.0, "kill worker", "zona-norte-w0"),
+    Fault(20.0, "pause owner", "zona-sur"),
+    Fault(25.0, "replace killed"),
+    Fault(32.0, "log away"),
+    Fault(40.0, "kill worker", "zona-sur-w1"),
+    Fault(45.0, "kill owner", "zona-oeste"),
+    Fault(62.0, "log loses replies"),
+    Fault(65.0, "kill worker", "zona-oeste-w2"),
+    Fault(70.0, "resume paused"),
+    Fault(80.0, "log well"),
+    Fault(85.0, "replace killed"),
+]
+
+
+class Traffic:
+    """Callers behind a balancer that asks each entry VM for its health."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Starts with every entry VM in the balancer."""
+        self.caller = CallerStandin()
+        self.refused: list[str] = []
+        self.jobs: list[str] = []
+        self.repeats: Counter[str] = Counter()
+        self._cluster = cluster
+        self._random = random.Random(7)
+        self._healthy = list(cluster.entries)
+
+    def pick(self) -> str:
+        """Returns the caller address of a healthy entry VM."""
+        name = self._random.choice(self._healthy or list(self._cluster.entries))
+        return self._cluster.entries[name].caller
+
+    async def check_health(self) -> None:
+        """Keeps the balancer's list, as the platform would."""
+        while True:
+            healthy = []
+            for name, entry in self._cluster.entries.items():
+                if await trio.to_thread.run_sync(_is_healthy, entry.caller):
+                    healthy.append(name)
+            self._healthy = healthy
+            await trio.sleep(0.5)
+
+    async def send(self, nursery: trio.Nursery) -> None:
+        """Sends calls and jobs at steady rates until cancelled."""
+        nursery.start_soon(self._send_jobs, nursery)
+        number = 0
+        while True:
+            number += 1
+            nursery.start_soon(self._call, number)
+            await trio.sleep(1 / _CALLS_PER_SECOND)
+
+    async def _send_jobs(self, nursery: trio.Nursery) -> None:
+        number = 0
+        while True:
+            number += 1
+            nursery.start_soon(self._submit, number)
+            await trio.sleep(1 / _JOBS_PER_SECOND)
+
+    async def _call(self, number: int) -> None:
+        post = self._random.random() < _POST_SHARE
+        method = "POST" if post else "GET"
+        key = f"call-{number}"
+        path = f"/shelf/{number}"
+        outcomes = [await self._call_once(method, path, key)]
+        if post and self._random.random() < _REPEAT_SHARE:
+            # The caller repeats the order through any other entry VM.
+            outcomes.append(await self._call_once(method, path, key))
+            self.repeats[outcomes[-1]] += 1
+        if all(kind == CallKind.NOT_RUN for kind in outcomes):
+            self.refused.append(key)
+
+    async def _call_once(self, method: str, path: str, key: str) -> str:
+        outcome = await self.caller.call(
+            self.pick(), _SERVICE, method, path, key, _CALL_TIMEOUT
+        )
+        return outcome.kind.value
+
+    async def _submit(self, number: int) -> None:
+        seconds = self._random.uniform(2.0, 12.0)
+        class_name = self._random.choice(["restock-plan", "shelf-report"])
+        job = await self.caller.submit(
+            self.pick(), class_name, seconds, f"job-{number}"
+        )
+        if job is not None:
+            self.jobs.append(job)
+
+
+class _Director:
+    """Brings the faults of the plan about."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.killed_workers: dict[str, float] = {}
+        self._cluster = cluster
+        self._killed: list[str] = []
+        self._paused = ""
+
+    async def run(self, plan: list[Fault]) -> None:
+        """Goes through the plan."""
+        began = trio.current_time()
+        for fault in plan:
+            await trio.sleep_until(began + fault.at)
+            done = await self._do(fault)
+            print(f"{fault.at:6.1f} s  {fault.action} {done}", flush=True)
+
+    async def _do(self, fault: Fault) -> str:
+        processes = self._cluster.processes
+        match fault.action:
+            case "kill owner":
+                name = await self._owner(fault.subject)
+                processes.kill(name)
+                self._killed.append(name)
+                return name
+            case "pause owner":
+                self._paused = await self._owner(fault.subject)
+                processes.pause(self._paused)
+                return self._paused
+            case "resume paused":
+                processes.resume(self._paused)
+                return self._paused
+            case "kill worker":
+                self.killed_workers[fault.subject] = processes.kill(
+                    fault.subject
+                )
+                return fault.subject
+            case "replace killed":
+                for name in self._killed:
+                    await trio.to_thread.run_sync(
+                        self._cluster.start_entry, name
+                    )
+                done, self._killed = ", ".join(self._killed), []
+                return done
+            case "log away":
+                await self._set_log({"away": True})
+            case "log loses replies":
+                await self._set_log({"lose_replies": 0.2, "delay": 0.05})
+            case "log well":
+                await self._set_log({})
+        return ""
+
+    async def _owner(self, cell: str) -> str:
+        """Returns the live entry VM that owns a cell, but no paused one."""
+        for entry in self._cluster.entries.values():
+            if entry.name in (*self._killed, self._paused):
+                continue
+            url = f"http://{entry.operator}/status"
+            _, rows = await trio.to_thread.run_sync(ask, "GET", url)
+            for row in rows or []:
+                if any(c["cell"] == cell for c in row["cells"]):
+                    return str(row["name"])
+            alive = [row["name"] for row in rows or []]
+            if alive:
+                return str(alive[-1])
+        raise LookupError(cell)
+
+    async def _set_log(self, plan: dict[str, object]) -> None:
+        url = f"http://{self._cluster.log}/faults"
+        await trio.to_thread.run_sync(ask, "POST", url, plan)
+
+
+def _is_healthy(address: str) -> bool:
+    import httpcore
+
+    timeouts = dict.fromkeys(["connect", "read", "write", "pool"], 0.5)
+    try:
+        reply = httpcore.request(
+            "GET",
+            f"http://{address}/-/health",
+            extensions={"timeout": timeouts},
+        )
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+    ):
+        return False
+    return reply.status == 200
+
+
+async def _wait_jobs(traffic: Traffic) -> dict[str, str]:
+    """Returns the states of jobs that have not finished in time."""
+    left = dict.fromkeys(traffic.jobs, "")
+    with trio.move_on_after(_SETTLE):
+        while left:
+            for job in list(left):
+                state = await traffic.caller.job_state(traffic.pick(), job)
+                left[job] = state
+                if state == "finished":
+                    del left[job]
+            await trio.sleep(0.5)
+    return left
+
+
+def _find_broken(
+    cluster: Cluster,
+    traffic: Traffic,
+    killed: dict[str, float],
+    left: dict[str, str],
+) -> list[str]:
+    journal = cluster.journal()
+    died = _processes_of(journal, killed)
+    runs = read_runs(journal, died)
+    broken = find_two_places(runs)
+    broken += find_over_commit(journal, cluster.config.workers.resources)
+    broken += find_served_twice(journal)
+    broken += find_false_not_run(journal, traffic.refused)
+    broken += [f"job {job} is {state!r}" for job, state in left.items()]
+    if traffic.caller.outcomes[(CallKind.MIXED_UP.value, "")]:
+        broken.append("an answer went to another caller")
+    finished = finished_tasks(r for r in runs if r.process not in died)
+    broken += [f"{t} finished {n} times" for t, n in finished.items() if n > 1]
+    everywhere = finished_tasks(runs)
+    for job in traffic.jobs:
+        if not everywhere[f"{job}/0"]:
+            broken.append(f"{job} is said to be finished, yet never was")
+    return broken
+
+
+def _processes_of(
+    journal: list[JournalEntry], killed: dict[str, float]
+) -> dict[str, float]:
+    found = {}
+    for entry in journal:
+        if entry.machine in killed:
+            found[entry.process] = killed[entry.machine]
+    return found
+
+
+async def _rehearse(cluster: Cluster) -> int:
+    traffic = Traffic(cluster)
+    director = _Director(cluster)
+    async with trio.open_nursery() as health:
+        health.start_soon(traffic.check_health)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(director.run, PLAN)
+            with trio.move_on_after(_TRAFFIC):
+                await traffic.send(nursery)
+            nursery.cancel_scope.deadline = trio.current_time() + 30.0
+        left = await _wait_jobs(traffic)
+        health.cancel_scope.cancel()
+    broken = _find_broken(cluster, traffic, director.killed_workers, left)
+    _print_report(cluster, traffic, director, broken)
+    return 1 if broken else 0
+
+
+def _print_report(
+    cluster: Cluster,
+    traffic: Traffic,
+    director: _Director,
+    broken: list[str],
+) -> None:
+    print("\ncalls and submissions by how they ended:")
+    for (kind, reason), n in sorted(traffic.caller.outcomes.items()):
+        print(f"  {n:6} {kind} {reason}".rstrip())
+    print(f"repeated orders by how the repeat ended: {dict(traffic.repeats)}")
+    latencies = sorted(traffic.caller.latencies)
+    for share in (0.5, 0.9, 0.99, 0.999):
+        at = latencies[min(int(share * len(latencies)), len(latencies) - 1)]
+        print(f"  p{share * 100:g} of answered calls: {at * 1000:.1f} ms")
+    journal = cluster.journal()
+    died = _processes_of(journal, director.killed_workers)
+    runs = [r for r in read_runs(journal, died) if r.kind == "batch"]
+    print(f"jobs accepted {len(traffic.jobs)}, tries of tasks {len(runs)}")
+    states = Counter(run.state for run in runs)
+    print(f"tries by how they ended: {dict(states)}")
+    for line in broken:
+        print(f"BROKEN: {line}")
+    print("every invariant held" if not broken else f"{len(broken)} broken")
+
+
+def main() -> int:
+    """Runs the rehearsal; returns the exit code."""
+    began = time.monotonic()
+    with open_process_cluster(_FOLDER, _ENTRIES) as cluster:
+        entry = next(iter(cluster.entries.values()))
+        change = {"base": 0, "files": read_folder(_FOLDER), "removed": []}
+        status, body = ask("POST", f"http://{entry.operator}/config", change)
+        print(f"configuration: {status} {body}", flush=True)
+        time.sleep(8.0)
+        code = trio.run(_rehearse, cluster)
+    print(f"took {time.monotonic() - began:.0f} s")
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -31,11 +31,16 @@
 
 def run_virtual(function: Callable[[], Awaitable[None]], seed: int = 0) -> None:
     """Runs a test in virtual time, tasks in an order drawn from a seed."""
+    seed_tasks(seed)
+    # The clock jumps whenever every task waits.
+    trio.run(function, clock=MockClock(autojump_threshold=0))
+
+
+def seed_tasks(seed: int) -> None:
+    """Makes the order of tasks in the next `trio.run` repeat itself."""
     # trio shuffles runnable tasks by a generator of its own.
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[attr-defined,misc,unused-ignore]
     trio_run._r = random.Random(seed)  # type: ignore[attr-defined,misc,unused-ignore]
-    # The clock jumps whenever every task waits.
-    trio.run(function, clock=MockClock(autojump_threshold=0))
 
 
 def _gather(module: ModuleType) -> list[unittest.TestCase]:
