--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,10 +2,21 @@
 
 import sys
 
-from bench import apply, idle, rehearsal, request
+from bench import apply, capacity, idle, rehearsal, request, target
+
+
+def _print_capacity() -> int:
+    """Prints the slopes and what they come to at the target size."""
+    slopes = capacity.measure_slopes()
+    capacity.print_slopes(slopes)
+    print()
+    target.print_lines(target.lines(slopes))
+    return 0
+
 
 _BENCHMARKS = {
     "apply": apply.main,
+    "capacity": _print_capacity,
     "idle": idle.main,
     "rehearsal": rehearsal.main,
     "request": request.main,
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -336,7 +336,7 @@
         fit(
             "appends for ends at 100/s, by ends",
             "appends",
-            _pairs((200, 400, 800), _virtual_appends),
+            _pairs((200, 400, 800), measure_appends),
         ),
         fit(
             "folding a job's records, by jobs",
@@ -409,7 +409,8 @@
     return log.appends["cell"]
 
 
-def _virtual_appends(ends: int) -> float:
+def measure_appends(ends: int) -> float:
+    """Returns the appends for so many ends, in virtual time."""
     return trio.run(_appends, ends, clock=MockClock(autojump_threshold=0))
 
 
--- a/pimentocross/contracts/const.py
+++ b/pimentocross/contracts/const.py
@@ -14,7 +14,7 @@
 # Records that wait for the log while it is away; older ones are dropped.
 OUTBOX_MOST: Final = 10_000
 # Records that are not urgent gather for this long before an append.
-LINGER: Final = 0.25
+LINGER: Final = 0.35
 APPEND_BATCH_MOST: Final = 256
 
 # Offsets behind the newest within which a repeated record id is folded once.
