--- a/bench/request.py
+++ b/bench/request.py
@@ -18,7 +18,7 @@
 from pimentocross.links.headers import SERVICE
 
 BOUND = 2.6
-_ROUNDS = 6
+_ROUNDS = 12
 _REQUESTS = 400
 _CONFIG = """\
 cluster: bench
--- a/pimentocross/links/const.py
+++ b/pimentocross/links/const.py
@@ -21,3 +21,5 @@
 TARGET_CONNECT_TIMEOUT: Final = 0.5
 TARGET_IDLE_KEPT: Final = 8
 TARGET_KEEP_ALIVE: Final = 20.0
+# Longest answer of a target that is passed on.
+ANSWER_MOST: Final = 64 * 1024 * 1024
--- a/pimentocross/links/target.py
+++ b/pimentocross/links/target.py
@@ -1,30 +1,16 @@
 """Links to targets: connections kept, answers in whole, limits learned."""
 
-from typing import Final
-
-import httpcore
 import trio
 
 from pimentocross.contracts.limit import AdaptiveLimit
 from pimentocross.entry.const import EJECT_FAILURES, EJECT_FOR
 from pimentocross.links import const
 from pimentocross.links.asgi import Headers, HttpReply, HttpRequest
-
-# Headers of one hop, which a forwarder does not pass on (RFC 9110, 7.6.1).
-_HOP_HEADERS: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"host",
-    }
+from pimentocross.links.target_connection import (
+    TargetConnection,
+    TargetConnectionError,
+    connect_target,
 )
-_BACKEND: Final = httpcore.TrioBackend()
 
 
 class TargetError(Exception):
@@ -51,18 +37,14 @@
 
     def __init__(self, address: str, concurrency: int) -> None:
         """Takes host:port and the requests that it runs at once."""
-        host, _, port = address.rpartition(":")
         self.in_flight = 0
         self.elsewhere = 0
         self.silences = 0
         self._address = address
         self._concurrency = concurrency
         self._limit = AdaptiveLimit(concurrency)
-        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
-        self._host = host
-        self._port = int(port)
-        self._idle: list[httpcore.AsyncHTTP11Connection] = []
-        self._suspect: list[httpcore.AsyncHTTP11Connection] = []
+        self._idle: list[TargetConnection] = []
+        self._suspect: list[TargetConnection] = []
         self._failures = 0
         self._ejected_until = 0.0
 
@@ -106,12 +88,14 @@
             TargetError: No answer, or only a part of one.
         """
         began = trio.current_time()
+        connected = False
         self.in_flight += 1
         try:
             with trio.fail_after(timeout):
                 connection = await self._connection()
+                connected = True
                 try:
-                    reply = await self._exchange(connection, request, extra)
+                    reply = await connection.exchange(request, extra)
                 except BaseException:
                     with trio.CancelScope(shield=True):
                         await connection.aclose()
@@ -121,14 +105,13 @@
             raise
         except trio.TooSlowError as error:
             self.note_silence()
-            raise TargetError("no answer in time", sent=True) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise TargetError("no answer in time", sent=connected) from error
+        except TargetConnectionError as error:
             self.note_failure()
-            reason = str(error) or type(error).__name__
-            raise TargetError(reason, sent=True) from error
+            raise TargetError(str(error), sent=True) from error
         finally:
             self.in_flight -= 1
-        self._keep(connection)
+        await self._keep(connection)
         self._failures = 0
         self._limit.note_answer(trio.current_time() - began)
         return reply
@@ -162,57 +145,21 @@
         while self._suspect:
             await self._suspect.pop().aclose()
 
-    async def _connection(self) -> httpcore.AsyncHTTP11Connection:
+    async def _connection(self) -> TargetConnection:
         if self._suspect:
             await self._close_suspect()
         while self._idle:
             kept = self._idle.pop()
-            if not kept.has_expired() and kept.is_idle():
+            if kept.reusable and not kept.is_stale():
                 return kept
             await kept.aclose()
         try:
-            stream = await _BACKEND.connect_tcp(
-                self._host, self._port, const.TARGET_CONNECT_TIMEOUT
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return await connect_target(self._address)
+        except (OSError, trio.TooSlowError) as error:
             raise TargetError("no connection", sent=False) from error
-        return httpcore.AsyncHTTP11Connection(
-            self._origin, stream, keepalive_expiry=const.TARGET_KEEP_ALIVE
-        )
-
-    async def _exchange(
-        self,
-        connection: httpcore.AsyncHTTP11Connection,
-        request: HttpRequest,
-        extra: Headers,
-    ) -> HttpReply:
-        target = request.path.encode("latin-1")
-        if request.query:
-            target += b"?" + request.query
-        headers = [h for h in request.headers if h[0] not in _HOP_HEADERS]
-        headers.append((b"host", self._address.encode()))
-        headers.extend(extra)
-        outgoing = httpcore.Request(
-            request.method,
-            httpcore.URL(
-                scheme=b"http",
-                host=self._origin.host,
-                port=self._port,
-                target=target,
-            ),
-            headers=headers,
-            content=request.body,
-        )
-        response = await connection.handle_async_request(outgoing)
-        body = await response.aread()
-        await response.aclose()
-        answered = [
-            (name.lower(), value)
-            for name, value in response.headers
-            if name.lower() not in _HOP_HEADERS
-        ]
-        return HttpReply(response.status, answered, body)
-
-    def _keep(self, connection: httpcore.AsyncHTTP11Connection) -> None:
-        if connection.is_idle() and len(self._idle) < const.TARGET_IDLE_KEPT:
+
+    async def _keep(self, connection: TargetConnection) -> None:
+        if connection.reusable and len(self._idle) < const.TARGET_IDLE_KEPT:
             self._idle.append(connection)
+        else:
+            await connection.aclose()
