Move replicas away from what slows them; withdraw before a stop

Cause: first fit had the better tail, since services keep the place that they were given before anything was known; and a replica on a leaving worker was stopped at once, which cut its requests off. Change: an owner moves one replica each 10 s if the weighted cost falls by 0.15 or more; replicas may stand together up to a third. A replica is taken out of the targets first and stopped after the longest request and 2 s more.

--- a/pimentocross/placement/const.py
+++ b/pimentocross/placement/const.py
@@ -19,9 +19,9 @@
 
 # Share of an estimate's spread by which an unknown pair looks better.
 EXPLORATION: Final = 0.25
-# Slowdown of a service above which its worst neighbour is throttled.
-THROTTLE_ABOVE: Final = 0.6
-THROTTLE_BELOW: Final = 0.3
+# Weighted cost that a move of a replica has to gain, and how often one moves.
+MOVE_GAIN_LEAST: Final = 0.15
+MOVE_INTERVAL: Final = 10.0
 
 QUARANTINE_AFTER: Final = 3
 QUARANTINE_FIRST: Final = 60.0
--- a/pimentocross/placement/weighted.py
+++ b/pimentocross/placement/weighted.py
@@ -1,6 +1,7 @@
 """Places tasks by what they cost under the deployment's objective."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+import math
 
 from pimentocross.config.schema import Configuration, ObjectiveConfig
 from pimentocross.placement.interference import Interference, load_band
@@ -15,8 +16,11 @@
 
 # Breaks ties towards emptier workers; far below any slowdown that counts.
 _FULLNESS_WEIGHT = 0.02
-# A second replica of a service on the same VM falls with the first.
-_SPREAD_PENALTY = 10.0
+# Replicas of a service on one VM: together they meet fewer batch tasks, yet
+# too many fall with it.
+_TOGETHER_GAIN = 0.05
+_TOGETHER_SHARE = 0.34
+_CROWD_PENALTY = 10.0
 
 
 class WeightedPolicy:
@@ -30,12 +34,12 @@
         self,
         interference: Interference,
         objective: ObjectiveConfig,
-        services: set[str],
+        replicas: Mapping[str, int],
     ) -> None:
-        """Takes the estimates, the weights, and which classes are services."""
+        """Takes the estimates, the weights, and the services' replicas."""
         self._interference = interference
         self._objective = objective
-        self._services = services
+        self._replicas = replicas
 
     def choose(self, wanted: Wanted, workers: Sequence[Candidate]) -> Choice:
         """Returns the worker; see `PlacementPolicy`."""
@@ -60,12 +64,22 @@
             suffered = self._interference.added(wanted.class_name, name, band)
             cost += self._weight(wanted.class_name) * count * suffered
         if wanted.kind is TaskKind.SERVICE:
-            same = worker.classes.get(wanted.class_name, 0)
-            cost += _SPREAD_PENALTY * same
+            cost += self._crowding(wanted.class_name, worker)
         return cost
 
+    def is_service(self, class_name: str) -> bool:
+        """True if a class is a service."""
+        return class_name in self._replicas
+
+    def _crowding(self, service: str, worker: Candidate) -> float:
+        same = worker.classes.get(service, 0)
+        most = max(math.floor(self._replicas[service] * _TOGETHER_SHARE), 1)
+        if same >= most:
+            return _CROWD_PENALTY * same
+        return -_TOGETHER_GAIN * same
+
     def _weight(self, class_name: str) -> float:
-        if class_name in self._services:
+        if class_name in self._replicas:
             return self._objective.tail_latency
         return self._objective.batch_throughput
 
@@ -74,5 +88,5 @@
     interference: Interference, config: Configuration
 ) -> WeightedPolicy:
     """Returns the policy that a configuration asks for."""
-    services = set(config.services)
-    return WeightedPolicy(interference, config.objective, services)
+    replicas = {n: s.replicas for n, s in config.services.items()}
+    return WeightedPolicy(interference, config.objective, replicas)
--- a/pimentocross/zones/cell.py
+++ b/pimentocross/zones/cell.py
@@ -9,6 +9,7 @@
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.authority import Authority
 from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
+from pimentocross.placement.const import MOVE_INTERVAL
 from pimentocross.placement.interference import (
     Interference,
     NeighbourHistory,
@@ -21,7 +22,11 @@
     Wanted,
 )
 from pimentocross.placement.quarantine import Quarantine
-from pimentocross.placement.weighted import make_weighted_policy
+from pimentocross.placement.rebalance import Placed, choose_move
+from pimentocross.placement.weighted import (
+    WeightedPolicy,
+    make_weighted_policy,
+)
 from pimentocross.platform.vms import Vm, VmRole, VmState
 from pimentocross.platform.workers import (
     Attempt,
@@ -176,6 +181,7 @@
             if await self._open():
                 nursery.start_soon(self._follow_vm_list)
                 nursery.start_soon(self._follow_records)
+                nursery.start_soon(self._rebalance)
                 await self._place_while_owner()
             self._end()
             nursery.cancel_scope.cancel()
@@ -282,7 +288,10 @@
             return
         task.phase = TaskPhase.STOPPING
         task.reason = reason
-        worker.stop(task.task, task.attempt, checkpoint=True)
+        if task.kind is TaskKind.SERVICE:
+            self._withdraw(worker, task.task, task.attempt, task.class_name)
+        else:
+            worker.stop(task.task, task.attempt, checkpoint=True)
 
     # What the workers tell.
 
@@ -348,7 +357,7 @@
         task = self._tasks.get(spec.task)
         if task is None or not self._may_hold(task, worker, spec.attempt):
             if self._opened:
-                worker.stop(spec.task, spec.attempt, checkpoint=False)
+                self._stop_unwanted(worker, spec)
             return
         if task.phase is TaskPhase.STOPPING:
             return
@@ -604,9 +613,62 @@
         self._tasks.pop(task.task, None)
         worker = self._workers.get(task.worker)
         if worker is not None and task.phase is not TaskPhase.ENDING:
-            worker.stop(task.task, task.attempt, checkpoint=False)
-        if task.kind is TaskKind.SERVICE:
-            self._on_targets()
+            self._stop_unwanted(worker, task.spec())
+
+    def _stop_unwanted(self, worker: Worker, spec: TaskSpec) -> None:
+        if spec.kind is TaskKind.SERVICE:
+            name = spec.class_name
+            self._withdraw(worker, spec.task, spec.attempt, name)
+        else:
+            worker.stop(spec.task, spec.attempt, checkpoint=False)
+
+    def _withdraw(
+        self, worker: Worker, task: str, attempt: Attempt, service: str
+    ) -> None:
+        """Stops a replica once nobody sends to it and all have answers."""
+        self._on_targets()
+        config = self._config.state.config
+        declared = config.services.get(service) if config else None
+        longest = declared.timeout if declared else const.WITHDRAW_DEFAULT
+        if self._nursery is not None:
+            self._nursery.start_soon(
+                self._stop_later,
+                worker,
+                task,
+                attempt,
+                longest + const.WITHDRAW_NOTICE,
+            )
+
+    async def _stop_later(
+        self, worker: Worker, task: str, attempt: Attempt, delay: float
+    ) -> None:
+        await trio.sleep(delay)
+        worker.stop(task, attempt, checkpoint=False)
+
+    async def _rebalance(self) -> None:
+        """Moves one replica at a time away from what slows it."""
+        while True:
+            await trio.sleep(MOVE_INTERVAL)
+            policy = self._choose_policy()
+            settled = all(
+                task.phase is TaskPhase.RUNNING
+                for task in self._tasks.values()
+                if task.kind is TaskKind.SERVICE
+            )
+            if settled and isinstance(policy, WeightedPolicy):
+                self._move_replica(policy)
+
+    def _move_replica(self, policy: WeightedPolicy) -> None:
+        placed = [
+            Placed(_wanted(task), task.worker)
+            for task in self._tasks.values()
+            if task.kind is TaskKind.SERVICE
+        ]
+        views = self._views(self._usable_workers())
+        move = choose_move(placed, views, policy)
+        if move is not None:
+            gain = f"moves to {move.to}, cost falls by {move.gain:.2f}"
+            self.evict(self._tasks[move.task], gain)
 
     def _empty(self, worker: Worker) -> None:
         for task in list(self._tasks.values()):
@@ -655,8 +717,8 @@
         return False
 
     def _place(self, task: WantedTask) -> bool:
-        wanted = Wanted(task.task, task.kind, task.class_name, task.size)
-        choice = self._choose_policy().choose(wanted, self._candidates(task))
+        candidates = self._candidates(task)
+        choice = self._choose_policy().choose(_wanted(task), candidates)
         task.reason = choice.reason
         if not choice.worker:
             return False
@@ -680,13 +742,19 @@
         return make_weighted_policy(self._interference, config)
 
     def _candidates(self, task: WantedTask) -> list[View]:
-        usable = [w for w in self._workers.values() if w.met and not w.leaving]
+        usable = self._usable_workers()
         if task.kind is TaskKind.BATCH:
             now = trio.current_time()
             admits = self._quarantine.admits
             usable = [w for w in usable if admits(w.name, now)]
         # A task that failed on a worker tries others first.
         fresh = [w for w in usable if w.name not in task.avoid]
+        return self._views(fresh or usable)
+
+    def _usable_workers(self) -> list[Worker]:
+        return [w for w in self._workers.values() if w.met and not w.leaving]
+
+    def _views(self, workers: Sequence[Worker]) -> list[View]:
         return [
             View(
                 w.name,
@@ -694,7 +762,7 @@
                 w.commitments.capacity,
                 self._classes.get(w.name, {}),
             )
-            for w in fresh or usable
+            for w in workers
         ]
 
     def _count_class(self, worker: Worker, class_name: str) -> None:
@@ -720,6 +788,10 @@
         self._note_history(worker, counts)
 
 
+def _wanted(task: WantedTask) -> Wanted:
+    return Wanted(task.task, task.kind, task.class_name, task.size)
+
+
 def _urgency(task: WantedTask) -> int:
     if task.kind is TaskKind.SERVICE:
         return 0
--- a/pimentocross/zones/const.py
+++ b/pimentocross/zones/const.py
@@ -21,6 +21,10 @@
 FAILURE_BACKOFF: Final = 0.5
 # A new owner lets workers tell what runs before it adds service tasks.
 MEETING_PATIENCE: Final = 3.0
+# From taking a replica out of the targets until no request is sent to it,
+# and then the longest request if its service is not configured any more.
+WITHDRAW_NOTICE: Final = 2.0
+WITHDRAW_DEFAULT: Final = 5.0
 
 # Commands of one exchange; the rest waits for the next.
 COMMANDS_MOST: Final = 256
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -227,3 +227,93 @@
             ),
             timeout=1,
         )
+
+
+async def test_replica_is_withdrawn_before_it_is_stopped() -> None:
+    async with open_cluster() as cluster:
+        await wait_for(lambda: _running(cluster, TaskKind.SERVICE) == 2)
+        await wait_for(
+            lambda: all(
+                len(n.book.services()["stock"]) == 2 for n in cluster.nodes
+            )
+        )
+        worker = next(
+            w
+            for w in cluster.workers.values()
+            if w.service.running == {"stock"}
+        )
+        began = trio.current_time()
+        cluster.vms.leave(worker.shape.name)
+        await wait_for(
+            lambda: all(
+                t.worker != worker.shape.name
+                for n in cluster.nodes
+                for t in n.book.services()["stock"]
+            )
+        )
+        assert trio.current_time() - began < 5
+        # Requests in flight have their time before the replica goes.
+        assert worker.service.running == {"stock"}
+        await wait_for(lambda: not worker.service.running)
+        await wait_for(lambda: _running(cluster, TaskKind.SERVICE) == 2)
+
+
+async def test_worker_that_fails_everything_gets_few_tasks() -> None:
+    async with open_cluster() as cluster:
+        await cluster.wait_owner("north")
+        broken = cluster.workers["north-w0"]
+        broken.fails_all = True
+        for number in range(40):
+            assert (await cluster.submit("north", f"j{number}", 2.0)).accepted
+            await trio.sleep(1)
+        jobs = [f"north.j{number}" for number in range(40)]
+        await wait_for(
+            lambda: all(cluster.job_state(j) == "finished" for j in jobs)
+        )
+        tries = [r for r in cluster.runs() if r.machine == "north-w0"]
+        assert sum(r.kind == "batch" for r in tries) <= 5
+
+
+async def test_job_that_can_never_run_ends_with_its_reason() -> None:
+    async with open_cluster() as cluster:
+        node = await cluster.wait_owner("north")
+        verdict = await node.owned["north"].accept(
+            "north.bad",
+            "planning",
+            "plan",
+            1,
+            '{"seconds": 1, "failure": "no such region"}',
+            5.0,
+        )
+        assert verdict.accepted
+        await wait_for(lambda: cluster.job_state("north.bad") == "failed")
+        runs = [r for r in cluster.runs() if r.task == "north.bad/0"]
+        assert len({r.machine for r in runs}) == len(runs) == 3
+        job = node.owned["north"].fold.state.jobs["north.bad"]
+        assert job.reason == "no such region"
+        # It is the job's fault: no worker is held to account.
+        assert all(
+            not node.owned["north"].explain_worker(r.machine) for r in runs
+        )
+
+
+async def test_wave_of_cancellations() -> None:
+    async with open_cluster() as cluster:
+        node = await cluster.wait_owner("north")
+        owner = node.owned["north"]
+        names = [f"north.c{number}" for number in range(500)]
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(
+                    owner.accept, name, "planning", "plan", 1, "", 30.0
+                )
+        appends = cluster.log.appends["cell-north"]
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(owner.cancel, name, 30.0)
+        assert all(
+            cluster.job_state(name) in ("cancelled", "finished")
+            for name in names
+        )
+        assert cluster.log.appends["cell-north"] - appends <= 10
+        await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 0)
