--- /dev/null
+++ b/onefile/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the program as one file."""
--- /dev/null
+++ b/tests/test_onefile.py
@@ -0,0 +1,78 @@
+"""The one binary: no children, no files of its own, quick to start."""
+
+import os
+from pathlib import Path
+import subprocess
+import sys
+import time
+
+_ROOT = Path(__file__).parent.parent
+_PROGRAM = _ROOT / "dist" / "pimentocross"
+_MEMORY_MOST = 256_000_000
+# Beside the same program in a prepared environment, in the same run.
+_START_RATIO_MOST = 3.0
+
+
+def _children(pid: int) -> list[str]:
+    found: list[str] = []
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        found += (task / "children").read_text().split()
+    return found
+
+
+def _files(pid: int) -> list[str]:
+    links = Path(f"/proc/{pid}/fd").iterdir()
+    return [os.readlink(link) for link in links]
+
+
+def _memory(pid: int) -> int:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    raise AssertionError(pid)
+
+
+def _start_seconds(*command: str) -> float:
+    best = float("inf")
+    for _ in range(3):
+        began = time.monotonic()
+        subprocess.run(
+            [*command, "version"], check=True, env={}, capture_output=True
+        )
+        best = min(best, time.monotonic() - began)
+    return best
+
+
+def test_one_binary_runs_alone_without_children_or_files() -> None:
+    process = subprocess.Popen(
+        [str(_PROGRAM), "dev", str(_ROOT / "examples" / "ostend"), "--for=5s"],
+        env={},
+        cwd="/",
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+    )
+    children: list[str] = []
+    files: set[str] = set()
+    memory = 0
+    ends_at = time.monotonic() + 4.0
+    while time.monotonic() < ends_at:
+        children += _children(process.pid)
+        files |= set(_files(process.pid))
+        memory = max(memory, _memory(process.pid))
+        time.sleep(0.1)
+    linked = Path(f"/proc/{process.pid}/maps").read_text()
+    output, _ = process.communicate(timeout=60)
+    assert process.returncode == 0, output
+    assert not children
+    # Modules in C lie in memory; the rest is sockets and standard streams.
+    places = {f for f in files if f.startswith("/") and "memfd:" not in f}
+    assert places <= {"/dev/null", str(_PROGRAM)}, places
+    assert "libc.so" in linked
+    assert "python" not in linked.replace(str(_PROGRAM), "")
+    assert memory < _MEMORY_MOST, memory
+
+
+def test_one_binary_starts_about_as_quickly() -> None:
+    alone = _start_seconds(str(_PROGRAM))
+    prepared = _start_seconds(sys.executable, "-m", "pimentocross")
+    assert alone < prepared * _START_RATIO_MOST, (alone, prepared)
