--- a/pimentocross/cli/entry.py
+++ b/pimentocross/cli/entry.py
@@ -1,6 +1,7 @@
 """The command that runs an entry process."""
 
 from pathlib import Path
+import resource
 import signal
 import sys
 from typing import Annotated
@@ -16,7 +17,7 @@
 from pimentocross.entry.node import EntryNode, Platform, Ports, open_entry
 from pimentocross.entry.settings import EntrySettings
 from pimentocross.links.greeting import Credentials
-from pimentocross.observe.logs import log_to
+from pimentocross.observe.logs import log_to, quiet_listeners
 from pimentocross.platform.clients import (
     HttpLogService,
     HttpVmList,
@@ -24,6 +25,8 @@
 )
 
 _KEYS_MOST = 2
+# Files that a process has open beside connections.
+_FILES_BESIDES = 32
 
 
 def _option(name: str, text: str) -> typer.models.OptionInfo:
@@ -81,6 +84,9 @@
     drain_timeout: Annotated[
         float, _option("--drain-timeout", "Seconds requests may still take.")
     ] = 30.0,
+    connections_most: Annotated[
+        int, _option("--connections-most", "Connections held open at once.")
+    ] = 4096,
     log_file: Annotated[
         str, _option("--log-file", "Where logs go; - for standard error.")
     ] = "",
@@ -110,10 +116,23 @@
             read_secret(worker_key, worker_key_file, "a worker key")
         ),
     )
+    _bound_connections(connections_most)
     log_to(log_file)
+    quiet_listeners()
     trio.run(_run, settings, platform)
 
 
+def _bound_connections(most: int) -> None:
+    """Lets the process hold only so many files, connections included.
+
+    Beyond that the listeners leave new connections waiting until others
+    close; idle ones are closed after a while, so nobody waits for ever.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    soft = min(most + _FILES_BESIDES, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 async def _run(settings: EntrySettings, platform: Platform) -> None:
     node = EntryNode(settings, platform)
     async with trio.open_nursery() as nursery:
--- a/pimentocross/entry/caller_api.py
+++ b/pimentocross/entry/caller_api.py
@@ -30,6 +30,7 @@
     send_reply,
 )
 from pimentocross.links.headers import (
+    CLASS,
     IDEMPOTENCY_KEY,
     REQUEST_TIMEOUT,
     TENANT,
@@ -154,6 +155,9 @@
         if result.is_ok():
             self._histograms.record(Label("service", name), took)
             self._histograms.record(Label("tenant", tenant), took)
+            class_name = request.header(CLASS)
+            if class_name:
+                self._histograms.record(Label("class", class_name), took)
             return result.ok
         self._histograms.record(Label("refused", result.error.reason), took)
         return result.error.reply()
--- a/pimentocross/entry/jobs.py
+++ b/pimentocross/entry/jobs.py
@@ -21,6 +21,7 @@
     SubmitJob,
 )
 from pimentocross.links.peer import PeerUnreachableError
+from pimentocross.observe.logs import log_action, trace_id
 from pimentocross.observe.problems import Problem, not_run, unknown
 from pimentocross.zones.cell import CellLoad, CellOwner
 
@@ -75,7 +76,14 @@
             # The owner gives up first, so that its answer is still heard.
             theirs = left * const.OWNER_SHARE
             message = SubmitJob(
-                cell, job, tenant, class_name, tasks, input_text, theirs
+                cell,
+                job,
+                tenant,
+                class_name,
+                tasks,
+                input_text,
+                theirs,
+                trace_id(),
             )
             try:
                 reply = await self._ask_owner(cell, message, left)
@@ -195,15 +203,7 @@
     """Answers a question about a cell as its owner."""
     match message:
         case SubmitJob():
-            verdict = await owner.accept(
-                message.job,
-                message.tenant,
-                message.class_name,
-                message.tasks,
-                message.input,
-                message.timeout,
-            )
-            return Judged(verdict.outcome.value, verdict.reason)
+            return await _accept(owner, message)
         case CancelJob():
             verdict = await owner.cancel(message.job, message.timeout)
             return Judged(verdict.outcome.value, verdict.reason)
@@ -213,6 +213,20 @@
             return Refused("not a question about a cell")
 
 
+async def _accept(owner: CellOwner, message: SubmitJob) -> Judged:
+    with log_action("accept", message.trace, job=message.job) as fields:
+        verdict = await owner.accept(
+            message.job,
+            message.tenant,
+            message.class_name,
+            message.tasks,
+            message.input,
+            message.timeout,
+        )
+        fields.add(outcome=verdict.outcome.value)
+    return Judged(verdict.outcome.value, verdict.reason)
+
+
 def describe_job(owner: CellOwner, name: str) -> JobAnswer | Refused:
     """Returns a job as its cell's owner knows it."""
     if not owner.opened:
--- a/pimentocross/links/http_server.py
+++ b/pimentocross/links/http_server.py
@@ -4,7 +4,7 @@
 from typing import Any, Final, NamedTuple
 
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio import run, serve, tcp_server
 import trio
 
 from pimentocross.links.asgi import App, Receive, Scope, Send
@@ -13,6 +13,22 @@
 _READ_TIMEOUT: Final = 60
 
 
+class _PromptTcpServer(tcp_server.TCPServer):
+    """Lets a connection go as soon as the other side has closed it.
+
+    The library holds it, and its file, for the whole idle timeout, so that a
+    flood of closed connections kept others out for as long.
+    """
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        await self.idle_task.stop()
+
+
+# The library makes its connections under this name.
+run.TCPServer = _PromptTcpServer  # type: ignore[attr-defined]
+
+
 class HttpListener(NamedTuple):
     """Limits of one listener.
 
@@ -27,7 +43,7 @@
     host: str
     port: int
     headers_most: int = 16 * 1024
-    idle_timeout: float = 30.0
+    idle_timeout: float = 10.0
     graceful_timeout: float = 10.0
 
 
@@ -52,7 +68,7 @@
     config.include_server_header = False
     config.include_date_header = False
 
-    async def run(task_status: Any) -> None:
+    async def serve_app(task_status: Any) -> None:
         await serve(
             _http_only(app),  # type: ignore[arg-type]
             config,
@@ -62,7 +78,7 @@
         )
 
     async with trio.open_nursery() as nursery:
-        binds: list[str] = await nursery.start(run)
+        binds: list[str] = await nursery.start(serve_app)
         task_status.started(int(binds[0].rsplit(":", 1)[1]))
 
 
--- a/pimentocross/links/messages.py
+++ b/pimentocross/links/messages.py
@@ -65,7 +65,10 @@
 
 
 class SubmitJob(NamedTuple):
-    """A job for a cell that the asked one owns; idempotent by its id."""
+    """A job for a cell that the asked one owns; idempotent by its id.
+
+    `trace` is where the log's action tree goes on, or "".
+    """
 
     cell: str
     job: str
@@ -74,6 +77,7 @@
     tasks: int
     input: str
     timeout: float
+    trace: str
 
 
 class CancelJob(NamedTuple):
--- a/pimentocross/observe/logs.py
+++ b/pimentocross/observe/logs.py
@@ -2,15 +2,43 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+import logging
 from pathlib import Path
 import sys
+import time
 
 import eliot
 
 _STDERR = "-"
+_REPEAT_AFTER = 10.0
 _destinations: list[str] = []
 
 
+class _OncePerWhile(logging.Filter):
+    """Passes one message in a while, without its stack."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._passed_at = float("-inf")
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Returns whether the message passes."""
+        now = time.monotonic()
+        if now - self._passed_at < _REPEAT_AFTER:
+            return False
+        self._passed_at = now
+        record.exc_info = None
+        return True
+
+
+def quiet_listeners() -> None:
+    """Keeps the accept loop from logging a stack for each refusal.
+
+    While all files are in use it tries ten times a second.
+    """
+    logging.getLogger("trio.serve_listeners").addFilter(_OncePerWhile())
+
+
 class ActionFields:
     """Fields of an action's end, added while it runs."""
 
--- a/tests/test_onefile.py
+++ b/tests/test_onefile.py
@@ -1,5 +1,6 @@
 """The one binary: no children, no files of its own, quick to start."""
 
+import contextlib
 import os
 from pathlib import Path
 import subprocess
@@ -16,13 +17,18 @@
 def _children(pid: int) -> list[str]:
     found: list[str] = []
     for task in Path(f"/proc/{pid}/task").iterdir():
-        found += (task / "children").read_text().split()
+        with contextlib.suppress(FileNotFoundError, ProcessLookupError):
+            found += (task / "children").read_text().split()
     return found
 
 
 def _files(pid: int) -> list[str]:
-    links = Path(f"/proc/{pid}/fd").iterdir()
-    return [os.readlink(link) for link in links]
+    found = []
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        # A file may be closed between the listing and this look at it.
+        with contextlib.suppress(FileNotFoundError):
+            found.append(os.readlink(link))
+    return found
 
 
 def _memory(pid: int) -> int:
