Split the placer out of the cell's owner

Change: zones/placer.py holds policy, estimates, quarantine and class counts. Behaviour is as before.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -42,7 +42,7 @@
 )
 from pimentocross.standins.log import LogStandin
 from pimentocross.vms.commitments import Commitments
-from pimentocross.zones.cell import Target, View
+from pimentocross.zones.cell import Target
 from pimentocross.zones.cell_state import (
     KINDS,
     CellOpened,
@@ -50,6 +50,7 @@
     JobAccepted,
     TaskEnded,
 )
+from pimentocross.zones.placer import View
 
 # Headers and first lines of one HTTP exchange with a worker, as counted on
 # the real link: 13 headers of request and reply.
--- a/pimentocross/zones/cell.py
+++ b/pimentocross/zones/cell.py
@@ -10,23 +10,7 @@
 from pimentocross.contracts.authority import Authority
 from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
 from pimentocross.placement.const import MOVE_INTERVAL
-from pimentocross.placement.interference import (
-    Interference,
-    NeighbourHistory,
-    load_band,
-    others,
-)
-from pimentocross.placement.policy import (
-    LeastLoaded,
-    PlacementPolicy,
-    Wanted,
-)
-from pimentocross.placement.quarantine import Quarantine
-from pimentocross.placement.rebalance import Placed, choose_move
-from pimentocross.placement.weighted import (
-    WeightedPolicy,
-    make_weighted_policy,
-)
+from pimentocross.placement.policy import PlacementPolicy
 from pimentocross.platform.vms import Vm, VmRole, VmState
 from pimentocross.platform.workers import (
     Attempt,
@@ -51,6 +35,7 @@
     TaskEvicted,
     WorkerRostered,
 )
+from pimentocross.zones.placer import Placer
 from pimentocross.zones.tasks import (
     TaskPhase,
     WantedTask,
@@ -88,15 +73,6 @@
     free_slots: int
 
 
-class View(NamedTuple):
-    """A worker as placement sees it."""
-
-    name: str
-    free: Resources
-    capacity: Resources
-    classes: dict[str, int]
-
-
 class CellOwner:
     """Runs one cell for as long as its ownership stands."""
 
@@ -121,14 +97,10 @@
         self._config = config
         self._dialer = dialer
         self._list_vms = list_vms
-        self._policy = policy
-        self._interference = Interference()
-        self._history: dict[str, NeighbourHistory] = {}
-        self._quarantine = Quarantine()
+        self._placer = Placer(policy)
         self._on_targets = on_targets
         self._workers: dict[str, Worker] = {}
         self._tasks: dict[str, WantedTask] = {}
-        self._classes: dict[str, dict[str, int]] = {}
         self._opened = False
         self._opened_at = 0.0
         self._load = CellLoad(0, 0, 0)
@@ -167,7 +139,7 @@
 
     def explain_worker(self, worker: str) -> str:
         """Returns why a worker gets no batch tasks, or ""."""
-        return self._quarantine.explain(worker, trio.current_time())
+        return self._placer.explain(worker)
 
     @property
     def tasks(self) -> dict[str, WantedTask]:
@@ -297,7 +269,7 @@
 
     def on_report(self, worker: Worker, report: TaskReport) -> None:
         """Takes in that a task changed on a worker."""
-        self._count_classes(worker)
+        self._placer.count_classes(worker, self._tasks)
         if report.state is TaskState.RUNNING:
             self._on_running(worker, report)
         elif report.state in (TaskState.FINISHED, TaskState.FAILED):
@@ -308,17 +280,17 @@
 
     def on_not_started(self, worker: Worker, spec: TaskSpec) -> None:
         """Takes in that a start did not lead to a running task."""
-        self._quarantine.note_lost(worker.name)
+        self._placer.note_lost(worker.name)
         task = self._tasks.get(spec.task)
         if task is not None and task.attempt == spec.attempt:
             task.requeue(trio.current_time(), f"{worker.name} did not start it")
-        self._count_classes(worker)
+        self._placer.count_classes(worker, self._tasks)
         self._wake()
 
     def on_lapsed(self, worker: Worker) -> None:
         """Takes in that all leases of a worker have lapsed."""
         now = trio.current_time()
-        self._quarantine.note_lost(worker.name)
+        self._placer.note_lost(worker.name)
         for task in self._tasks.values():
             if (
                 task.worker == worker.name
@@ -330,25 +302,13 @@
 
     def on_usage(self, worker: Worker, usage: Sequence[Usage]) -> None:
         """Takes in what a worker's tasks were seen to use."""
-        history = self._history.get(worker.name)
-        now = trio.current_time()
-        for seen in usage if history is not None else []:
-            assert history is not None
-            then = history.at(seen.measured_at)
-            if then is not None:
-                self._interference.learn(
-                    seen.class_name,
-                    others(then.classes, seen.class_name),
-                    then.band,
-                    max(seen.slowdown - 1.0, 0.0),
-                    now,
-                )
+        self._placer.learn(worker, usage)
 
     def on_change(self, worker: Worker) -> None:
         """Takes in that a worker's health or address changed."""
         if worker.leaving:
             self._empty(worker)
-        self._count_classes(worker)
+        self._placer.count_classes(worker, self._tasks)
         self._wake()
         self._on_targets()
 
@@ -396,17 +356,14 @@
         if (task.task, attempt) in self._recording or self._nursery is None:
             return
         self._recording.add((task.task, attempt))
-        if report.state is TaskState.FINISHED:
-            self._quarantine.note_finished(worker.name)
-        else:
-            now = trio.current_time()
-            self._quarantine.note_failed(worker.name, task.job, now)
+        finished = report.state is TaskState.FINISHED
+        self._placer.note_ended(worker.name, task.job, finished=finished)
         record = TaskEnded(
             self._epoch,
             task.job,
             task.index,
             attempt,
-            report.state is TaskState.FINISHED,
+            finished,
             report.result[: const.RESULT_MOST],
             worker.name,
         )
@@ -437,7 +394,7 @@
 
     def _on_stopped(self, worker: Worker, report: TaskReport) -> None:
         spec = report.spec
-        self._quarantine.note_lost(worker.name)
+        self._placer.note_lost(worker.name)
         task = self._tasks.get(spec.task)
         held = (
             task is not None
@@ -649,23 +606,20 @@
         """Moves one replica at a time away from what slows it."""
         while True:
             await trio.sleep(MOVE_INTERVAL)
-            policy = self._choose_policy()
             settled = all(
                 task.phase is TaskPhase.RUNNING
                 for task in self._tasks.values()
                 if task.kind is TaskKind.SERVICE
             )
-            if settled and isinstance(policy, WeightedPolicy):
-                self._move_replica(policy)
-
-    def _move_replica(self, policy: WeightedPolicy) -> None:
-        placed = [
-            Placed(_wanted(task), task.worker)
-            for task in self._tasks.values()
-            if task.kind is TaskKind.SERVICE
-        ]
-        views = self._views(self._usable_workers())
-        move = choose_move(placed, views, policy)
+            if settled:
+                self._move_replica()
+
+    def _move_replica(self) -> None:
+        move = self._placer.choose_move(
+            self._tasks.values(),
+            self._workers.values(),
+            self._config.state.config,
+        )
         if move is not None:
             gain = f"moves to {move.to}, cost falls by {move.gain:.2f}"
             self.evict(self._tasks[move.task], gain)
@@ -717,8 +671,8 @@
         return False
 
     def _place(self, task: WantedTask) -> bool:
-        candidates = self._candidates(task)
-        choice = self._choose_policy().choose(_wanted(task), candidates)
+        config = self._config.state.config
+        choice = self._placer.choose(task, self._workers.values(), config)
         task.reason = choice.reason
         if not choice.worker:
             return False
@@ -728,69 +682,9 @@
         task.worker = worker.name
         task.phase = TaskPhase.STARTING
         worker.start(task.spec())
-        if task.kind is TaskKind.BATCH:
-            self._quarantine.note_started(worker.name)
-        self._count_class(worker, task.class_name)
+        self._placer.note_started(task, worker)
         return True
 
-    def _choose_policy(self) -> PlacementPolicy:
-        if self._policy is not None:
-            return self._policy
-        config = self._config.state.config
-        if config is None:
-            return LeastLoaded()
-        return make_weighted_policy(self._interference, config)
-
-    def _candidates(self, task: WantedTask) -> list[View]:
-        usable = self._usable_workers()
-        if task.kind is TaskKind.BATCH:
-            now = trio.current_time()
-            admits = self._quarantine.admits
-            usable = [w for w in usable if admits(w.name, now)]
-        # A task that failed on a worker tries others first.
-        fresh = [w for w in usable if w.name not in task.avoid]
-        return self._views(fresh or usable)
-
-    def _usable_workers(self) -> list[Worker]:
-        return [w for w in self._workers.values() if w.met and not w.leaving]
-
-    def _views(self, workers: Sequence[Worker]) -> list[View]:
-        return [
-            View(
-                w.name,
-                w.commitments.free,
-                w.commitments.capacity,
-                self._classes.get(w.name, {}),
-            )
-            for w in workers
-        ]
-
-    def _count_class(self, worker: Worker, class_name: str) -> None:
-        counts = self._classes.setdefault(worker.name, {})
-        counts[class_name] = counts.get(class_name, 0) + 1
-        self._note_history(worker, counts)
-
-    def _note_history(self, worker: Worker, counts: dict[str, int]) -> None:
-        commitments = worker.commitments
-        capacity = commitments.capacity.processors
-        used = capacity - commitments.free.processors
-        history = self._history.setdefault(worker.name, NeighbourHistory())
-        band = load_band(used, capacity)
-        history.note(trio.current_time(), counts, band)
-
-    def _count_classes(self, worker: Worker) -> None:
-        counts: dict[str, int] = {}
-        for name in worker.commitments.tasks:
-            task = self._tasks.get(name)
-            if task is not None:
-                counts[task.class_name] = counts.get(task.class_name, 0) + 1
-        self._classes[worker.name] = counts
-        self._note_history(worker, counts)
-
-
-def _wanted(task: WantedTask) -> Wanted:
-    return Wanted(task.task, task.kind, task.class_name, task.size)
-
 
 def _urgency(task: WantedTask) -> int:
     if task.kind is TaskKind.SERVICE:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -17,7 +17,7 @@
 from pimentocross.placement.weighted import WeightedPolicy
 from pimentocross.platform.workers import Resources, TaskKind
 from pimentocross.vms.commitments import Commitments, OverCommitError
-from pimentocross.zones.cell import View
+from pimentocross.zones.placer import View
 
 _CAPACITY = Resources(16.0, 64, 0, 8)
 _QUETZAL = ObjectiveConfig(0.7, 0.2, 0.1)
