--- a/pimentocross/entry/membership.py
+++ b/pimentocross/entry/membership.py
@@ -72,7 +72,7 @@
         self._dialed_in: dict[str, float] = {}
         self._gone_since: dict[str, float] = {}
         self._acknowledged_by: set[str] = set()
-        self._leaving: set[str] = set()
+        self._takes_over: set[str] = set()
 
     @property
     def links(self) -> list[PeerLink]:
@@ -101,25 +101,29 @@
         return None
 
     def candidates(self) -> list[Candidate]:
-        """Returns the live members, this one included."""
+        """Returns the live members that may claim, and this one.
+
+        One that still waits to be acknowledged must not stand first, or
+        nobody would claim until a dead member is removed.
+        """
         members = self._authority.fold.state.members
         found = [
             Candidate(link.identity.process, link.identity.zone)
             for link in self.live()
             if link.identity is not None
             and link.identity.process in members
-            and link.identity.process not in self._leaving
+            and link.identity.process in self._takes_over
         ]
         if self._mine.process in members:
             found.append(Candidate(self._mine.process, self._mine.zone))
         return found
 
-    def note_leaving(self, process: str, leaving: bool) -> None:
-        """Notes whether a peer is about to stop."""
-        if leaving:
-            self._leaving.add(process)
+    def note_takes_over(self, process: str, takes_over: bool) -> None:
+        """Notes whether a peer may claim cells, as it says itself."""
+        if takes_over:
+            self._takes_over.add(process)
         else:
-            self._leaving.discard(process)
+            self._takes_over.discard(process)
 
     def note_dialed_in(self, peer: PeerIdentity) -> None:
         """Notes that a peer has dialed this one."""
--- a/pimentocross/entry/node.py
+++ b/pimentocross/entry/node.py
@@ -267,12 +267,12 @@
             self._config.state.version,
             self._book.in_flight(),
             cells,
-            self._drain.begun,
+            self._authority.may_claim() and not self._drain.begun,
         )
 
     def note_heartbeat(self, process: str, heartbeat: Heartbeat) -> None:
         """Takes in how full a peer's cells are; see `LoadBook`."""
-        self._peers.note_leaving(process, heartbeat.leaving)
+        self._peers.note_takes_over(process, heartbeat.takes_over)
         self._loads[process] = {
             cell: CellLoad(pending, 0, free)
             for cell, _, pending, free in heartbeat.cells
--- a/pimentocross/links/messages.py
+++ b/pimentocross/links/messages.py
@@ -14,13 +14,14 @@
         config: Configuration version in force at the sender.
         in_flight: Requests that it has at targets, by address.
         cells: Cells it owns: name, epoch, pending tasks, free slots.
-        leaving: Whether it is about to stop, and so takes nothing over.
+        takes_over: Whether it may claim cells: all earlier members have
+            acknowledged it, and it is not about to stop.
     """
 
     config: int
     in_flight: list[tuple[str, int]]
     cells: list[tuple[str, int, int, int]]
-    leaving: bool
+    takes_over: bool
 
 
 class HeartbeatReply(NamedTuple):
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -238,9 +238,15 @@
 class Cluster:
     """Entry VMs, workers and a platform in one process and virtual time."""
 
-    def __init__(self, nursery: trio.Nursery, files: dict[str, str]) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        files: dict[str, str],
+        retention: float = 100_000.0,
+    ) -> None:
         """Starts with the platform only."""
-        self.log = LogStandin(retention=100_000.0, seed=1)
+        self.log = LogStandin(retention=retention, seed=1)
+        self._retention = retention
         self.vms = VmListStandin()
         self.journal = Journal()
         self.dialer = DirectDialer()
@@ -299,7 +305,7 @@
             Credentials("test", keys),
             "token",
             TIMING,
-            retention=100_000.0,
+            retention=self._retention,
         )
         gate = Gate()
         platform = Platform(
@@ -437,6 +443,7 @@
     workers: int = 3,
     files: dict[str, str] | None = None,
     log_faults: FaultPlan | None = None,
+    retention: float = 100_000.0,
 ) -> AsyncIterator[Cluster]:
     """Runs a cluster with its configuration in force; checks it at the end.
 
@@ -445,9 +452,10 @@
         workers: Workers in each zone.
         files: Its configuration.
         log_faults: What the log shows from the start.
+        retention: How long the log keeps records, in seconds.
     """
     async with trio.open_nursery() as nursery:
-        cluster = Cluster(nursery, files or FILES)
+        cluster = Cluster(nursery, files or FILES, retention)
         if log_faults is not None:
             cluster.log.faults.plan = log_faults
         zones = sorted(cluster.config.zones)
