Commit what tasks are seen to use; prove load shifts and wrong sizes

Change: a class's observed processors and memory are committed where they exceed what it declares, up to a VM's capacity; stand-ins can use more than declared. Measured: tasks that declare 2 processors and use 3 are placed with 3; of 60 orders at once, with 8 places and 8 in the queue, all others are refused as not run within 2 s, and what was answered is what ran. The first form of that test showed nothing, since its own client held only 10 connections.

--- a/pimentocross/standins/worker.py
+++ b/pimentocross/standins/worker.py
@@ -138,6 +138,7 @@
 
     Attributes:
         faults: Faults of its control listener.
+        usage_factor: What tasks use over what they were declared to.
         fails_all: True if every batch task started here fails at once.
         service: Answers for the service tasks that run here.
         service_address: Where it does, as host:port.
@@ -150,6 +151,7 @@
         """Starts empty; `open_worker` runs it."""
         self.faults = Faults()
         self.fails_all = False
+        self.usage_factor = 1.0
         self.leaving = False
         self.service_address = ""
         self._shape = shape
@@ -360,8 +362,8 @@
                         spec.task,
                         spec.class_name,
                         at,
-                        spec.size.processors,
-                        spec.size.memory,
+                        self.usage_factor * spec.size.processors,
+                        int(self.usage_factor * spec.size.memory),
                         1.0,
                     )
                 )
--- a/pimentocross/zones/placer.py
+++ b/pimentocross/zones/placer.py
@@ -20,6 +20,7 @@
 )
 from pimentocross.placement.quarantine import Quarantine
 from pimentocross.placement.rebalance import Move, Placed, choose_move
+from pimentocross.placement.sizes import ObservedSizes
 from pimentocross.placement.weighted import (
     WeightedPolicy,
     make_weighted_policy,
@@ -46,6 +47,7 @@
         self._fixed = policy
         self._interference = Interference()
         self._quarantine = Quarantine()
+        self._sizes = ObservedSizes()
         self._classes: dict[str, dict[str, int]] = {}
         self._history: dict[str, NeighbourHistory] = {}
 
@@ -64,6 +66,10 @@
         # A task that failed on a worker tries others first.
         fresh = [w for w in usable if w.name not in task.avoid]
         views = self._views(fresh or usable)
+        if config is not None:
+            task.size = self._sizes.correct(
+                task.class_name, task.declared, config.workers.resources
+            )
         return self._policy(config).choose(_wanted(task), views)
 
     def choose_move(
@@ -121,6 +127,7 @@
             return
         now = trio.current_time()
         for seen in usage:
+            self._sizes.note(seen.class_name, seen.processors, seen.memory)
             then = history.at(seen.measured_at)
             if then is None:
                 continue
--- a/pimentocross/zones/tasks.py
+++ b/pimentocross/zones/tasks.py
@@ -34,6 +34,7 @@
         reason: Why it stands where it does, for operators.
         checkpoint: Where the next try resumes, or "".
         avoid: Workers on which it failed.
+        size: What is committed for it: as declared, or as observed.
     """
 
     def __init__(
@@ -63,7 +64,8 @@
         self._kind = kind
         self._class_name = class_name
         self._tenant = tenant
-        self._size = size
+        self.size = size
+        self._declared = size
         self._job = job
         self._index = index
         self._input = input_text
@@ -90,9 +92,9 @@
         return self._tenant
 
     @property
-    def size(self) -> Resources:
-        """What it may use."""
-        return self._size
+    def declared(self) -> Resources:
+        """What its class declares."""
+        return self._declared
 
     @property
     def job(self) -> str:
@@ -117,7 +119,7 @@
             self._kind,
             self._class_name,
             self._tenant,
-            self._size,
+            self.size,
             self._input,
             self.checkpoint,
         )
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -317,3 +317,34 @@
         )
         assert cluster.log.appends["cell-north"] - appends <= 10
         await wait_for(lambda: _running(cluster, TaskKind.BATCH) == 0)
+
+
+async def test_tasks_that_use_more_than_declared_get_more_room() -> None:
+    async with open_cluster() as cluster:
+        await cluster.wait_owner("north")
+        # Declared 2 processors and 5 s; they use 3 and take a minute.
+        for worker in cluster.workers.values():
+            worker.usage_factor = 1.5
+        assert (await cluster.submit("north", "first", 60.0)).accepted
+        await trio.sleep(10)
+        for worker in cluster.workers.values():
+            worker.usage_factor = 1.0
+        for number in range(12):
+            await cluster.submit("north", f"j{number}", 60.0)
+        await trio.sleep(5)
+        placed = [
+            spec
+            for worker in cluster.workers.values()
+            for spec in worker.running.values()
+            if spec.kind is TaskKind.BATCH and spec.task != "north.first/0"
+        ]
+        assert placed
+        assert all(spec.size.processors > 2.9 for spec in placed)
+        assert len(placed) <= 6
+        owner = await cluster.wait_owner("north")
+        waiting = [
+            task.reason
+            for task in owner.owned["north"].tasks.values()
+            if not task.worker
+        ]
+        assert waiting and "processors on 3" in waiting[0], waiting
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -50,7 +50,7 @@
     def __init__(self, cluster: DevCluster) -> None:
         """Takes the cluster."""
         self._cluster = cluster
-        self._pool = httpcore.AsyncConnectionPool()
+        self._pool = httpcore.AsyncConnectionPool(max_connections=100)
 
     async def ask(
         self,
@@ -79,10 +79,13 @@
 
 
 @asynccontextmanager
-async def open_served() -> AsyncIterator[tuple[DevCluster, Client]]:
+async def open_served(
+    more: str = "",
+) -> AsyncIterator[tuple[DevCluster, Client]]:
     """Runs a small cluster whose services answer, on real sockets."""
-    async with open_dev_cluster(configuration()) as cluster:
-        await apply_files(cluster, FILES)
+    files = {**FILES, "20.yaml": more} if more else FILES
+    async with open_dev_cluster(configuration(files)) as cluster:
+        await apply_files(cluster, files)
         await wait_services(cluster)
         yield cluster, Client(cluster)
 
@@ -306,3 +309,35 @@
         assert states <= {200, 504}
         links = cluster.entries[0].book.links.values()
         assert sum(link.silences for link in links) > 0
+
+
+@real_time
+async def test_sudden_load_is_refused_early_and_nothing_is_lost() -> None:
+    async with open_served("limits: {queue: 8}\n") as (cluster, client):
+        for worker in cluster.workers:
+            worker.service.faults.plan = FaultPlan(delay=0.2)
+        replies: list[Reply] = []
+
+        async def order(number: int) -> None:
+            replies.append(
+                await client.ask(
+                    "POST",
+                    "/services/stock/o",
+                    headers={"Pimentocross-Request-Id": f"load-{number}"},
+                )
+            )
+
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(order, number)
+        answered = [r for r in replies if r.status == 200]
+        refused = [r for r in replies if r.status == 503]
+        assert len(answered) + len(refused) == 60
+        # Two targets run four requests each, eight more wait.
+        assert 8 <= len(answered) <= 16 + 4, len(answered)
+        assert {r.body["state"] for r in refused} == {"not run"}
+        assert {r.body["reason"] for r in refused} == {"queue-full"}
+        assert trio.current_time() - began < 2.0
+        served = [e for e in cluster.journal.entries if e.kind == "request"]
+        assert len(served) == len(answered)
