--- a/pimentocross/standins/dev.py
+++ b/pimentocross/standins/dev.py
@@ -40,6 +40,10 @@
 _JOB_SECONDS = 1.0
 _POST_SHARE = 0.1
 _SETTLE = 20.0
+_FIRST_PORT = 15_000
+_LAST_PORT = 30_000
+_ports = random.SystemRandom()
+_ports_given: set[int] = set()
 
 
 class WorkLine(NamedTuple):
@@ -83,10 +87,21 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        port: int = probe.getsockname()[1]
+    """Returns a port that is free now, and another one each time.
+
+    It lies below those that the system gives to outgoing connections, one of
+    which could take it before it is used.
+    """
+    while True:
+        port = _ports.randrange(_FIRST_PORT, _LAST_PORT)
+        if port in _ports_given:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((_HOST, port))
+            except OSError:
+                continue
+        _ports_given.add(port)
         return port
 
 
