--- a/pimentocross/entry/const.py
+++ b/pimentocross/entry/const.py
@@ -11,8 +11,6 @@
 SUSPECT_AFTER: Final = 3.5
 # A loop that is later than this was paused.
 PAUSE_LEAST: Final = 1.0
-# How long a fresh VM looks for peers before it takes itself for the first.
-FIRST_LOOK: Final = 1.5
 JOIN_TIMEOUT: Final = 5.0
 CLAIM_TIMEOUT: Final = 5.0
 
@@ -39,4 +37,3 @@
 EJECT_FAILURES: Final = 5
 EJECT_FOR: Final = 5.0
 EJECT_SHARE_MOST: Final = 0.34
-LEAVING_GRACE: Final = 2.0
