Move the platform Protocols to backing/ and make peer links generic

Change: platform/ is renamed backing/ (Protocols and clients of the project's own wire form); PeerLink and PeerListener take their table of messages.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,18 +16,8 @@
 import trio
 from trio.testing import MockClock
 
-from pimentocross.config.load import load_configuration
-from pimentocross.contracts.fold import StreamFold
-from pimentocross.links.framing import FrameStream
-from pimentocross.links.messages import (
-    PEER_MESSAGES,
-    Heartbeat,
-    HeartbeatReply,
-    PushTargets,
-)
-from pimentocross.placement.policy import LeastLoaded, Wanted
-from pimentocross.platform.log import RecordBody
-from pimentocross.platform.workers import (
+from pimentocross.backing.log import RecordBody
+from pimentocross.backing.workers import (
     COMMANDS,
     Attempt,
     Exchange,
@@ -40,6 +30,16 @@
     TaskState,
     Usage,
 )
+from pimentocross.config.load import load_configuration
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.links.framing import FrameStream
+from pimentocross.links.messages import (
+    PEER_MESSAGES,
+    Heartbeat,
+    HeartbeatReply,
+    PushTargets,
+)
+from pimentocross.placement.policy import LeastLoaded, Wanted
 from pimentocross.standins.log import LogStandin
 from pimentocross.vms.commitments import Commitments
 from pimentocross.zones.cell import Target
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -12,9 +12,9 @@
 
 import yaml
 
+from pimentocross.backing.workers import Resources, TaskKind
 from pimentocross.placement.const import BANDS
 from pimentocross.placement.interference import load_band
-from pimentocross.platform.workers import Resources, TaskKind
 
 USAGE_LAG = 8
 USAGE_NOISE = 0.1
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,6 +21,7 @@
     Matrix,
     read_matrix,
 )
+from pimentocross.backing.workers import Resources, TaskKind
 from pimentocross.config.load import load_configuration, read_folder
 from pimentocross.config.schema import Configuration
 from pimentocross.placement.const import MOVE_INTERVAL
@@ -34,7 +35,6 @@
 from pimentocross.placement.quarantine import Quarantine
 from pimentocross.placement.rebalance import Placed, choose_move
 from pimentocross.placement.weighted import WeightedPolicy, make_weighted_policy
-from pimentocross.platform.workers import Resources, TaskKind
 
 _ROOT = Path(__file__).parent.parent
 _DURATION = 900
--- a/examples/parts/log_fold.py
+++ b/examples/parts/log_fold.py
@@ -2,8 +2,8 @@
 
 import trio
 
+from pimentocross.backing.log import RecordBody
 from pimentocross.contracts.fold import StreamFold
-from pimentocross.platform.log import RecordBody
 from pimentocross.standins.log import LogStandin
 
 
--- a/pimentocross/platform/clients.py
+++ b/pimentocross/backing/clients.py
@@ -4,15 +4,15 @@
 
 import msgspec
 
-from pimentocross.platform import const
-from pimentocross.platform.http import JsonClient, JsonError
-from pimentocross.platform.log import (
+from pimentocross.backing import const
+from pimentocross.backing.http import JsonClient, JsonError
+from pimentocross.backing.log import (
     LogUnavailableError,
     ReadPage,
     RecordBody,
 )
-from pimentocross.platform.vms import Vm, VmListUnavailableError
-from pimentocross.platform.workers import (
+from pimentocross.backing.vms import Vm, VmListUnavailableError
+from pimentocross.backing.workers import (
     Exchange,
     ExchangeReply,
     Refusal,
--- a/pimentocross/platform/follower.py
+++ b/pimentocross/backing/follower.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from pimentocross.platform.vms import Vm, VmList, VmListUnavailableError
+from pimentocross.backing.vms import Vm, VmList, VmListUnavailableError
 
 _INTERVAL = 1.0
 
--- a/pimentocross/platform/http.py
+++ b/pimentocross/backing/http.py
@@ -6,7 +6,7 @@
 import httpcore
 import msgspec
 
-from pimentocross.platform.const import (
+from pimentocross.backing.const import (
     CONNECT_TIMEOUT,
     CONNECTIONS_MOST,
     KEEP_ALIVE,
--- a/pimentocross/cli/entry.py
+++ b/pimentocross/cli/entry.py
@@ -9,6 +9,11 @@
 import trio
 import typer
 
+from pimentocross.backing.clients import (
+    HttpLogService,
+    HttpVmList,
+    HttpWorkerDialer,
+)
 from pimentocross.cli.const import ENV, ExitCode
 from pimentocross.cli.options import read_secret
 from pimentocross.cli.output import fail
@@ -18,11 +23,6 @@
 from pimentocross.entry.settings import EntrySettings
 from pimentocross.links.greeting import Credentials
 from pimentocross.observe.logs import log_to, quiet_listeners
-from pimentocross.platform.clients import (
-    HttpLogService,
-    HttpVmList,
-    HttpWorkerDialer,
-)
 
 _KEYS_MOST = 2
 # Files that a process has open beside connections.
--- a/pimentocross/cli/standin.py
+++ b/pimentocross/cli/standin.py
@@ -7,11 +7,11 @@
 import trio
 import typer
 
+from pimentocross.backing.http import JsonClient
+from pimentocross.backing.vms import Vm, VmRole, VmState
+from pimentocross.backing.workers import Resources
 from pimentocross.links.asgi import App
 from pimentocross.links.http_server import HttpListener, serve_http
-from pimentocross.platform.http import JsonClient
-from pimentocross.platform.vms import Vm, VmRole, VmState
-from pimentocross.platform.workers import Resources
 from pimentocross.standins.journal import Journal
 from pimentocross.standins.log import LogStandin, make_log_app
 from pimentocross.standins.service import ServiceStandin, make_service_app
--- a/pimentocross/config/checks.py
+++ b/pimentocross/config/checks.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from pimentocross.backing.workers import Resources
 from pimentocross.config.schema import Configuration, SizeConfig
 from pimentocross.config.tree import KeyPath
-from pimentocross.platform.workers import Resources
 
 
 class Complaint(NamedTuple):
--- a/pimentocross/config/schema.py
+++ b/pimentocross/config/schema.py
@@ -4,8 +4,8 @@
 
 from pydantic import Field
 
+from pimentocross.backing.workers import Resources
 from pimentocross.config.units import Duration, Rate, Size
-from pimentocross.platform.workers import Resources
 
 Share = Annotated[float, Field(ge=0, le=1)]
 Count = Annotated[int, Field(ge=0)]
--- a/pimentocross/config/state.py
+++ b/pimentocross/config/state.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
+from pimentocross.backing.log import RecordBody
 from pimentocross.config.load import load_configuration
 from pimentocross.config.schema import Configuration
 from pimentocross.contracts.records import RecordKinds
-from pimentocross.platform.log import RecordBody
 
 NO_VERSION = 0
 STREAM = "config"
--- a/pimentocross/contracts/fold.py
+++ b/pimentocross/contracts/fold.py
@@ -13,14 +13,14 @@
 
 import trio
 
-from pimentocross.contracts import const
-from pimentocross.platform.log import (
+from pimentocross.backing.log import (
     LogService,
     LogUnavailableError,
     ReadPage,
     Record,
     RecordBody,
 )
+from pimentocross.contracts import const
 
 SNAPSHOT_KIND = "snapshot"
 
--- a/pimentocross/contracts/ownership.py
+++ b/pimentocross/contracts/ownership.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from pimentocross.backing.log import RecordBody
 from pimentocross.contracts.records import RecordKinds
-from pimentocross.platform.log import RecordBody
 
 NO_EPOCH = 0
 # Removed processes remembered, so that none of them joins again.
--- a/pimentocross/contracts/records.py
+++ b/pimentocross/contracts/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pimentocross.platform.log import RecordBody
+from pimentocross.backing.log import RecordBody
 
 RecordT = TypeVar("RecordT", bound=tuple[Any, ...])
 
--- a/pimentocross/entry/answerer.py
+++ b/pimentocross/entry/answerer.py
@@ -81,6 +81,10 @@
         self._loads = loads
         self._peers = peers
 
+    def refuse(self, reason: str) -> PeerMessage:
+        """Returns the answer to a question that can't be read."""
+        return Refused(reason)
+
     async def answer(
         self, peer: PeerIdentity, message: PeerMessage
     ) -> PeerMessage:
--- a/pimentocross/entry/keys.py
+++ b/pimentocross/entry/keys.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from pimentocross.backing.log import RecordBody
 from pimentocross.contracts.records import RecordKinds
 from pimentocross.entry.const import KEYS_KEPT
-from pimentocross.platform.log import RecordBody
 
 
 class KeyClaimed(NamedTuple):
--- a/pimentocross/entry/membership.py
+++ b/pimentocross/entry/membership.py
@@ -4,6 +4,9 @@
 
 import trio
 
+from pimentocross.backing.follower import VmFollower
+from pimentocross.backing.log import Record
+from pimentocross.backing.vms import VmRole
 from pimentocross.contracts.authority import Authority, Statement
 from pimentocross.contracts.fold import FoldDump, FoldedId, StreamFold
 from pimentocross.contracts.ownership import Member, MemberJoined
@@ -11,10 +14,12 @@
 from pimentocross.links import const as link_const
 from pimentocross.links.greeting import Credentials, PeerIdentity
 from pimentocross.links.messages import (
+    PEER_MESSAGES,
     Acknowledge,
     Acknowledged,
     AskFold,
     AskRecords,
+    EntryLink,
     FoldAnswer,
     Heartbeat,
     HeartbeatReply,
@@ -22,14 +27,10 @@
     RecordsAnswer,
 )
 from pimentocross.links.peer import (
-    PeerLink,
     PeerUnreachableError,
     StreamDialer,
     dial_tcp,
 )
-from pimentocross.platform.follower import VmFollower
-from pimentocross.platform.log import Record
-from pimentocross.platform.vms import VmRole
 from pimentocross.zones.candidates import Candidate, rank_candidates
 
 
@@ -40,7 +41,7 @@
         """Returns what to tell peers now."""
         ...
 
-    async def on_peer_connected(self, link: PeerLink) -> None:
+    async def on_peer_connected(self, link: EntryLink) -> None:
         """A link has been greeted."""
         ...
 
@@ -67,7 +68,7 @@
         self._vms = vms
         self._care = care
         self._dial = dial
-        self._links: dict[str, PeerLink] = {}
+        self._links: dict[str, EntryLink] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._dialed_in: dict[str, float] = {}
         self._gone_since: dict[str, float] = {}
@@ -75,7 +76,7 @@
         self._takes_over: set[str] = set()
 
     @property
-    def links(self) -> list[PeerLink]:
+    def links(self) -> list[EntryLink]:
         """All links, connected or not."""
         return list(self._links.values())
 
@@ -84,7 +85,7 @@
         """Who this process is."""
         return self._mine
 
-    def live(self) -> list[PeerLink]:
+    def live(self) -> list[EntryLink]:
         """Returns the links whose peer was heard lately."""
         oldest = trio.current_time() - const.SUSPECT_AFTER
         return [
@@ -93,7 +94,7 @@
             if link.identity is not None and link.heard_at >= oldest
         ]
 
-    def link_to(self, process: str) -> PeerLink | None:
+    def link_to(self, process: str) -> EntryLink | None:
         """Returns the link to a process, if it is live."""
         for link in self.live():
             if link.identity is not None and link.identity.process == process:
@@ -141,7 +142,13 @@
     def _sync_links(self, nursery: trio.Nursery) -> None:
         wanted = self._wanted_addresses()
         for address in wanted - self._links.keys():
-            link = PeerLink(address, self._mine, self._credentials, self._dial)
+            link = EntryLink(
+                address,
+                self._mine,
+                self._credentials,
+                PEER_MESSAGES,
+                self._dial,
+            )
             self._links[address] = link
             self._scopes[address] = trio.CancelScope()
             nursery.start_soon(self._run_link, link, self._scopes[address])
@@ -160,11 +167,11 @@
         wanted.discard(self._mine.address)
         return wanted
 
-    async def _run_link(self, link: PeerLink, scope: trio.CancelScope) -> None:
+    async def _run_link(self, link: EntryLink, scope: trio.CancelScope) -> None:
         with scope:
             await link.run(self._keep_connected)
 
-    async def _keep_connected(self, link: PeerLink) -> None:
+    async def _keep_connected(self, link: EntryLink) -> None:
         """Asks the peer once an interval, until it goes silent."""
         await self._care.on_peer_connected(link)
         while True:
@@ -176,7 +183,7 @@
             await self._ask_acknowledgement(link)
             await trio.sleep(link_const.HEARTBEAT_INTERVAL)
 
-    async def _ask(self, link: PeerLink, message: PeerMessage) -> PeerMessage:
+    async def _ask(self, link: EntryLink, message: PeerMessage) -> PeerMessage:
         """Asks and lets silence end the connection."""
         try:
             timeout = link_const.HEARTBEAT_TIMEOUT
@@ -185,7 +192,7 @@
             raise trio.TooSlowError from error
 
     async def _take_statement(
-        self, link: PeerLink, reply: HeartbeatReply, asked_at: float
+        self, link: EntryLink, reply: HeartbeatReply, asked_at: float
     ) -> None:
         assert link.identity is not None
         said = Statement(
@@ -202,7 +209,7 @@
         if reply.config > config.state.version or not config.ready:
             await self._catch_up(link, config)
 
-    async def _catch_up(self, link: PeerLink, fold: StreamFold) -> None:  # type: ignore[type-arg]
+    async def _catch_up(self, link: EntryLink, fold: StreamFold) -> None:  # type: ignore[type-arg]
         """Gets from a peer what the log does not give just now."""
         if fold.ready and not fold.log_away:
             return
@@ -217,7 +224,7 @@
             ids = [FoldedId(*item) for item in whole.ids]
             fold.load(FoldDump(whole.position, whole.state, ids))
 
-    async def _ask_acknowledgement(self, link: PeerLink) -> None:
+    async def _ask_acknowledgement(self, link: EntryLink) -> None:
         assert link.identity is not None
         member = link.identity.process
         if not self._authority.is_member or member in self._acknowledged_by:
--- a/pimentocross/entry/node.py
+++ b/pimentocross/entry/node.py
@@ -8,6 +8,10 @@
 
 import trio
 
+from pimentocross.backing.follower import VmFollower
+from pimentocross.backing.log import LogService, RecordBody
+from pimentocross.backing.vms import VmList, VmRole, VmState
+from pimentocross.backing.workers import WorkerDialer
 from pimentocross.config.schema import Configuration
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.authority import Authority
@@ -30,19 +34,20 @@
 from pimentocross.entry.targets import TargetBook
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.links.http_server import HttpListener, serve_http
-from pimentocross.links.messages import Heartbeat, PushTargets
+from pimentocross.links.messages import (
+    PEER_MESSAGES,
+    EntryLink,
+    EntryListener,
+    Heartbeat,
+    PushTargets,
+)
 from pimentocross.links.peer import (
-    PeerLink,
     PeerListener,
     PeerUnreachableError,
     StreamDialer,
     dial_tcp,
 )
 from pimentocross.observe.histograms import Histograms
-from pimentocross.platform.follower import VmFollower
-from pimentocross.platform.log import LogService, RecordBody
-from pimentocross.platform.vms import VmList, VmRole, VmState
-from pimentocross.platform.workers import WorkerDialer
 from pimentocross.zones.candidates import rank_candidates
 from pimentocross.zones.cell import CellLoad, CellOwner
 
@@ -164,7 +169,7 @@
             self._peers,
         )
         self._listener = PeerListener(
-            mine, self._settings.credentials, answerer
+            mine, self._settings.credentials, answerer, PEER_MESSAGES
         )
 
     @property
@@ -227,7 +232,7 @@
         return self._operator_api
 
     @property
-    def peer_listener(self) -> PeerListener:
+    def peer_listener(self) -> EntryListener:
         """Its listener for peers."""
         return self._listener
 
@@ -287,7 +292,7 @@
             loads[name] = owner.load()
         return loads
 
-    async def on_peer_connected(self, link: PeerLink) -> None:
+    async def on_peer_connected(self, link: EntryLink) -> None:
         """Tells a peer this one's targets; see `PeerCare`."""
         for push in self._pushes():
             await link.ask(push, _PUSH_TIMEOUT)
@@ -362,7 +367,9 @@
                 for link in self._peers.live():
                     nursery.start_soon(self._push_to, link, pushes)
 
-    async def _push_to(self, link: PeerLink, pushes: list[PushTargets]) -> None:
+    async def _push_to(
+        self, link: EntryLink, pushes: list[PushTargets]
+    ) -> None:
         try:
             for push in pushes:
                 await link.ask(push, _PUSH_TIMEOUT)
--- a/pimentocross/entry/operator_api.py
+++ b/pimentocross/entry/operator_api.py
@@ -33,6 +33,7 @@
     AskVms,
     AskWhy,
     ConfigInForce,
+    EntryLink,
     HistogramsAnswer,
     JobsAnswer,
     LeaveWorker,
@@ -43,7 +44,7 @@
     WaitConfig,
     WhyAnswer,
 )
-from pimentocross.links.peer import PeerLink, PeerUnreachableError
+from pimentocross.links.peer import PeerUnreachableError
 from pimentocross.observe.histograms import Histograms
 from pimentocross.observe.problems import not_run, unknown
 
@@ -178,7 +179,7 @@
         """Waits for all live entry VMs; returns those that are late."""
         late: list[str] = []
 
-        async def wait(link: PeerLink) -> None:
+        async def wait(link: EntryLink) -> None:
             try:
                 message = WaitConfig(version, const.CONFIG_TIMEOUT)
                 reply = await link.ask(message, const.CONFIG_TIMEOUT)
@@ -197,7 +198,7 @@
         """Asks all live peers; those that do not answer are left out."""
         answers: list[PeerMessage] = []
 
-        async def ask(link: PeerLink) -> None:
+        async def ask(link: EntryLink) -> None:
             try:
                 answers.append(await link.ask(message, _ASK_TIMEOUT))
             except PeerUnreachableError:
--- a/pimentocross/entry/ownership.py
+++ b/pimentocross/entry/ownership.py
@@ -4,15 +4,15 @@
 
 import trio
 
+from pimentocross.backing.follower import VmFollower
+from pimentocross.backing.log import LogService
+from pimentocross.backing.workers import WorkerDialer
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.authority import Authority
 from pimentocross.contracts.fold import StreamFold
 from pimentocross.entry import const
 from pimentocross.entry.membership import Peers
 from pimentocross.entry.snapshots import write_snapshots
-from pimentocross.platform.follower import VmFollower
-from pimentocross.platform.log import LogService
-from pimentocross.platform.workers import WorkerDialer
 from pimentocross.vms.worker import cell_resource
 from pimentocross.zones.candidates import rank_candidates
 from pimentocross.zones.cell import CellOwner
--- a/pimentocross/entry/snapshots.py
+++ b/pimentocross/entry/snapshots.py
@@ -5,9 +5,9 @@
 
 import trio
 
+from pimentocross.backing.log import LogUnavailableError
 from pimentocross.contracts.fold import StreamFold
 from pimentocross.entry import const
-from pimentocross.platform.log import LogUnavailableError
 
 # A snapshot is renewed after this share of the retention.
 _RENEW_SHARE = 0.25
--- a/pimentocross/links/messages.py
+++ b/pimentocross/links/messages.py
@@ -1,9 +1,10 @@
 """Messages between entry VMs."""
 
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeAlias
 
+from pimentocross.backing.workers import Resources
 from pimentocross.codec import MessageTags
-from pimentocross.platform.workers import Resources
+from pimentocross.links.peer import PeerLink, PeerListener
 from pimentocross.zones.cell import Target
 
 
@@ -304,7 +305,7 @@
     reason: str
 
 
-PeerMessage = (
+PeerMessage: TypeAlias = (
     Heartbeat
     | HeartbeatReply
     | Acknowledge
@@ -376,3 +377,6 @@
         "refused": Refused,
     }
 )
+
+EntryLink: TypeAlias = PeerLink[PeerMessage]
+EntryListener: TypeAlias = PeerListener[PeerMessage]
--- a/pimentocross/links/peer.py
+++ b/pimentocross/links/peer.py
@@ -2,11 +2,11 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any, Protocol
+from typing import Any, Generic, Protocol
 
 import trio
 
-from pimentocross.codec import MessageError
+from pimentocross.codec import MessageError, MessageT, MessageTags
 from pimentocross.links import const
 from pimentocross.links.framing import FrameError, FrameStream
 from pimentocross.links.greeting import (
@@ -16,7 +16,6 @@
     answer_greeting,
     greet,
 )
-from pimentocross.links.messages import PEER_MESSAGES, PeerMessage, Refused
 
 _GONE = (
     OSError,
@@ -41,15 +40,17 @@
         self.sent = sent
 
 
-class PeerAnswerer(Protocol):
+class PeerAnswerer(Protocol[MessageT]):
     """Answers what peers ask."""
 
-    async def answer(
-        self, peer: PeerIdentity, message: PeerMessage
-    ) -> PeerMessage:
+    async def answer(self, peer: PeerIdentity, message: MessageT) -> MessageT:
         """Returns the answer to one question."""
         ...
 
+    def refuse(self, reason: str) -> MessageT:
+        """Returns the answer to a question that can't be read."""
+        ...
+
 
 StreamDialer = Callable[[str], Awaitable[trio.abc.Stream]]
 
@@ -64,15 +65,15 @@
     return await trio.open_tcp_stream(host, int(port))
 
 
-class _Question:
+class _Question(Generic[MessageT]):
     """A question that waits for its answer."""
 
     def __init__(self) -> None:
-        self.answer: PeerMessage | None = None
+        self.answer: MessageT | None = None
         self.done = trio.Event()
 
 
-class PeerLink:
+class PeerLink(Generic[MessageT]):
     """The link to one peer's listener, dialed again whenever it breaks.
 
     Attributes:
@@ -86,9 +87,11 @@
         address: str,
         mine: PeerIdentity,
         credentials: Credentials,
+        messages: MessageTags[MessageT],
         dial: StreamDialer = dial_tcp,
     ) -> None:
         """Takes where to dial; `run` keeps the link up."""
+        self._messages = messages
         self.identity: PeerIdentity | None = None
         self.heard_at = float("-inf")
         self.silences = 0
@@ -98,7 +101,7 @@
         self._credentials = credentials
         self._dial = dial
         self._frames: FrameStream | None = None
-        self._questions: dict[int, _Question] = {}
+        self._questions: dict[int, _Question[MessageT]] = {}
         self._next_id = 0
 
     @property
@@ -119,7 +122,7 @@
         return self.bytes_before + now
 
     async def run(
-        self, on_connected: Callable[["PeerLink"], Awaitable[None]]
+        self, on_connected: Callable[["PeerLink[MessageT]"], Awaitable[None]]
     ) -> None:
         """Dials, greets and reads answers, for ever.
 
@@ -143,7 +146,7 @@
             await trio.sleep(backoff)
             backoff = min(backoff * 2, const.REDIAL_MOST)
 
-    async def ask(self, message: PeerMessage, timeout: float) -> PeerMessage:
+    async def ask(self, message: MessageT, timeout: float) -> MessageT:
         """Asks the peer.
 
         Raises:
@@ -154,10 +157,10 @@
             raise PeerUnreachableError("not connected", sent=False)
         self._next_id += 1
         question_id = self._next_id
-        question = self._questions[question_id] = _Question()
+        question = self._questions[question_id] = _Question[MessageT]()
         try:
             with trio.move_on_after(timeout):
-                array = [question_id, *PEER_MESSAGES.pack(message)]
+                array = [question_id, *self._messages.pack(message)]
                 await frames.send(array)
                 await question.done.wait()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -197,7 +200,7 @@
             self.heard_at = trio.current_time()
             question = self._questions.get(array[0]) if array else None
             if question is not None:
-                question.answer = PEER_MESSAGES.unpack(array[1:])
+                question.answer = self._messages.unpack(array[1:])
                 question.done.set()
         nursery.cancel_scope.cancel()
 
@@ -206,7 +209,7 @@
             question.done.set()
 
 
-class PeerListener:
+class PeerListener(Generic[MessageT]):
     """Answers peers that dial in.
 
     Attributes:
@@ -217,9 +220,11 @@
         self,
         mine: PeerIdentity,
         credentials: Credentials,
-        answerer: PeerAnswerer,
+        answerer: PeerAnswerer[MessageT],
+        messages: MessageTags[MessageT],
     ) -> None:
         """Takes who this is and what answers."""
+        self._messages = messages
         self.refused = 0
         self._closed_bytes = 0
         self._open: set[FrameStream] = set()
@@ -282,12 +287,12 @@
         array: list[Any],
         at_once: trio.Semaphore,
     ) -> None:
-        reply: PeerMessage
+        reply: MessageT
         try:
-            message = PEER_MESSAGES.unpack(array[1:])
+            message = self._messages.unpack(array[1:])
             reply = await self._answerer.answer(peer, message)
         except MessageError as error:
-            reply = Refused(str(error))
+            reply = self._answerer.refuse(str(error))
         finally:
             at_once.release()
-        await frames.send([array[0], *PEER_MESSAGES.pack(reply)])
+        await frames.send([array[0], *self._messages.pack(reply)])
--- a/pimentocross/placement/policy.py
+++ b/pimentocross/placement/policy.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from pimentocross.platform.workers import Resources, TaskKind
+from pimentocross.backing.workers import Resources, TaskKind
 
 
 class Candidate(Protocol):
--- a/pimentocross/placement/rebalance.py
+++ b/pimentocross/placement/rebalance.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from pimentocross.backing.workers import Resources
 from pimentocross.placement import const
 from pimentocross.placement.policy import Candidate, Wanted
 from pimentocross.placement.weighted import WeightedPolicy
-from pimentocross.platform.workers import Resources
 
 
 class Placed(NamedTuple):
--- a/pimentocross/placement/sizes.py
+++ b/pimentocross/placement/sizes.py
@@ -1,6 +1,6 @@
 """What tasks of a class really use, against what was declared."""
 
-from pimentocross.platform.workers import Resources
+from pimentocross.backing.workers import Resources
 
 # Share of a new measurement; peaks count at once, quiet fades slowly.
 _FADE = 0.02
--- a/pimentocross/placement/weighted.py
+++ b/pimentocross/placement/weighted.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 import math
 
+from pimentocross.backing.workers import TaskKind
 from pimentocross.config.schema import Configuration, ObjectiveConfig
 from pimentocross.placement.interference import Interference, load_band
 from pimentocross.placement.policy import (
@@ -12,7 +13,6 @@
     explain_no_fit,
     fullness_with,
 )
-from pimentocross.platform.workers import TaskKind
 
 # Breaks ties towards emptier workers; far below any slowdown that counts.
 _FULLNESS_WEIGHT = 0.02
--- a/pimentocross/standins/checks.py
+++ b/pimentocross/standins/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from pimentocross.platform.workers import Resources, TaskKind, TaskState
+from pimentocross.backing.workers import Resources, TaskKind, TaskState
 from pimentocross.standins.journal import JournalEntry, JournalEvent
 
 _EXCLUSIVE = (TaskKind.BATCH.value, TaskKind.WATCH.value)
--- a/pimentocross/standins/dev.py
+++ b/pimentocross/standins/dev.py
@@ -9,6 +9,8 @@
 
 import trio
 
+from pimentocross.backing.vms import Vm, VmRole, VmState
+from pimentocross.backing.workers import TaskKind
 from pimentocross.config.schema import Configuration
 from pimentocross.config.state import KINDS, ConfigChanged
 from pimentocross.entry.node import EntryNode, Platform, Ports, open_entry
@@ -16,8 +18,6 @@
 from pimentocross.links.greeting import Credentials
 from pimentocross.links.http_server import HttpListener, serve_http
 from pimentocross.observe.histograms import Histograms, Summary
-from pimentocross.platform.vms import Vm, VmRole, VmState
-from pimentocross.platform.workers import TaskKind
 from pimentocross.standins.caller import CallerStandin, CallKind
 from pimentocross.standins.checks import (
     find_false_not_run,
--- a/pimentocross/standins/direct.py
+++ b/pimentocross/standins/direct.py
@@ -1,6 +1,6 @@
 """Links to stand-ins in the same process, without HTTP."""
 
-from pimentocross.platform.workers import (
+from pimentocross.backing.workers import (
     Exchange,
     ExchangeReply,
     WorkerLink,
--- a/pimentocross/standins/log.py
+++ b/pimentocross/standins/log.py
@@ -7,6 +7,12 @@
 import msgspec
 import trio
 
+from pimentocross.backing.log import (
+    LogUnavailableError,
+    ReadPage,
+    Record,
+    RecordBody,
+)
 from pimentocross.links.asgi import (
     App,
     HttpReply,
@@ -18,12 +24,6 @@
     read_request,
     send_reply,
 )
-from pimentocross.platform.log import (
-    LogUnavailableError,
-    ReadPage,
-    Record,
-    RecordBody,
-)
 from pimentocross.standins.faults import FaultError, FaultPlan, Faults
 
 _PAGE_MOST = 500
--- a/pimentocross/standins/vms.py
+++ b/pimentocross/standins/vms.py
@@ -6,6 +6,7 @@
 import trio
 import xxhash
 
+from pimentocross.backing.vms import Vm, VmListUnavailableError, VmState
 from pimentocross.links.asgi import (
     App,
     HttpReply,
@@ -17,7 +18,6 @@
     read_request,
     send_reply,
 )
-from pimentocross.platform.vms import Vm, VmListUnavailableError, VmState
 from pimentocross.standins.faults import FaultError, FaultPlan, Faults
 
 _BODY_MOST = 64 * 1024
--- a/pimentocross/standins/worker.py
+++ b/pimentocross/standins/worker.py
@@ -10,16 +10,7 @@
 import msgspec
 import trio
 
-from pimentocross.links.asgi import (
-    App,
-    Receive,
-    Scope,
-    Send,
-    json_reply,
-    read_request,
-    send_reply,
-)
-from pimentocross.platform.workers import (
+from pimentocross.backing.workers import (
     COMMANDS,
     NOTHING,
     Attempt,
@@ -39,6 +30,15 @@
     WorkerRefusedError,
     WorkerUnreachableError,
 )
+from pimentocross.links.asgi import (
+    App,
+    Receive,
+    Scope,
+    Send,
+    json_reply,
+    read_request,
+    send_reply,
+)
 from pimentocross.standins.faults import FaultError, Faults
 from pimentocross.standins.journal import (
     Journal,
--- a/pimentocross/vms/commitments.py
+++ b/pimentocross/vms/commitments.py
@@ -1,6 +1,6 @@
 """What a worker is committed to: reserved before a start is sent."""
 
-from pimentocross.platform.workers import NOTHING, Resources
+from pimentocross.backing.workers import NOTHING, Resources
 
 
 class OverCommitError(Exception):
--- a/pimentocross/vms/worker.py
+++ b/pimentocross/vms/worker.py
@@ -5,8 +5,7 @@
 
 import trio
 
-from pimentocross.contracts.authority import Authority
-from pimentocross.platform.workers import (
+from pimentocross.backing.workers import (
     COMMANDS,
     Attempt,
     Command,
@@ -26,6 +25,7 @@
     WorkerRefusedError,
     WorkerUnreachableError,
 )
+from pimentocross.contracts.authority import Authority
 from pimentocross.vms.commitments import Commitments
 from pimentocross.zones import const
 
--- a/pimentocross/zones/cell.py
+++ b/pimentocross/zones/cell.py
@@ -6,13 +6,8 @@
 
 import trio
 
-from pimentocross.config.state import ConfigState
-from pimentocross.contracts.authority import Authority
-from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
-from pimentocross.placement.const import MOVE_INTERVAL
-from pimentocross.placement.policy import PlacementPolicy
-from pimentocross.platform.vms import Vm, VmRole, VmState
-from pimentocross.platform.workers import (
+from pimentocross.backing.vms import Vm, VmRole, VmState
+from pimentocross.backing.workers import (
     Attempt,
     Resources,
     TaskKind,
@@ -22,6 +17,11 @@
     Usage,
     WorkerDialer,
 )
+from pimentocross.config.state import ConfigState
+from pimentocross.contracts.authority import Authority
+from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
+from pimentocross.placement.const import MOVE_INTERVAL
+from pimentocross.placement.policy import PlacementPolicy
 from pimentocross.vms.worker import Worker, cell_resource, is_exclusive
 from pimentocross.zones import const
 from pimentocross.zones.cell_state import (
--- a/pimentocross/zones/cell_state.py
+++ b/pimentocross/zones/cell_state.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from pimentocross.backing.log import RecordBody
+from pimentocross.backing.workers import Attempt
 from pimentocross.contracts.records import RecordKinds
-from pimentocross.platform.log import RecordBody
-from pimentocross.platform.workers import Attempt
 from pimentocross.zones.const import ENDED_JOBS_KEPT
 
 
--- a/pimentocross/zones/placer.py
+++ b/pimentocross/zones/placer.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from pimentocross.backing.workers import Resources, TaskKind, Usage
 from pimentocross.config.schema import Configuration
 from pimentocross.placement.interference import (
     Interference,
@@ -25,7 +26,6 @@
     WeightedPolicy,
     make_weighted_policy,
 )
-from pimentocross.platform.workers import Resources, TaskKind, Usage
 from pimentocross.vms.worker import Worker
 from pimentocross.zones.tasks import WantedTask
 
--- a/pimentocross/zones/tasks.py
+++ b/pimentocross/zones/tasks.py
@@ -2,13 +2,13 @@
 
 from enum import StrEnum
 
-from pimentocross.config.schema import Configuration
-from pimentocross.platform.workers import (
+from pimentocross.backing.workers import (
     Attempt,
     Resources,
     TaskKind,
     TaskSpec,
 )
+from pimentocross.config.schema import Configuration
 from pimentocross.zones.cell_state import Job
 
 
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -6,6 +6,14 @@
 import trio
 from trio.testing import memory_stream_pair
 
+from pimentocross.backing.log import LogUnavailableError, ReadPage, RecordBody
+from pimentocross.backing.vms import Vm, VmRole, VmState
+from pimentocross.backing.workers import (
+    Exchange,
+    ExchangeReply,
+    WorkerLink,
+    WorkerUnreachableError,
+)
 from pimentocross.config.load import load_configuration
 from pimentocross.config.schema import Configuration
 from pimentocross.config.state import KINDS, ConfigChanged
@@ -15,14 +23,6 @@
 from pimentocross.entry.settings import EntrySettings
 from pimentocross.links.greeting import Credentials
 from pimentocross.links.peer import StreamDialer
-from pimentocross.platform.log import LogUnavailableError, ReadPage, RecordBody
-from pimentocross.platform.vms import Vm, VmRole, VmState
-from pimentocross.platform.workers import (
-    Exchange,
-    ExchangeReply,
-    WorkerLink,
-    WorkerUnreachableError,
-)
 from pimentocross.standins.checks import (
     Run,
     find_over_commit,
--- a/tests/ownership_model.py
+++ b/tests/ownership_model.py
@@ -13,10 +13,10 @@
 import trio
 from trio.testing import MockClock
 
+from pimentocross.backing.log import LogUnavailableError, ReadPage, RecordBody
 from pimentocross.contracts.authority import NEVER, Authority, Timing
 from pimentocross.contracts.fold import StreamFold
 from pimentocross.contracts.ownership import MemberJoined, OwnershipState
-from pimentocross.platform.log import LogUnavailableError, ReadPage, RecordBody
 from pimentocross.standins.log import LogStandin
 from tests import seed_tasks
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,6 +1,6 @@
 """The checks of the promises can fail: each is shown what it is for."""
 
-from pimentocross.platform.workers import Resources
+from pimentocross.backing.workers import Resources
 from pimentocross.standins.checks import (
     find_false_not_run,
     find_over_commit,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pimentocross.backing.workers import Resources, TaskKind
 from pimentocross.config.schema import ObjectiveConfig
 from pimentocross.placement import const
 from pimentocross.placement.interference import (
@@ -15,7 +16,6 @@
 from pimentocross.placement.policy import LeastLoaded, Wanted
 from pimentocross.placement.quarantine import Quarantine
 from pimentocross.placement.weighted import WeightedPolicy
-from pimentocross.platform.workers import Resources, TaskKind
 from pimentocross.vms.commitments import Commitments, OverCommitError
 from pimentocross.zones.placer import View
 
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -5,8 +5,8 @@
 import trio
 from trio.testing import MockClock
 
+from pimentocross.backing.log import RecordBody
 from pimentocross.contracts.fold import Outcome, StreamFold
-from pimentocross.platform.log import RecordBody
 from pimentocross.standins.faults import FaultPlan
 from pimentocross.standins.log import LogStandin
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,15 +8,15 @@
 import msgspec
 import trio
 
-from pimentocross.entry.idempotency import hash_key
-from pimentocross.entry.keys import KINDS, KeyClaimed
-from pimentocross.links.http_server import HttpListener, serve_http
-from pimentocross.platform.clients import HttpWorkerLink
-from pimentocross.platform.workers import (
+from pimentocross.backing.clients import HttpWorkerLink
+from pimentocross.backing.workers import (
     Exchange,
     Refusal,
     WorkerRefusedError,
 )
+from pimentocross.entry.idempotency import hash_key
+from pimentocross.entry.keys import KINDS, KeyClaimed
+from pimentocross.links.http_server import HttpListener, serve_http
 from pimentocross.standins.dev import (
     DevCluster,
     apply_files,
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -19,11 +19,13 @@
 from pimentocross.links.messages import (
     PEER_MESSAGES,
     Done,
+    EntryLink,
+    EntryListener,
     PeerMessage,
     Refused,
     WaitConfig,
 )
-from pimentocross.links.peer import PeerLink, PeerListener, PeerUnreachableError
+from pimentocross.links.peer import PeerUnreachableError
 from tests.fixtures import Gate, GatedStream, wait_for
 
 _A = PeerIdentity("a:1:x", "a", "a:1", "north")
@@ -43,10 +45,15 @@
         self.asked.append(message)
         return Done()
 
+    def refuse(self, reason: str) -> PeerMessage:
+        return Refused(reason)
 
-def _listener(*keys: bytes) -> tuple[PeerListener, _Answerer]:
+
+def _listener(*keys: bytes) -> tuple[EntryListener, _Answerer]:
     answerer = _Answerer()
-    return PeerListener(_B, Credentials("test", keys), answerer), answerer
+    credentials = Credentials("test", keys)
+    listener = EntryListener(_B, credentials, answerer, PEER_MESSAGES)
+    return listener, answerer
 
 
 async def _greet_with(
@@ -78,7 +85,7 @@
         assert refused, cluster
 
 
-async def _send_raw(raw: bytes) -> tuple[PeerListener, _Answerer]:
+async def _send_raw(raw: bytes) -> tuple[EntryListener, _Answerer]:
     listener, answerer = _listener(_NEW)
     near, far = memory_stream_pair()
     async with trio.open_nursery() as nursery:
@@ -156,7 +163,7 @@
             nursery.start_soon(listener.serve_connection, far)
             return GatedStream(near, gates[-1], "b")
 
-        async def heartbeat(link: PeerLink) -> None:
+        async def heartbeat(link: EntryLink) -> None:
             while True:
                 try:
                     await link.ask(WaitConfig(0, 0.0), timeout=3.0)
@@ -164,7 +171,9 @@
                     raise trio.TooSlowError from error
                 await trio.sleep(1.0)
 
-        link = PeerLink("b:1", _A, Credentials("test", [_NEW]), dial)
+        link = EntryLink(
+            "b:1", _A, Credentials("test", [_NEW]), PEER_MESSAGES, dial
+        )
         nursery.start_soon(link.run, heartbeat)
         await wait_for(lambda: link.connected)
         await trio.sleep(5)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -5,11 +5,11 @@
 import msgspec
 import trio
 
+from pimentocross.backing.log import RecordBody
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.fold import FoldState
 from pimentocross.contracts.ownership import OwnershipState
 from pimentocross.entry.keys import KeysState
-from pimentocross.platform.log import RecordBody
 from pimentocross.zones.cell_state import CellState
 from tests.fixtures import Cluster, open_cluster, wait_for
 
