--- /dev/null
+++ b/pimentocross/gateway/caller_desk.py
@@ -0,0 +1,198 @@
+"""What callers ask of an entry VM, and what they are told."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from pimentocross.gateway import const
+from pimentocross.gateway.messages import (
+    AskPending,
+    AskState,
+    CancelJob,
+    GatewayMessage,
+    JobAnswer,
+    PendingAnswer,
+    SubmitJob,
+)
+from pimentocross.links.peer import PeerUnreachableError
+from pimentocross.observe.decisions import note
+from pimentocross.owner.desk import Outcome
+from pimentocross.work.queue import Queue, WorkConfig
+from pimentocross.work.spec import JobSpec
+from pimentocross.work.state import JobState
+
+
+class AnswerKind(StrEnum):
+    """What a caller is told.
+
+    `NOT_ACCEPTED` promises that the job never runs; after `UNKNOWN` it may.
+    """
+
+    ACCEPTED = "accepted"
+    STATE = "state"
+    CANCELLED = "cancelled"
+    PENDING = "pending"
+    NO_SUCH_QUEUE = "no such queue"
+    NO_SUCH_JOB = "no such job"
+    NOT_ACCEPTED = "not accepted"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+class Answer(NamedTuple):
+    """An answer to a caller; `retry_after` in seconds, 0 for none."""
+
+    kind: AnswerKind
+    state: JobState | None = None
+    pending: int = 0
+    reason: str = ""
+    retry_after: float = 0.0
+
+
+class Place(NamedTuple):
+    """A queue and what of the path follows its prefix."""
+
+    queue: Queue
+    rest: str
+
+
+class OwnerAccess(Protocol):
+    """Reaches the cell's owner, here or on another VM."""
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        """Asks the owner.
+
+        Raises:
+            PeerUnreachableError: No answer; `sent` tells what that means.
+        """
+        ...
+
+    def owner_absent(self) -> float:
+        """Returns for how many seconds no owner could be asked."""
+        ...
+
+
+_NO_CONFIG = Answer(
+    AnswerKind.NOT_ACCEPTED,
+    reason="no configuration yet",
+    retry_after=const.RETRY_AFTER,
+)
+
+
+class CallerDesk:
+    """Finds the queue, asks the owner, and words the answer."""
+
+    def __init__(
+        self, config: Callable[[], WorkConfig | None], owner: OwnerAccess
+    ) -> None:
+        """Takes the configuration in force and how the owner is reached."""
+        self._config = config
+        self._owner = owner
+        self.draining = False
+
+    def ready(self) -> bool:
+        """True if this VM should get new callers."""
+        if self.draining or self._config() is None:
+            return False
+        return self._owner.owner_absent() < const.READY_WITHOUT_OWNER
+
+    def find(self, host: str, path: str) -> Place | Answer:
+        """Returns the queue of a path, or what to answer without one."""
+        config = self._config()
+        if config is None:
+            return _NO_CONFIG
+        queue = config.find_queue(host, path)
+        if queue is None:
+            return Answer(AnswerKind.NO_SUCH_QUEUE)
+        return Place(queue, path[len(queue.prefix) :])
+
+    async def submit(
+        self, place: Place, spec: JobSpec, deadline: float
+    ) -> Answer:
+        """Submits a job; `deadline` is how long the caller waits."""
+        message = SubmitJob(place.rest, place.queue, spec)
+        try:
+            reply = await self._ask(message, deadline)
+        except PeerUnreachableError as error:
+            return self._unanswered(place.rest, error)
+        if isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK:
+            return Answer(AnswerKind.ACCEPTED)
+        return self._refused(place.rest, reply)
+
+    async def look(self, host: str, path: str, deadline: float) -> Answer:
+        """Tells a job's state, or how many wait in a queue."""
+        place = self.find(host, path)
+        if isinstance(place, Answer):
+            return place
+        try:
+            if not place.rest:
+                reply = await self._ask(AskPending(place.queue.name), deadline)
+            else:
+                reply = await self._ask(AskState(place.rest), deadline)
+        except PeerUnreachableError as error:
+            return _unavailable(str(error))
+        if isinstance(reply, PendingAnswer) and reply.pending is not None:
+            return Answer(AnswerKind.PENDING, pending=reply.pending)
+        return _job_answer(reply, AnswerKind.STATE)
+
+    async def cancel(self, host: str, path: str, deadline: float) -> Answer:
+        """Cancels a job."""
+        place = self.find(host, path)
+        if isinstance(place, Answer):
+            return place
+        try:
+            reply = await self._ask(CancelJob(place.rest), deadline)
+        except PeerUnreachableError as error:
+            if error.sent:
+                return Answer(AnswerKind.UNKNOWN, reason=str(error))
+            return _unavailable(str(error))
+        return _job_answer(reply, AnswerKind.CANCELLED)
+
+    async def _ask(
+        self, message: GatewayMessage, deadline: float
+    ) -> GatewayMessage:
+        return await self._owner.ask_owner(
+            message, deadline * const.OWNER_SHARE
+        )
+
+    def _unanswered(self, job: str, error: PeerUnreachableError) -> Answer:
+        note("submit_unanswered", job=job, sent=error.sent, reason=str(error))
+        if error.sent:
+            return Answer(AnswerKind.UNKNOWN, reason=str(error))
+        return Answer(
+            AnswerKind.NOT_ACCEPTED,
+            reason=str(error),
+            retry_after=const.RETRY_AFTER,
+        )
+
+    def _refused(self, job: str, reply: GatewayMessage) -> Answer:
+        reason = _reason(reply)
+        note("submit_refused", job=job, reason=reason)
+        return Answer(
+            AnswerKind.NOT_ACCEPTED,
+            reason=reason,
+            retry_after=const.RETRY_AFTER,
+        )
+
+
+def _job_answer(reply: GatewayMessage, kind: AnswerKind) -> Answer:
+    if isinstance(reply, JobAnswer):
+        if reply.outcome is Outcome.OK:
+            return Answer(kind, state=reply.state)
+        if reply.outcome is Outcome.NO_SUCH_JOB:
+            return Answer(AnswerKind.NO_SUCH_JOB)
+    return _unavailable(_reason(reply))
+
+
+def _reason(reply: GatewayMessage) -> str:
+    if isinstance(reply, JobAnswer):
+        return reply.outcome.value
+    return "the owner isn't sure"
+
+
+def _unavailable(reason: str) -> Answer:
+    return Answer(
+        AnswerKind.UNAVAILABLE, reason=reason, retry_after=const.RETRY_AFTER
+    )
--- /dev/null
+++ b/pimentocross/gateway/cluster.py
@@ -0,0 +1,189 @@
+"""Who takes part and who owns the cell, as the store tells."""
+
+from typing import Any, Final, NamedTuple, TypeVar
+
+import msgspec
+import trio
+
+from pimentocross.contracts.store import (
+    HistoryGoneError,
+    Record,
+    Store,
+    StoreUnavailableError,
+)
+from pimentocross.gateway import const
+from pimentocross.observe.decisions import note
+
+_FORM: Final = 1
+_MEMBER: Final = "m/"
+_CLAIM: Final = "claim/"
+_encode: Final = msgspec.msgpack.Encoder().encode
+_T = TypeVar("_T", bound=tuple[Any, ...])
+
+
+class Member(NamedTuple):
+    """A process that takes part.
+
+    Attributes:
+        form: Version of the record's form.
+        vm: Its VM's name.
+        process: Its id, unique for ever.
+        address: Its peer listener, host:port.
+    """
+
+    form: int
+    vm: str
+    process: str
+    address: str
+
+
+class ClaimRecord(NamedTuple):
+    """Who owns the cell from this record on; no process if it was given back.
+
+    Attributes:
+        form: Version of the record's form.
+        vm: The VM's name.
+        process: The owner's process, or "".
+        address: Its peer listener.
+    """
+
+    form: int
+    vm: str
+    process: str
+    address: str
+
+
+class OwnerClaim(NamedTuple):
+    """The newest claim; its epoch is its offset and one more."""
+
+    epoch: int
+    vm: str
+    process: str
+    address: str
+
+    @property
+    def released(self) -> bool:
+        """True if the cell was given back."""
+        return not self.process
+
+
+class Cluster:
+    """Follows the topic of members and claims.
+
+    Attributes:
+        members: By VM; the newest process of each.
+        claim: The newest, or None before the first.
+        end: Offset up to which the topic was read, or -1.
+        changed: Set, and replaced, whenever something came in.
+    """
+
+    def __init__(self, store: Store) -> None:
+        """Knows nobody yet."""
+        self.members: dict[str, Member] = {}
+        self.claim: OwnerClaim | None = None
+        self.end = -1
+        self.changed = trio.Event()
+        self.reachable = False
+        self._store = store
+
+    async def follow(self) -> None:
+        """Follows the topic for ever."""
+        while True:
+            try:
+                await self.refresh(const.FOLLOW_WAIT)
+            except StoreUnavailableError as error:
+                if self.reachable:
+                    note("store_lost", reason=str(error))
+                self.reachable = False
+                await trio.sleep(const.FOLLOW_RETRY)
+
+    async def refresh(self, wait: float) -> None:
+        """Reads what is new.
+
+        Raises:
+            StoreUnavailableError: The store did not answer.
+        """
+        start = self.end
+        if start < 0:
+            page = await self._store.newest(
+                const.CLUSTER_TOPIC, const.READ_TIMEOUT
+            )
+            end = page.end
+        else:
+            try:
+                page = await self._store.read(
+                    const.CLUSTER_TOPIC,
+                    start,
+                    wait,
+                    wait + const.FOLLOW_TIMEOUT,
+                )
+            except HistoryGoneError:
+                note("history_gone", topic=const.CLUSTER_TOPIC)
+                self.end = -1
+                return
+            end = start + len(page.records)
+        if not self.reachable:
+            note("store_reached")
+        self.reachable = True
+        for record in page.records:
+            self._take(record)
+        self.end = max(self.end, end)
+        if page.records or start < 0:
+            self.changed.set()
+            self.changed = trio.Event()
+
+    async def register(self, member: Member) -> None:
+        """Makes a process known to all; tries until the store has it."""
+        record = Record(_MEMBER + member.vm, _encode(member))
+        while True:
+            try:
+                await self._store.append(
+                    const.CLUSTER_TOPIC, [record], const.CLAIM_TIMEOUT
+                )
+            except StoreUnavailableError as error:
+                note("register_failed", reason=str(error))
+                await trio.sleep(const.FOLLOW_RETRY)
+            else:
+                return
+
+    async def append_claim(self, claim: ClaimRecord, at: int) -> None:
+        """Appends a claim if nothing came in since.
+
+        Raises:
+            StoreUnavailableError: No answer; it may have been appended.
+            ConditionFailedError: Something came in.
+        """
+        record = Record(_CLAIM + const.CELL, _encode(claim))
+        await self._store.append(
+            const.CLUSTER_TOPIC, [record], const.CLAIM_TIMEOUT, at=at
+        )
+
+    def _take(self, record: Record) -> None:
+        if record.value is None:
+            return
+        try:
+            if record.key.startswith(_MEMBER):
+                member = _decode(record.value, Member)
+                self.members[member.vm] = member
+            elif record.key == _CLAIM + const.CELL:
+                claim = _decode(record.value, ClaimRecord)
+                epoch = record.offset + 1
+                if self.claim is None or epoch > self.claim.epoch:
+                    self.claim = OwnerClaim(epoch, *claim[1:])
+        except msgspec.DecodeError as error:
+            note("record_unreadable", key=record.key, reason=str(error))
+
+
+def _decode(value: bytes, cls: type[_T]) -> _T:
+    record: _T = msgspec.msgpack.decode(value, type=cls)
+    return record
+
+
+def member_record(vm: str, process: str, address: str) -> Member:
+    """Returns the record of a process."""
+    return Member(_FORM, vm, process, address)
+
+
+def claim_record(vm: str, process: str, address: str) -> ClaimRecord:
+    """Returns the record of a claim."""
+    return ClaimRecord(_FORM, vm, process, address)
--- /dev/null
+++ b/pimentocross/gateway/election.py
@@ -0,0 +1,287 @@
+"""Decides when this process claims the cell, and runs the owner if it has it.
+
+The store decides who owns: a claim is appended only if nothing else was since
+this process last read, and its offset is the epoch that fences former owners
+at the store and at the workers. Suspicion may therefore be wrong: it costs a
+needless take-over, never two owners.
+"""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import trio
+import xxhash
+
+from pimentocross.contracts.store import (
+    ConditionFailedError,
+    FencedError,
+    Store,
+    StoreUnavailableError,
+)
+from pimentocross.contracts.worker_link import WorkerFencedError
+from pimentocross.gateway import const
+from pimentocross.gateway.cluster import Cluster, OwnerClaim, claim_record
+from pimentocross.gateway.owner_link import OwnerLink
+from pimentocross.links.greeting import PeerIdentity
+from pimentocross.observe.decisions import note
+from pimentocross.owner.owner import CellPlatform, Claim, Owner
+from pimentocross.work.queue import WorkConfig
+
+
+class Election:
+    """Watches the owner, claims, and owns.
+
+    Attributes:
+        link: To the owner, unless it is this process or unknown.
+        owner: The owner that runs here, or None.
+    """
+
+    def __init__(
+        self,
+        mine: PeerIdentity,
+        cluster: Cluster,
+        platform: CellPlatform,
+        config: Callable[[], WorkConfig | None],
+        heard_peer_at: Callable[[], float],
+    ) -> None:
+        """Takes who this is and what it decides by.
+
+        Args:
+            mine: This process.
+            cluster: Members and claims.
+            platform: What an owner needs.
+            config: The configuration in force.
+            heard_peer_at: When a peer was last heard, monotonic.
+        """
+        self.link: OwnerLink | None = None
+        self.owner: Owner | None = None
+        self._mine = mine
+        self._cluster = cluster
+        self._platform = platform
+        self._config = config
+        self._heard_peer_at = heard_peer_at
+        self._served_epoch = 0
+        self._leaving = False
+        self._not_before = 0.0
+        self._unowned_since = trio.current_time()
+        self._former_quiet = False
+        self._wake = trio.Event()
+
+    @property
+    def store(self) -> Store:
+        """The store."""
+        return self._platform.store
+
+    def owner_absent(self) -> float:
+        """Returns for how many seconds no owner could be asked."""
+        owner, link = self.owner, self.link
+        here = owner is not None and owner.ready.is_set()
+        if here or (link is not None and link.usable):
+            self._unowned_since = trio.current_time()
+        return trio.current_time() - self._unowned_since
+
+    def leave(self) -> None:
+        """Gives the cell back if it is owned here; claims no more."""
+        self._leaving = True
+        if self.owner is not None:
+            self.owner.release()
+
+    async def run(self) -> None:
+        """Follows the claims for ever."""
+        while True:
+            claim = self._cluster.claim
+            if claim is not None and claim.process == self._mine.process:
+                await self._own_or_wait(claim)
+            elif claim is None or claim.released:
+                await self._consider(claim, "no owner")
+            else:
+                await self._watch(claim)
+
+    async def _own_or_wait(self, claim: OwnerClaim) -> None:
+        if claim.epoch > self._served_epoch and not self._leaving:
+            self._served_epoch = claim.epoch
+            await self._own(claim)
+        else:
+            await self._give_back(claim)
+            await self._pause()
+
+    async def _own(self, claim: OwnerClaim) -> None:
+        note("owner_begins", epoch=claim.epoch)
+        owner = Owner(
+            Claim(const.JOBS_TOPIC, claim.epoch, self._former_quiet),
+            self._platform,
+            self._config_or_wait,
+        )
+        self.owner = owner
+        reason = "released"
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_standing, owner, claim)
+                await owner.run()
+                nursery.cancel_scope.cancel()
+        except* (FencedError, WorkerFencedError):
+            reason = "another owner has taken over"
+        except* StoreUnavailableError as errors:
+            reason = f"its state can't be read: {errors.exceptions[0]}"
+        finally:
+            self.owner = None
+        note("owner_ends", epoch=claim.epoch, reason=reason)
+        if reason != "another owner has taken over":
+            await self._give_back(claim)
+        else:
+            await self._pause()
+
+    def _config_or_wait(self) -> WorkConfig:
+        config = self._config()
+        assert config is not None
+        return config
+
+    async def _watch_standing(self, owner: Owner, claim: OwnerClaim) -> None:
+        """Gives the cell up once it is claimed by another, or nobody hears."""
+        began = trio.current_time()
+        while True:
+            await trio.sleep(const.ELECTION_TICK)
+            newest = self._cluster.claim
+            if newest is not None and newest.epoch > claim.epoch:
+                note("owner_superseded", epoch=claim.epoch, by=newest.epoch)
+                raise FencedError
+            alone = trio.current_time() - max(self._heard_peer_at(), began)
+            if alone > const.ALONE_AFTER and len(self._cluster.members) > 1:
+                if trio.current_time() < self._not_before:
+                    continue
+                note("owner_alone", seconds=round(alone, 1))
+                self._not_before = trio.current_time() + const.ALONE_PAUSE
+                owner.release()
+                return
+
+    async def _give_back(self, claim: OwnerClaim) -> None:
+        """Appends that the cell has no owner, unless another has it."""
+        if self._cluster.claim is not claim:
+            return
+        try:
+            await self._cluster.append_claim(
+                claim_record(self._mine.name, "", ""), self._cluster.end
+            )
+        except ConditionFailedError:
+            pass
+        except StoreUnavailableError as error:
+            note("release_failed", reason=str(error))
+        await self._refresh()
+
+    async def _watch(self, claim: OwnerClaim) -> None:
+        """Keeps a link to another process that owns, until a newer claim."""
+        async with self._linked(claim) as link:
+            while self._cluster.claim is claim:
+                await trio.sleep(const.ELECTION_TICK)
+                reason = self._suspicion(claim, link)
+                if not reason or self._leaving:
+                    continue
+                if await self._confirmed(claim, link, reason):
+                    await self._consider(claim, reason)
+
+    @asynccontextmanager
+    async def _linked(self, claim: OwnerClaim) -> AsyncIterator[OwnerLink]:
+        link = OwnerLink(claim, self._mine)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run)
+            self.link = link
+            try:
+                yield link
+            finally:
+                self.link = None
+                nursery.cancel_scope.cancel()
+
+    def _suspicion(self, claim: OwnerClaim, link: OwnerLink) -> str:
+        if self._surely_gone(claim, link):
+            return "its process was replaced"
+        if link.silence() > const.SILENCE:
+            return "silent"
+        standing = link.standing
+        if standing is not None:
+            if standing.epoch != claim.epoch:
+                return "it does not own"
+            if standing.store_age > const.STORE_SILENCE:
+                return "it can't write"
+        return ""
+
+    def _surely_gone(self, claim: OwnerClaim, link: OwnerLink) -> bool:
+        member = self._cluster.members.get(claim.vm)
+        replaced = member is not None and member.process != claim.process
+        return link.replaced or replaced
+
+    async def _confirmed(
+        self, claim: OwnerClaim, link: OwnerLink, reason: str
+    ) -> bool:
+        """Returns whether a suspect doesn't write either."""
+        if self._surely_gone(claim, link):
+            self._former_quiet = True
+            return True
+        self._former_quiet = False
+        try:
+            began = trio.current_time()
+            first = await self._jobs_end()
+            took = trio.current_time() - began
+            await trio.sleep(const.OBSERVE + 3 * took)
+            second = await self._jobs_end()
+        except StoreUnavailableError as error:
+            note("suspect_unconfirmed", reason=reason, store=str(error))
+            return False
+        writes = second > first
+        note("suspect", vm=claim.vm, reason=reason, writes=writes)
+        return not writes and bool(self._suspicion(claim, link))
+
+    async def _jobs_end(self) -> int:
+        """Returns the end of the owner's records."""
+        page = await self.store.read(
+            const.JOBS_TOPIC, 1 << 40, 0.0, const.READ_TIMEOUT
+        )
+        return page.end
+
+    async def _consider(self, claim: OwnerClaim | None, reason: str) -> None:
+        """Claims, after those who are better placed have had their chance."""
+        if claim is None or claim.released:
+            self._former_quiet = True
+        await trio.sleep(self._rank(claim) * const.RANK_DELAY)
+        now = trio.current_time()
+        if (
+            self._leaving
+            or self._config() is None
+            or now < self._not_before
+            or self._cluster.claim is not claim
+            or self._cluster.end < 0
+        ):
+            await self._pause()
+            return
+        note("claim", reason=reason, at=self._cluster.end)
+        mine = self._mine
+        record = claim_record(mine.name, mine.process, mine.address)
+        try:
+            await self._cluster.append_claim(record, self._cluster.end)
+        except ConditionFailedError:
+            note("claim_too_late")
+        except StoreUnavailableError as error:
+            note("claim_unanswered", reason=str(error))
+        await self._refresh()
+
+    def _rank(self, claim: OwnerClaim | None) -> int:
+        """Returns how many members have their turn before this one."""
+        epoch = claim.epoch if claim is not None else 0
+        suspect = claim.vm if claim is not None else ""
+
+        def weight(vm: str) -> int:
+            return xxhash.xxh64_intdigest(f"{vm} {epoch}".encode())
+
+        mine = weight(self._mine.name)
+        return sum(
+            weight(vm) < mine for vm in self._cluster.members if vm != suspect
+        )
+
+    async def _refresh(self) -> None:
+        try:
+            await self._cluster.refresh(0.0)
+        except StoreUnavailableError as error:
+            note("store_lost", reason=str(error))
+            await self._pause()
+
+    async def _pause(self) -> None:
+        await trio.sleep(const.ELECTION_TICK)
--- /dev/null
+++ b/pimentocross/gateway/messages.py
@@ -0,0 +1,106 @@
+"""Messages between entry VMs."""
+
+from typing import NamedTuple, TypeAlias
+
+from pimentocross.codec import MessageTags
+from pimentocross.owner.desk import Outcome
+from pimentocross.work.queue import Queue
+from pimentocross.work.spec import JobSpec
+from pimentocross.work.state import JobState
+
+
+class Heartbeat(NamedTuple):
+    """Asks whether a process lives and owns the cell.
+
+    Attributes:
+        epoch: Newest epoch that the sender knows.
+    """
+
+    epoch: int
+
+
+class Standing(NamedTuple):
+    """How a process stands.
+
+    Attributes:
+        epoch: Of the cell that it owns, or 0.
+        ready: Whether it has taken the cell's state over.
+        store_age: Seconds since the store acknowledged an append.
+    """
+
+    epoch: int
+    ready: bool
+    store_age: float
+
+
+class SubmitJob(NamedTuple):
+    """Asks the owner to take a job in."""
+
+    job: str
+    queue: Queue
+    spec: JobSpec
+
+
+class AskState(NamedTuple):
+    """Asks the owner for a job's state."""
+
+    job: str
+
+
+class CancelJob(NamedTuple):
+    """Asks the owner to cancel a job."""
+
+    job: str
+
+
+class JobAnswer(NamedTuple):
+    """The owner's answer about a job."""
+
+    outcome: Outcome
+    state: JobState | None
+
+
+class AskPending(NamedTuple):
+    """Asks the owner how many jobs of a queue wait."""
+
+    queue: str
+
+
+class PendingAnswer(NamedTuple):
+    """How many jobs wait, or None if the owner isn't sure."""
+
+    pending: int | None
+
+
+class NotOwner(NamedTuple):
+    """The question was not for this process; nothing was done."""
+
+    reason: str
+
+
+GatewayMessage: TypeAlias = (
+    Heartbeat
+    | Standing
+    | SubmitJob
+    | AskState
+    | CancelJob
+    | JobAnswer
+    | AskPending
+    | PendingAnswer
+    | NotOwner
+)
+
+# The tags are part of the wire form: one is never used again for another.
+GATEWAY_MESSAGES: MessageTags[GatewayMessage] = MessageTags(
+    {
+        "hb": Heartbeat,
+        "hb+": Standing,
+        "submit": SubmitJob,
+        "state": AskState,
+        "cancel": CancelJob,
+        "job+": JobAnswer,
+        "pending": AskPending,
+        "pending+": PendingAnswer,
+        "not-owner": NotOwner,
+    }
+)
--- /dev/null
+++ b/pimentocross/gateway/node.py
@@ -0,0 +1,233 @@
+"""One process on an entry VM: its parts put together, started and stopped."""
+
+import secrets
+from typing import NamedTuple, Protocol
+
+import trio
+
+from pimentocross.contracts.store import StoreUnavailableError
+from pimentocross.gateway import const
+from pimentocross.gateway.caller_desk import CallerDesk
+from pimentocross.gateway.cluster import Cluster, Member, member_record
+from pimentocross.gateway.election import Election
+from pimentocross.gateway.messages import (
+    GATEWAY_MESSAGES,
+    AskPending,
+    AskState,
+    CancelJob,
+    GatewayMessage,
+    Heartbeat,
+    JobAnswer,
+    NotOwner,
+    PendingAnswer,
+    Standing,
+    SubmitJob,
+)
+from pimentocross.gateway.owner_link import CREDENTIALS
+from pimentocross.gateway.settings import GatewaySettings
+from pimentocross.links.greeting import PeerIdentity
+from pimentocross.links.listener import Handler, HttpListener, ListenerLimits
+from pimentocross.links.peer import PeerListener, PeerUnreachableError
+from pimentocross.observe.decisions import note, write_lines
+from pimentocross.owner.owner import CellPlatform, Owner
+from pimentocross.work.queue import WorkConfig
+
+
+class ConfigSource(Protocol):
+    """Where operators publish the configuration."""
+
+    async def next_config(
+        self, wait: float, timeout: float
+    ) -> WorkConfig | None:
+        """Returns the newest configuration if there is news within `wait`.
+
+        Raises:
+            StoreUnavailableError: The source did not answer.
+        """
+        ...
+
+
+class Surfaces(NamedTuple):
+    """What answers HTTP requests."""
+
+    callers: Handler
+    ready: Handler
+
+
+class GatewayNode:
+    """The process.
+
+    Attributes:
+        desk: Decides what callers are told.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        platform: CellPlatform,
+        configs: ConfigSource,
+    ) -> None:
+        """Puts the parts together; `run` starts them."""
+        process = f"{settings.name}:{secrets.token_hex(4)}"
+        address = f"{settings.ip}:{settings.peer_port}"
+        self._mine = PeerIdentity(
+            process, settings.name, address, settings.zone
+        )
+        self._settings = settings
+        self._configs = configs
+        self._config: WorkConfig | None = None
+        self._peer_heard_at = float("-inf")
+        self._cluster = Cluster(platform.store)
+        self._election = Election(
+            self._mine,
+            self._cluster,
+            platform,
+            self.get_config,
+            lambda: self._peer_heard_at,
+        )
+        self.desk = CallerDesk(self.get_config, self)
+        self._stop = trio.Event()
+
+    def get_config(self) -> WorkConfig | None:
+        """Returns the configuration in force, or None before the first."""
+        return self._config
+
+    def request_stop(self) -> None:
+        """Has `run` drain and return."""
+        self._stop.set()
+
+    def owner_absent(self) -> float:
+        """Returns for how many seconds no owner could be asked."""
+        return self._election.owner_absent()
+
+    async def run(self, surfaces: Surfaces) -> None:
+        """Runs until a stop was requested and the drain is over."""
+        callers = HttpListener(surfaces.callers, self._limits)
+        ready = HttpListener(surfaces.ready, ListenerLimits)
+        peers = PeerListener(self._mine, CREDENTIALS, self, GATEWAY_MESSAGES)
+        settings = self._settings
+        note("start", process=self._mine.process, zone=settings.zone)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(write_lines)
+            await nursery.start(ready.serve, settings.ready_address)
+            await nursery.start(callers.serve, settings.caller_address)
+            nursery.start_soon(self._serve_peers, peers)
+            nursery.start_soon(self._follow_config)
+            nursery.start_soon(self._cluster.follow)
+            nursery.start_soon(self._cluster.register, self._member())
+            nursery.start_soon(self._election.run)
+            await self._stop.wait()
+            await self._drain(callers)
+            nursery.cancel_scope.cancel()
+        note("stopped")
+
+    def _member(self) -> Member:
+        mine = self._mine
+        return member_record(mine.name, mine.process, mine.address)
+
+    async def _drain(self, callers: HttpListener) -> None:
+        """Answers on while the balancer learns that this VM leaves."""
+        began = trio.current_time()
+        grace = self._settings.grace
+        note("stop", in_flight=callers.in_flight, grace=grace)
+        self.desk.draining = True
+        self._election.leave()
+        callers.drain()
+        await trio.sleep(min(const.DRAIN_NOTICE, grace / 2))
+        end = began + grace - const.DRAIN_RESERVE
+        while callers.in_flight and trio.current_time() < end:
+            await trio.sleep(0.02)
+
+    def _limits(self) -> ListenerLimits:
+        config = self._config
+        if config is None:
+            return ListenerLimits()
+        limits = config.limits
+        return ListenerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout,
+            limits.idle_timeout,
+        )
+
+    async def _serve_peers(self, peers: "PeerListener[GatewayMessage]") -> None:
+        await trio.serve_tcp(
+            peers.serve_connection,
+            self._settings.peer_port,
+            host=self._settings.ip,
+        )
+
+    async def _follow_config(self) -> None:
+        while True:
+            try:
+                config = await self._configs.next_config(
+                    const.FOLLOW_WAIT, const.FOLLOW_TIMEOUT
+                )
+            except StoreUnavailableError as error:
+                note("config_unread", reason=str(error))
+                await trio.sleep(const.FOLLOW_RETRY)
+                continue
+            if config is not None:
+                self._apply(config)
+
+    def _apply(self, config: WorkConfig) -> None:
+        known = self._config
+        if known is not None and config.version <= known.version:
+            return
+        self._config = config
+        note(
+            "config_in_force",
+            version=config.version,
+            queues=len(config.queues),
+        )
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        """Asks the owner, here or on another VM; see `OwnerAccess`."""
+        owner, link = self._election.owner, self._election.link
+        if owner is not None and owner.ready.is_set():
+            with trio.move_on_after(timeout):
+                return await _answer_here(owner, message)
+            raise PeerUnreachableError("no answer in time", sent=True)
+        if link is None or not link.usable:
+            raise PeerUnreachableError("no owner is known", sent=False)
+        return await link.ask(message, timeout)
+
+    def refuse(self, reason: str) -> GatewayMessage:
+        """Returns the answer to a question that can't be read."""
+        return NotOwner(reason)
+
+    async def answer(
+        self, peer: PeerIdentity, message: GatewayMessage
+    ) -> GatewayMessage:
+        """Answers a peer; see `PeerAnswerer`."""
+        self._peer_heard_at = trio.current_time()
+        owner = self._election.owner
+        if isinstance(message, Heartbeat):
+            return _standing(owner)
+        if owner is None or not owner.ready.is_set():
+            return NotOwner("the cell is not owned here")
+        return await _answer_here(owner, message)
+
+
+def _standing(owner: Owner | None) -> Standing:
+    if owner is None:
+        return Standing(0, False, 0.0)
+    ready = owner.ready.is_set()
+    age = min(owner.ledger.age(), 1e6) if ready else 0.0
+    return Standing(owner.epoch, ready, age)
+
+
+async def _answer_here(owner: Owner, message: GatewayMessage) -> GatewayMessage:
+    match message:
+        case SubmitJob(job, queue, spec):
+            return JobAnswer(*await owner.desk.submit(job, queue, spec))
+        case AskState(job):
+            return JobAnswer(*owner.desk.state(job))
+        case CancelJob(job):
+            return JobAnswer(*await owner.desk.cancel(job))
+        case AskPending(queue):
+            return PendingAnswer(owner.desk.pending(queue))
+        case _:
+            return NotOwner("not a question")
--- /dev/null
+++ b/pimentocross/gateway/owner_link.py
@@ -0,0 +1,83 @@
+"""The link from an entry VM to the process that owns the cell."""
+
+import trio
+
+from pimentocross.gateway import const
+from pimentocross.gateway.cluster import OwnerClaim
+from pimentocross.gateway.messages import (
+    GATEWAY_MESSAGES,
+    GatewayMessage,
+    Heartbeat,
+    Standing,
+)
+from pimentocross.links.greeting import Credentials, PeerIdentity
+from pimentocross.links.peer import PeerLink, PeerUnreachableError
+
+CREDENTIALS = Credentials(const.PEER_CLUSTER, [b""])
+
+
+class OwnerLink:
+    """Heartbeats to one owner.
+
+    Attributes:
+        claim: The claim that made it the owner.
+        standing: Its newest answer, or None.
+        heard_at: When that came, or when the link was made.
+    """
+
+    def __init__(self, claim: OwnerClaim, mine: PeerIdentity) -> None:
+        """Takes the claim and who this process is."""
+        self.claim = claim
+        self.standing: Standing | None = None
+        self.heard_at = trio.current_time()
+        self.replaced = False
+        self._link: PeerLink[GatewayMessage] = PeerLink(
+            claim.address, mine, CREDENTIALS, GATEWAY_MESSAGES
+        )
+
+    @property
+    def usable(self) -> bool:
+        """True if questions can be sent and would be answered."""
+        standing = self.standing
+        return (
+            self._link.connected
+            and standing is not None
+            and standing.ready
+            and standing.epoch == self.claim.epoch
+        )
+
+    def silence(self) -> float:
+        """Seconds since it was heard."""
+        return trio.current_time() - self.heard_at
+
+    async def run(self) -> None:
+        """Keeps the link up for ever."""
+        await self._link.run(self._keep)
+
+    async def ask(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        """Asks the owner.
+
+        Raises:
+            PeerUnreachableError: No answer in time.
+        """
+        return await self._link.ask(message, timeout)
+
+    async def _keep(self, link: PeerLink[GatewayMessage]) -> None:
+        identity = link.identity
+        if identity is not None and identity.process != self.claim.process:
+            self.replaced = True
+            await trio.sleep(const.SILENCE)
+            return
+        while True:
+            try:
+                answer = await link.ask(
+                    Heartbeat(self.claim.epoch), const.HEARTBEAT_TIMEOUT
+                )
+            except PeerUnreachableError as error:
+                raise trio.TooSlowError from error
+            if isinstance(answer, Standing):
+                self.standing = answer
+                self.heard_at = trio.current_time()
+            await trio.sleep(const.HEARTBEAT_INTERVAL)
--- /dev/null
+++ b/pimentocross/gateway/settings.py
@@ -0,0 +1,27 @@
+"""Settings of an entry VM's process."""
+
+from typing import NamedTuple
+
+
+class GatewaySettings(NamedTuple):
+    """What a process learns before it starts.
+
+    Attributes:
+        name: This VM's name.
+        zone: Its availability zone.
+        ip: Its IP number.
+        caller_address: host:port for callers.
+        ready_address: host:port where the balancer asks.
+        peer_port: Port for peers.
+        store_address: host:port of the store.
+        grace: Seconds between a request to stop and a kill.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    caller_address: str
+    ready_address: str
+    peer_port: int
+    store_address: str
+    grace: float
--- /dev/null
+++ b/pimentocross/observe/decisions.py
@@ -0,0 +1,114 @@
+"""The decision log: one JSON line for each decision, on standard output.
+
+Writing never blocks: lines wait in a bounded buffer that a task empties while
+the pipe takes them. Lines beyond the buffer or the rate are counted by kind,
+and the counts are written as soon as there is room.
+"""
+
+from collections import Counter, deque
+import os
+import select
+import time
+from typing import Final
+
+import msgspec
+import trio
+
+# At most this many lines wait; a line has about 200 bytes.
+_WAITING_MOST: Final = 4_000
+# Ceiling of what a process writes, bytes a second; bursts of twice as much.
+_BYTES_PER_SECOND: Final = 60_000
+_FLUSH_INTERVAL: Final = 0.1
+_STDOUT: Final = 1
+_PIPE_CHUNK: Final = 4_096
+_encode: Final = msgspec.json.Encoder().encode
+
+
+class DecisionLog:
+    """Lines that wait to be written.
+
+    Attributes:
+        dropped: Lines that were not written, by kind.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty and off."""
+        self.enabled = False
+        self.source = ""
+        self.dropped: Counter[str] = Counter()
+        self._waiting: deque[bytes] = deque()
+        self._allowance = 2.0 * _BYTES_PER_SECOND
+        self._refilled_at = time.monotonic()
+
+    def note(self, kind: str, fields: dict[str, object]) -> None:
+        """Adds a line, or counts it if there are too many."""
+        line = _encode(
+            {"t": round(time.time(), 3), "vm": self.source, "is": kind} | fields
+        )
+        if len(line) >= _PIPE_CHUNK or len(self._waiting) >= _WAITING_MOST:
+            self.dropped[kind] += 1
+            return
+        if self._afford(len(line)):
+            self.dropped[kind] += 1
+            return
+        self._waiting.append(line + b"\n")
+
+    def flush(self) -> None:
+        """Writes what the pipe takes without blocking."""
+        if self.dropped and not self._waiting and self._afford(0):
+            counts = dict(self.dropped)
+            self.dropped.clear()
+            self.note("lines_dropped", {"by_kind": counts})
+        poll = select.poll()
+        poll.register(_STDOUT, select.POLLOUT)
+        while self._waiting and poll.poll(0):
+            chunk = self._take_chunk()
+            os.write(_STDOUT, chunk)
+
+    def _take_chunk(self) -> bytes:
+        lines = [self._waiting.popleft()]
+        size = len(lines[0])
+        while self._waiting and size + len(self._waiting[0]) <= _PIPE_CHUNK:
+            lines.append(self._waiting.popleft())
+            size += len(lines[-1])
+        return b"".join(lines)
+
+    def _afford(self, size: int) -> bool:
+        now = time.monotonic()
+        refill = (now - self._refilled_at) * _BYTES_PER_SECOND
+        self._allowance = min(self._allowance + refill, 2.0 * _BYTES_PER_SECOND)
+        self._refilled_at = now
+        if self._allowance < size:
+            return False
+        self._allowance -= size
+        return True
+
+
+_log = DecisionLog()
+
+
+def enable(source: str) -> None:
+    """Turns the log on; `source` names this process in each line."""
+    _log.enabled = True
+    _log.source = source
+
+
+def note(kind: str, **fields: object) -> None:
+    """Logs a decision with the inputs that decided it and the outcome."""
+    if _log.enabled:
+        _log.note(kind, fields)
+
+
+def dropped() -> Counter[str]:
+    """Returns the lines that were not written, by kind."""
+    return _log.dropped
+
+
+async def write_lines() -> None:
+    """Writes lines for ever."""
+    try:
+        while True:
+            await trio.sleep(_FLUSH_INTERVAL)
+            _log.flush()
+    finally:
+        _log.flush()
--- /dev/null
+++ b/pimentocross/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The owner of a cell's jobs: records them, starts them, notes their ends."""
--- /dev/null
+++ b/pimentocross/owner/clock.py
@@ -0,0 +1,35 @@
+"""A worker's steady clock, as bounded by its answers."""
+
+from pimentocross.owner import const
+
+
+class WorkerClock:
+    """Bounds of a worker's clock; all times in seconds."""
+
+    def __init__(self) -> None:
+        """Knows nothing yet."""
+        self._reading: float | None = None
+        self._read_at = 0.0
+
+    @property
+    def known(self) -> bool:
+        """True once the worker has told its clock."""
+        return self._reading is not None
+
+    def note(self, reading: float, now: float) -> None:
+        """Takes a reading that came with an answer received now."""
+        if self._reading is None or reading >= self._reading:
+            self._reading = reading
+            self._read_at = now
+
+    def after(self, seconds: float, now: float) -> float:
+        """Returns the reading some seconds from now."""
+        assert self._reading is not None
+        return self._reading + (now - self._read_at) + seconds
+
+    def surely_past(self, reading: float, now: float) -> bool:
+        """True once the clock must have passed a reading, however slow."""
+        if self._reading is None:
+            return False
+        slowest = (now - self._read_at) * (1 - const.CLOCK_DRIFT)
+        return self._reading + slowest > reading + const.LAPSE_MARGIN
--- /dev/null
+++ b/pimentocross/owner/const.py
@@ -0,0 +1,58 @@
+"""Constants of the owner of a cell. Durations are seconds."""
+
+from typing import Final
+
+# Changes gathered into one append: at 20 ms an append costs a fiftieth of the
+# store's smallest write budget, and a task's start waits 10 ms on average.
+BATCH_PAUSE: Final = 0.015
+# An idle owner writes this often, so that a suspicious peer sees that it lives.
+BEAT_INTERVAL: Final = 0.5
+BEAT_KEY: Final = "beat"
+# A store that is 50 to 100 times slower than usual (4 ms) answers within this.
+APPEND_TIMEOUT: Final = 1.5
+APPEND_RETRY_PAUSE: Final = 0.1
+# An append unanswered for this long means that the store is away: new jobs
+# are refused at once rather than left to wait.
+AWAY_AFTER: Final = 0.8
+# Largest append, half of what the platform takes.
+APPEND_BYTES: Final = 1_000_000
+
+# Lease of what runs. Long enough for a take-over (2 s) and a lost renewal;
+# short enough that a crashed worker's tasks start again within 6 s.
+LEASE: Final = 5.0
+# Clocks of workers may be this much slower than ours.
+CLOCK_DRIFT: Final = 0.02
+LAPSE_MARGIN: Final = 0.3
+# How long an owner renews leases without an acknowledged append: rides out
+# the longest outage of the store that was announced (9 s), and some.
+RENEWALS_WITHOUT_STORE: Final = 12.0
+
+# Renewal at least this often.
+HOLD_WAIT: Final = 1.0
+# Where tasks serve beside tasks that fill, figures are read this often.
+HOLD_WAIT_SERVING: Final = 0.5
+HOLD_SLACK: Final = 0.8
+HOLD_RETRY_PAUSE: Final = 0.2
+# Endings wait at most this long for their record before the lease is renewed
+# without taking note of them.
+NOTE_WAIT: Final = 1.0
+CALL_TIMEOUT: Final = 0.8
+# After this a start that the worker gets late is refused by it.
+START_VALIDITY: Final = 1.5
+STOP_RETRY_PAUSE: Final = 0.3
+# A listing of endings this long may not be whole.
+ENDINGS_PAGE: Final = 500
+
+# Changes gathered into one pass of decisions.
+PASS_PAUSE: Final = 0.01
+PASS_INTERVAL: Final = 0.25
+ROSTER_INTERVAL: Final = 0.5
+ROSTER_TIMEOUT: Final = 1.5
+NEWEST_TIMEOUT: Final = 3.0
+
+# A job that has ended is remembered at least this long.
+ENDED_KEPT: Final = 150.0
+SWEEP_INTERVAL: Final = 5.0
+# An answer "no such job" is given only if the store acknowledged an append
+# within this, else a successor may know more.
+CURRENT_WITHIN: Final = 1.5
--- /dev/null
+++ b/pimentocross/owner/dispatcher.py
@@ -0,0 +1,272 @@
+"""Passes over what waits: decides what starts where, and what stops."""
+
+from collections.abc import Callable
+import time
+
+import trio
+
+from pimentocross.contracts.worker_link import Ending, EndKind, StartVerdict
+from pimentocross.observe.decisions import note
+from pimentocross.owner import const
+from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.ledger import Batch
+from pimentocross.owner.orders import Orders, Placement
+from pimentocross.owner.roster import Roster
+from pimentocross.owner.worker import Worker
+from pimentocross.placement.durations import Durations
+from pimentocross.placement.hosts import choose, common_rack
+from pimentocross.placement.pacing import Reading, next_pace
+from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
+from pimentocross.placement.stalls import is_stalled
+from pimentocross.placement.urgency import urgency
+from pimentocross.work.queue import WorkConfig
+from pimentocross.work.state import Run, RunState, Step, Task
+
+# Two jobs that fail in a row speak against a worker: ordinary tasks fail one
+# time in twenty, two of different jobs in a row one time in 400.
+_QUARANTINE = QuarantineTerms(after=2, first=3.0, most=12.0)
+# Steps without room after which a pass gives up: those that follow are less
+# urgent, and most are as large.
+_MISSES_MOST = 40
+# Share of all processors kept free of work that isn't of the first priority,
+# so that urgent work starts at once; about the load that it brings.
+HEADROOM = 0.06
+
+
+class Dispatcher:
+    """Decides, and has orders sent."""
+
+    def __init__(
+        self,
+        book: JobBook,
+        roster: Roster,
+        config: Callable[[], WorkConfig],
+    ) -> None:
+        """Takes the jobs, the workers and the configuration in force."""
+        self._book = book
+        self._roster = roster
+        self._config = config
+        self._durations = Durations()
+        self._quarantine = Quarantine(_QUARANTINE)
+        self._applied_version = -1
+        self._wake = trio.Event()
+
+    def wake(self) -> None:
+        """Has decisions made anew."""
+        self._wake.set()
+
+    async def run(self, orders: Orders) -> None:
+        """Decides whenever something changed, for ever."""
+        while True:
+            with trio.move_on_after(const.PASS_INTERVAL):
+                await self._wake.wait()
+            await trio.sleep(const.PASS_PAUSE)
+            self._wake = trio.Event()
+            self._apply_config()
+            self._stop_unwanted(orders)
+            self._pace_fillers(orders)
+            self._start_waiting(orders)
+
+    def judge(
+        self, worker: Worker, task: Task, run: Run | None, ending: Ending
+    ) -> None:
+        """Learns from an ending."""
+        if ending.how is EndKind.DONE:
+            self._quarantine.note_finished(worker.life.id)
+            if run is not None and run.decided_at and not task.step.spec.fills:
+                took = trio.current_time() - run.decided_at
+                self._durations.note(task.step.job.queue.name, took)
+        elif ending.how is EndKind.FAILED:
+            self._hold_against(worker, task)
+        elif not task.step.spec.lasting:
+            self._quarantine.note_lost(worker.life.id)
+
+    def on_refused(self, worker: Worker, verdict: StartVerdict) -> None:
+        """Learns from a refused start."""
+        if verdict is StartVerdict.UNHEALTHY:
+            now = trio.current_time()
+            self._quarantine.note_failed(worker.life.id, "unhealthy", now)
+        self.wake()
+
+    def _apply_config(self) -> None:
+        config = self._config()
+        if config.version != self._applied_version:
+            self._book.apply_config(config)
+            self._applied_version = config.version
+
+    def _hold_against(self, worker: Worker, task: Task) -> None:
+        now = trio.current_time()
+        job = task.step.job.id
+        self._quarantine.note_failed(worker.life.id, job, now)
+        reason = self._quarantine.explain(worker.life.id, now)
+        if reason:
+            note("worker_suspect", worker=worker.life.id, reason=reason)
+
+    def _start_waiting(self, orders: Orders) -> None:
+        now, wall = trio.current_time(), time.time()
+        steps = self._book.open_steps(wall)
+        if not steps:
+            return
+        ranked = sorted(
+            (urgency(step, self._durations, wall), number, step)
+            for number, step in enumerate(steps)
+        )
+        workers = [
+            worker
+            for worker in self._roster.workers()
+            if worker.usable and self._quarantine.admits(worker.life.id, now)
+        ]
+        racks = {worker.number: worker.life.rack for worker in workers}
+        spare = self._headroom(workers)
+        placements: list[Placement] = []
+        misses = 0
+        for _, _, step in ranked:
+            if step.job.queue.priority > 0 and spare <= 0:
+                continue
+            placed = self._place_step(step, workers, racks, now)
+            placements.extend(placed)
+            spare -= sum(p.task.step.spec.committed.cpu for p in placed)
+            misses += not placed
+            if misses > _MISSES_MOST:
+                break
+        self._send(placements, orders)
+
+    def _headroom(self, workers: list[Worker]) -> float:
+        whole = sum(worker.life.capacity.cpu for worker in workers)
+        free = sum(worker.free.cpu for worker in workers)
+        return free - HEADROOM * whole
+
+    def _place_step(
+        self,
+        step: Step,
+        workers: list[Worker],
+        racks: dict[int, str],
+        now: float,
+    ) -> list[Placement]:
+        if step.spec.gang:
+            return self._place_gang(step, workers, now)
+        rack = ""
+        if step.spec.same_rack:
+            rack = common_rack(step.tasks, racks)
+        placed = []
+        for task in step.waiting():
+            if task.not_before > now:
+                continue
+            placement = self._place(task, task.last_run + 1, workers, rack, now)
+            if placement is None:
+                break
+            rack = rack or placement.worker.life.rack
+            placed.append(placement)
+        return placed
+
+    def _place_gang(
+        self, step: Step, workers: list[Worker], now: float
+    ) -> list[Placement]:
+        """Places all members under one run number, or none."""
+        tasks = list(step.waiting())
+        if len(tasks) < step.spec.width:
+            return []
+        if any(task.not_before > now for task in tasks):
+            return []
+        number = max(task.last_run for task in tasks) + 1
+        placed: list[Placement] = []
+        rack = ""
+        for task in tasks:
+            placement = self._place(task, number, workers, rack, now)
+            if placement is None:
+                for taken in placed:
+                    taken.worker.remove(taken.task, number)
+                    taken.task.drop_run(number)
+                return []
+            rack = rack or placement.worker.life.rack
+            placed.append(placement)
+        return placed
+
+    def _place(
+        self,
+        task: Task,
+        number: int,
+        workers: list[Worker],
+        rack: str,
+        now: float,
+    ) -> Placement | None:
+        worker = choose(task, workers, rack)
+        if worker is None:
+            return None
+        run = Run(number, worker.number, now)
+        task.add_run(run)
+        worker.add(task, run)
+        self._quarantine.note_started(worker.life.id)
+        if not self._quarantine.admits(worker.life.id, now):
+            workers.remove(worker)
+        return Placement(task, run, worker)
+
+    def _send(self, placements: list[Placement], orders: Orders) -> None:
+        batch: Batch | None = None
+        for job in {p.task.step.job: None for p in placements}:
+            batch = self._book.changed(job)
+        if batch is None:
+            return
+        for task, run, worker, _ in placements:
+            note(
+                "run_decided",
+                task=task.name,
+                run=run.number,
+                worker=worker.life.id,
+                free=worker.free,
+            )
+        orders.start(placements, batch)
+
+    def _stop_unwanted(self, orders: Orders) -> None:
+        now = trio.current_time()
+        for worker in self._roster.workers():
+            for (task, _), run in list(worker.runs.items()):
+                reason = self._why_stop(worker, task, run, now)
+                if reason:
+                    orders.stop(worker, task, run, reason)
+
+    def _why_stop(
+        self, worker: Worker, task: Task, run: Run, now: float
+    ) -> str:
+        if run.state is RunState.STOPPING:
+            return ""
+        if task.step.job.ended or task.done:
+            return "not needed"
+        if run.state is not RunState.RUNNING:
+            return ""
+        if worker.life.draining and self._should_leave(worker, task, run, now):
+            return "the worker leaves"
+        if worker.reached and is_stalled(task, run, worker.heard_at):
+            self._hold_against(worker, task)
+            task.failed_on.add(worker.number)
+            return "no progress"
+        return ""
+
+    def _should_leave(
+        self, worker: Worker, task: Task, run: Run, now: float
+    ) -> bool:
+        if task.step.spec.lasting:
+            return True
+        if not run.began_at or run.percent <= 0:
+            return False
+        elapsed = run.percent_at - run.state_at
+        left = elapsed * (100 - run.percent) / run.percent
+        return left > worker.drain_left(now)
+
+    def _pace_fillers(self, orders: Orders) -> None:
+        now = trio.current_time()
+        for worker in self._roster.workers():
+            if not worker.filled:
+                continue
+            readings = [
+                Reading(run.figure, task.step.spec.target_tail)
+                for task, run in worker.running()
+                if task.step.spec.target_tail
+            ]
+            for task, run in worker.running():
+                if not task.step.spec.fills:
+                    continue
+                pace = next_pace(readings, run.pace, now - run.paced_at)
+                if pace != run.pace:
+                    run.paced_at = now
+                    orders.pace(worker, task, run, pace)
--- /dev/null
+++ b/pimentocross/owner/endings.py
@@ -0,0 +1,54 @@
+"""What the end of a run means for its task."""
+
+from pimentocross.contracts.worker_link import Ending, EndKind
+from pimentocross.observe.decisions import note
+from pimentocross.owner.worker import Worker
+from pimentocross.work.state import Run, Task
+
+
+def drop_run(task: Task, number: int, worker: Worker) -> Run | None:
+    """Forgets a run that surely isn't on a worker any more."""
+    worker.remove(task, number)
+    run = task.runs.get(number)
+    if run is None or run.worker != worker.number:
+        return None
+    return task.drop_run(number)
+
+
+def apply_ending(task: Task, ending: Ending, worker: Worker) -> Run | None:
+    """Brings a task to where a listed ending leaves it; returns the run."""
+    newest = ending.run >= task.last_run
+    run = drop_run(task, ending.run, worker)
+    if ending.checkpoint and newest and not task.done:
+        _keep_checkpoint(task, ending.checkpoint)
+    if ending.how is EndKind.DONE and not task.step.spec.lasting:
+        _finish(task)
+    elif ending.how is EndKind.FAILED and not task.step.spec.lasting:
+        task.failures += 1
+        task.failed_on.add(worker.number)
+    note(
+        "run_ended",
+        task=task.name,
+        run=ending.run,
+        worker=worker.life.id,
+        how=ending.how.value,
+        failures=task.failures,
+    )
+    return run
+
+
+def _finish(task: Task) -> None:
+    if task.step.spec.gang:
+        # The members of a gang end together; one ending stands for all.
+        for member in task.step.tasks:
+            member.finish()
+    else:
+        task.finish()
+
+
+def _keep_checkpoint(task: Task, checkpoint: str) -> None:
+    if task.step.spec.gang:
+        for member in task.step.tasks:
+            member.checkpoint = checkpoint
+    else:
+        task.checkpoint = checkpoint
--- /dev/null
+++ b/pimentocross/owner/jobs.py
@@ -0,0 +1,162 @@
+"""All jobs of a cell, and which of their steps wait for a start."""
+
+from collections.abc import Iterator
+import time
+
+from pimentocross.owner import const
+from pimentocross.owner.ledger import Batch, Ledger, PlainRecord
+from pimentocross.work import records
+from pimentocross.work.queue import Queue, WorkConfig
+from pimentocross.work.spec import JobSpec, TaskName
+from pimentocross.work.state import TERMINAL, Job, JobState, Step, Task
+
+
+class _Progress:
+    """A job's progress record."""
+
+    def __init__(self, job: Job) -> None:
+        self._job = job
+        self._encoded_state = job.state
+
+    @property
+    def key(self) -> str:
+        return records.PROGRESS + self._job.id
+
+    def encode(self) -> bytes:
+        self._encoded_state = self._job.state
+        return records.encode_progress(self._job)
+
+    def stored(self) -> None:
+        self._job.recorded_state = self._encoded_state
+
+
+class JobBook:
+    """Jobs by id; every change goes to the ledger."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Starts empty."""
+        self._ledger = ledger
+        self._jobs: dict[str, Job] = {}
+        # Steps of jobs that haven't ended, whose turn has come; in order.
+        self._open_steps: dict[Step, None] = {}
+        # Steps whose turn has not come.
+        self._later_steps: dict[Step, None] = {}
+
+    def __len__(self) -> int:
+        """How many jobs are known."""
+        return len(self._jobs)
+
+    def find(self, job_id: str) -> Job | None:
+        """Returns a job, or None."""
+        return self._jobs.get(job_id)
+
+    def jobs(self) -> Iterator[Job]:
+        """Yields all jobs."""
+        yield from self._jobs.values()
+
+    def find_task(self, name: TaskName) -> Task | None:
+        """Returns a task, or None."""
+        job = self._jobs.get(name.job)
+        return job.find_task(name) if job is not None else None
+
+    def accept(self, job_id: str, queue: Queue, spec: JobSpec) -> Batch:
+        """Takes a job in; returns the batch of its first record."""
+        job = Job(job_id, queue, spec, time.time())
+        self.restore(job)
+        return self._ledger.put(
+            PlainRecord(
+                records.SUBMISSION + job_id,
+                lambda: records.encode_submission(job),
+            )
+        )
+
+    def restore(self, job: Job) -> None:
+        """Takes in a job that is in the store."""
+        self._jobs[job.id] = job
+        if job.ended:
+            return
+        for occurrence in job.occurrences:
+            for step in occurrence.steps:
+                if step.undone:
+                    self._later_steps[step] = None
+        self._open_turns(job)
+
+    def changed(self, job: Job) -> Batch:
+        """Notes that a job's tasks changed; returns the record's batch."""
+        job.advance(time.time())
+        if job.ended:
+            self._close_steps(job)
+        else:
+            self._open_turns(job)
+        return self._ledger.put(_Progress(job))
+
+    def cancel(self, job: Job) -> Batch:
+        """Cancels a job; returns the record's batch."""
+        job.cancel(time.time())
+        return self.changed(job)
+
+    def open_steps(self, wall: float) -> list[Step]:
+        """Returns the steps whose turn has come and of which tasks wait."""
+        return [
+            step
+            for step in self._open_steps
+            if step.waiting_count and step.occurrence.due <= wall
+        ]
+
+    def pending(self, queue: str) -> int:
+        """Returns how many accepted jobs of a queue have not started."""
+        return sum(
+            1
+            for job in self._jobs.values()
+            if job.queue.name == queue and not job.ended and not job.started
+        )
+
+    def apply_config(self, config: WorkConfig) -> None:
+        """Gives jobs the newest form of their queues."""
+        queues = {queue.name: queue for queue in config.queues}
+        for job in self._jobs.values():
+            if not job.ended:
+                job.queue = queues.get(job.queue.name, job.queue)
+
+    def sweep(self) -> None:
+        """Forgets jobs that ended long ago."""
+        before = time.time() - const.ENDED_KEPT
+        old = [
+            job
+            for job in self._jobs.values()
+            if job.recorded_state in TERMINAL and job.ended_at < before
+        ]
+        for job in old:
+            if any(task.runs for task in job.tasks()):
+                continue
+            del self._jobs[job.id]
+            for prefix in (records.SUBMISSION, records.PROGRESS):
+                self._ledger.put(PlainRecord(prefix + job.id, _nothing))
+
+    def _open_turns(self, job: Job) -> None:
+        for occurrence in job.occurrences:
+            for step in occurrence.steps:
+                if step in self._later_steps and step.turn:
+                    del self._later_steps[step]
+                    self._open_steps[step] = None
+                elif step.undone == 0:
+                    self._open_steps.pop(step, None)
+
+    def _close_steps(self, job: Job) -> None:
+        for occurrence in job.occurrences:
+            for step in occurrence.steps:
+                self._open_steps.pop(step, None)
+                self._later_steps.pop(step, None)
+
+
+def _nothing() -> None:
+    """Returns what removes a key."""
+
+
+def shown_state(job: Job) -> JobState:
+    """Returns what callers are told: a final state only once recorded."""
+    if job.state in TERMINAL:
+        if job.recorded_state in TERMINAL:
+            return job.recorded_state
+        return JobState.RUNNING if job.started else JobState.QUEUED
+    return job.state
--- /dev/null
+++ b/pimentocross/owner/keeper.py
@@ -0,0 +1,281 @@
+"""Keeps the lease of one worker and takes in what it lists."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+import trio
+
+from pimentocross.contracts.worker_link import (
+    Ending,
+    HoldReply,
+    Listed,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
+from pimentocross.observe.decisions import note
+from pimentocross.owner import const
+from pimentocross.owner.endings import apply_ending, drop_run
+from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.ledger import Batch, Ledger
+from pimentocross.owner.worker import Worker
+from pimentocross.work.spec import TaskName
+from pimentocross.work.state import Job, Run, RunState, Task
+
+
+class Stops(Protocol):
+    """Orders runs to stop."""
+
+    def stop(self, worker: Worker, task: Task, run: Run, reason: str) -> None:
+        """Stops a run, however often it has to be asked."""
+        ...
+
+    def stop_unknown(self, worker: Worker, name: TaskName, run: int) -> None:
+        """Stops a run of a task that isn't known."""
+        ...
+
+
+class CellParts(NamedTuple):
+    """What the parts of an owner share.
+
+    Attributes:
+        token: The owner's fencing token.
+        book: The jobs.
+        ledger: Where changes are recorded.
+        wake: Has decisions made anew.
+        judge: Is told of each ending.
+    """
+
+    token: int
+    book: JobBook
+    ledger: Ledger
+    wake: Callable[[], None]
+    judge: Callable[[Worker, Task, Run | None, Ending], None]
+
+
+class Keeper:
+    """Holds one worker until its life has ended."""
+
+    def __init__(self, worker: Worker, parts: CellParts, stops: Stops) -> None:
+        """Takes the worker, what the parts share, and who stops runs."""
+        self._worker = worker
+        self._parts = parts
+        self._stops = stops
+        self._applied = 0
+        self._unrecorded = False
+
+    async def run(self) -> None:
+        """Holds until the life has ended.
+
+        Raises:
+            WorkerFencedError: Another owner has taken over.
+        """
+        worker = self._worker
+        while not worker.gone:
+            sent_at = trio.current_time()
+            try:
+                reply = await self._hold(sent_at)
+            except WorkerUnreachableError as error:
+                self._on_silence(str(error))
+                await trio.sleep(const.HOLD_RETRY_PAUSE)
+                continue
+            except WorkerReplacedError:
+                self.bury("another life answers at its address")
+                break
+            self._on_heard(reply, sent_at)
+            await self._take_in(reply, sent_at)
+
+    def bury(self, reason: str) -> None:
+        """Notes that the life has ended, and all that ran on it."""
+        worker = self._worker
+        worker.gone = True
+        self._drop_all(reason)
+
+    async def _hold(self, now: float) -> HoldReply:
+        worker = self._worker
+        deadline = self._next_deadline(now)
+        if deadline is not None:
+            worker.lease_end = max(worker.lease_end or 0.0, deadline)
+        wait = self._wait()
+        return await worker.link.hold(
+            self._parts.token,
+            worker.seen,
+            deadline,
+            wait,
+            wait + const.HOLD_SLACK,
+        )
+
+    def _next_deadline(self, now: float) -> float | None:
+        """Returns to when the lease is extended, or None to let it be."""
+        worker = self._worker
+        if not worker.reached or not worker.adopted:
+            # What can't be heard is left to lapse.
+            return None
+        if self._parts.ledger.age() > const.RENEWALS_WITHOUT_STORE:
+            return None
+        return worker.clock.after(const.LEASE, now)
+
+    def _wait(self) -> float:
+        worker = self._worker
+        if not worker.adopted or not worker.reached or self._unrecorded:
+            return 0.0
+        if worker.serves and worker.filled:
+            return const.HOLD_WAIT_SERVING
+        return const.HOLD_WAIT
+
+    def _on_silence(self, reason: str) -> None:
+        worker = self._worker
+        if worker.reached:
+            note("worker_silent", worker=worker.life.id, reason=reason)
+            worker.reached = False
+        if worker.lapsed(trio.current_time()):
+            if worker.listed:
+                self._drop_all("its lease has lapsed")
+            else:
+                self.bury("its lease has lapsed and it isn't listed")
+
+    def _on_heard(self, reply: HoldReply, sent_at: float) -> None:
+        worker = self._worker
+        now = trio.current_time()
+        worker.clock.note(reply.clock, now)
+        worker.heard_at = now
+        if not worker.reached:
+            note("worker_heard", worker=worker.life.id)
+            worker.reached = True
+        if worker.lease_end is None:
+            # A former owner is fenced from now on; this is the most that it
+            # may have granted.
+            worker.lease_end = worker.clock.after(const.LEASE, now)
+
+    async def _take_in(self, reply: HoldReply, sent_at: float) -> None:
+        changed: dict[Job, None] = {}
+        found = self._take_running(reply.running, changed)
+        self._take_endings(reply.endings, changed)
+        if len(reply.endings) < const.ENDINGS_PAGE:
+            self._settle_missing(found, sent_at, changed)
+        first_time = not self._worker.adopted
+        self._worker.adopted = True
+        batch: Batch | None = None
+        for job in changed:
+            batch = self._parts.book.changed(job)
+        if changed or first_time:
+            self._parts.wake()
+        if reply.endings:
+            await self._note_endings(reply.endings[-1].number, batch)
+
+    def _take_running(
+        self, listed: list[Listed], changed: dict[Job, None]
+    ) -> set[tuple[Task, int]]:
+        found = set()
+        for entry in listed:
+            task = self._parts.book.find_task(entry.task)
+            if task is None:
+                self._stops.stop_unknown(self._worker, entry.task, entry.run)
+                continue
+            run = self._worker.runs.get((task, entry.run))
+            if run is None:
+                run = self._take_unexpected(task, entry.run)
+                changed[task.step.job] = None
+            found.add((task, entry.run))
+            _update(run, entry)
+            if entry.checkpoint and entry.run == task.last_run:
+                task.checkpoint = entry.checkpoint
+            if task.done or task.step.job.ended:
+                self._stops.stop(self._worker, task, run, "not needed")
+        return found
+
+    def _take_unexpected(self, task: Task, number: int) -> Run:
+        """Takes in a run that is listed though it was not expected there."""
+        worker = self._worker
+        wanted = task.waiting and not task.step.job.ended
+        run = Run(number, worker.number, trio.current_time())
+        run.enter(RunState.RUNNING, trio.current_time())
+        task.add_run(run)
+        worker.add(task, run)
+        note(
+            "run_unexpected",
+            task=task.name,
+            run=number,
+            worker=worker.life.id,
+            adopted=wanted,
+        )
+        if not wanted:
+            self._stops.stop(worker, task, run, "not expected there")
+        return run
+
+    def _take_endings(
+        self, endings: list[Ending], changed: dict[Job, None]
+    ) -> None:
+        for ending in endings:
+            if ending.number <= self._applied:
+                continue
+            self._applied = ending.number
+            task = self._parts.book.find_task(ending.task)
+            if task is None:
+                continue
+            run = apply_ending(task, ending, self._worker)
+            self._parts.judge(self._worker, task, run, ending)
+            changed[task.step.job] = None
+
+    def _settle_missing(
+        self,
+        found: set[tuple[Task, int]],
+        sent_at: float,
+        changed: dict[Job, None],
+    ) -> None:
+        """Settles runs that should be there, or may be, and aren't listed."""
+        for key, run in list(self._worker.runs.items()):
+            if key in found or run.state_at >= sent_at:
+                continue
+            task, number = key
+            if run.state in (RunState.RUNNING, RunState.UNSURE):
+                # It may begin yet: once its stop is answered, it can't.
+                self._stops.stop(self._worker, task, run, "not listed")
+            elif (
+                run.state is RunState.STOPPING and 0 < run.stopped_at < sent_at
+            ):
+                drop_run(task, number, self._worker)
+                changed[task.step.job] = None
+
+    async def _note_endings(self, newest: int, batch: Batch | None) -> None:
+        """Waits until endings are recorded; only then they're taken note of."""
+        if batch is None:
+            # All were known: those of an earlier listing, or of no known job.
+            batch = self._parts.ledger.barrier()
+        with trio.move_on_after(const.NOTE_WAIT):
+            await batch.stored.wait()
+        self._unrecorded = not batch.stored.is_set()
+        if not self._unrecorded:
+            self._worker.seen = max(self._worker.seen, newest)
+
+    def _drop_all(self, reason: str) -> None:
+        worker = self._worker
+        worker.adopted = False
+        worker.lease_end = 0.0
+        if not worker.runs:
+            return
+        note(
+            "runs_lost",
+            worker=worker.life.id,
+            count=len(worker.runs),
+            reason=reason,
+        )
+        jobs: dict[Job, None] = {}
+        for task, number in list(worker.runs):
+            drop_run(task, number, worker)
+            jobs[task.step.job] = None
+        for job in jobs:
+            self._parts.book.changed(job)
+        self._parts.wake()
+
+
+def _update(run: Run, entry: Listed) -> None:
+    now = trio.current_time()
+    if run.state in (RunState.SENT, RunState.UNSURE):
+        run.enter(RunState.RUNNING, now)
+    if not run.began_at:
+        run.began_at = now
+        run.percent_at = now
+    if entry.percent != run.percent:
+        run.percent = entry.percent
+        run.percent_at = now
+    run.figure = entry.figure
--- /dev/null
+++ b/pimentocross/owner/orders.py
@@ -0,0 +1,207 @@
+"""Sends starts and stops to workers, one task for each order."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import trio
+
+from pimentocross.contracts.worker_link import (
+    StartOrder,
+    StartReply,
+    StartVerdict,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
+from pimentocross.observe.decisions import note
+from pimentocross.owner import const
+from pimentocross.owner.endings import drop_run
+from pimentocross.owner.keeper import CellParts
+from pimentocross.owner.ledger import Batch
+from pimentocross.owner.worker import Worker
+from pimentocross.work.spec import TaskName
+from pimentocross.work.state import Run, RunState, Task
+
+# After a refusal the task waits this long, so that it isn't sent in a circle.
+_REFUSED_PAUSE = 0.3
+
+
+class Placement(NamedTuple):
+    """A run that was decided on, and the ticket that lets it run, or ""."""
+
+    task: Task
+    run: Run
+    worker: Worker
+    ticket: str = ""
+
+
+class Orders:
+    """Starts, stops and paces runs."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        parts: CellParts,
+        on_refused: Callable[[Worker, StartVerdict], None],
+    ) -> None:
+        """Takes the nursery of the owner's tasks and what parts share."""
+        self._nursery = nursery
+        self._parts = parts
+        self._on_refused = on_refused
+        self._stopping: set[tuple[str, TaskName, int]] = set()
+
+    def start(self, placements: Sequence[Placement], batch: Batch) -> None:
+        """Starts runs once their records are stored."""
+        self._nursery.start_soon(self._start_all, placements, batch)
+
+    def stop(self, worker: Worker, task: Task, run: Run, reason: str) -> None:
+        """Stops a run, however often it has to be asked."""
+        if run.state is RunState.DECIDED:
+            self._drop(worker, task, run)
+            return
+        if run.state is RunState.STOPPING and run.stopped_at:
+            return
+        if run.state is not RunState.STOPPING:
+            note(
+                "run_stop",
+                task=task.name,
+                run=run.number,
+                worker=worker.life.id,
+                reason=reason,
+            )
+            run.enter(RunState.STOPPING, trio.current_time())
+        self._begin_stop(worker, task.name, run.number, run)
+
+    def stop_unknown(self, worker: Worker, name: TaskName, run: int) -> None:
+        """Stops a run of a task that isn't known."""
+        self._begin_stop(worker, name, run, None)
+
+    def pace(self, worker: Worker, task: Task, run: Run, percent: int) -> None:
+        """Lets a run work at a share of its speed."""
+        self._nursery.start_soon(self._pace, worker, task, run, percent)
+
+    async def _start_all(
+        self, placements: Sequence[Placement], batch: Batch
+    ) -> None:
+        await batch.stored.wait()
+        for placement in placements:
+            self._nursery.start_soon(self._start, placement)
+
+    async def _start(self, placement: Placement) -> None:
+        task, run, worker, ticket = placement
+        async with worker.calls:
+            if run.state is not RunState.DECIDED:
+                return
+            if task.step.job.ended or not self._may_start(worker):
+                self._drop(worker, task, run)
+                return
+            now = trio.current_time()
+            deadline = worker.clock.after(const.START_VALIDITY, now)
+            worker.lease_end = max(worker.lease_end or 0.0, deadline)
+            order = StartOrder(
+                task.name,
+                run.number,
+                task.step.job.spec.payload,
+                deadline,
+                self._parts.token,
+                task.checkpoint,
+                ticket,
+            )
+            run.enter(RunState.SENT, now)
+            try:
+                reply = await worker.link.start(order, const.CALL_TIMEOUT)
+            except (WorkerUnreachableError, WorkerReplacedError) as error:
+                self._on_unanswered(task, run, str(error))
+                return
+        self._on_verdict(placement, reply)
+
+    def _may_start(self, worker: Worker) -> bool:
+        if not worker.usable or not worker.clock.known:
+            return False
+        return self._parts.ledger.age() < const.RENEWALS_WITHOUT_STORE
+
+    def _on_unanswered(self, task: Task, run: Run, reason: str) -> None:
+        note("start_unanswered", task=task.name, run=run.number, reason=reason)
+        if run.state is RunState.SENT:
+            run.enter(RunState.UNSURE, trio.current_time())
+
+    def _on_verdict(self, placement: Placement, reply: StartReply) -> None:
+        task, run, worker, _ = placement
+        now = trio.current_time()
+        if reply.clock is not None:
+            worker.clock.note(reply.clock, now)
+        if reply.verdict is StartVerdict.STARTED:
+            if run.state is RunState.SENT:
+                run.enter(RunState.RUNNING, now)
+            return
+        note(
+            "start_refused",
+            task=task.name,
+            run=run.number,
+            worker=worker.life.id,
+            verdict=reply.verdict.value,
+        )
+        if run.state is RunState.SENT:
+            task.not_before = now + _REFUSED_PAUSE
+            self._drop(worker, task, run)
+        self._on_refused(worker, reply.verdict)
+
+    def _drop(self, worker: Worker, task: Task, run: Run) -> None:
+        drop_run(task, run.number, worker)
+        self._parts.book.changed(task.step.job)
+        self._parts.wake()
+
+    def _begin_stop(
+        self, worker: Worker, name: TaskName, number: int, run: Run | None
+    ) -> None:
+        key = (worker.life.id, name, number)
+        if key in self._stopping:
+            return
+        self._stopping.add(key)
+        self._nursery.start_soon(self._stop, worker, name, number, run)
+
+    async def _stop(
+        self, worker: Worker, name: TaskName, number: int, run: Run | None
+    ) -> None:
+        token = self._parts.token
+        try:
+            while not worker.gone:
+                try:
+                    async with worker.calls:
+                        await worker.link.stop(
+                            name, number, token, const.CALL_TIMEOUT
+                        )
+                    break
+                except WorkerUnreachableError as error:
+                    note("stop_unanswered", task=name, reason=str(error))
+                except WorkerReplacedError:
+                    return
+                if run is not None and not self._on_worker(worker, run):
+                    return
+                await trio.sleep(const.STOP_RETRY_PAUSE)
+            if run is not None:
+                run.stopped_at = trio.current_time()
+        finally:
+            self._stopping.discard((worker.life.id, name, number))
+
+    def _on_worker(self, worker: Worker, run: Run) -> bool:
+        return any(other is run for other in worker.runs.values())
+
+    async def _pace(
+        self, worker: Worker, task: Task, run: Run, percent: int
+    ) -> None:
+        try:
+            async with worker.calls:
+                await worker.link.pace(
+                    task.name,
+                    run.number,
+                    percent,
+                    self._parts.token,
+                    const.CALL_TIMEOUT,
+                )
+        except (WorkerUnreachableError, WorkerReplacedError) as error:
+            note("pace_unanswered", task=task.name, reason=str(error))
+            return
+        run.pace = percent
+        note(
+            "run_paced", task=task.name, worker=worker.life.id, percent=percent
+        )
--- /dev/null
+++ b/pimentocross/owner/worker.py
@@ -0,0 +1,123 @@
+"""One worker life as the owner of a cell knows it."""
+
+import trio
+
+from pimentocross.contracts.worker_link import WorkerLife, WorkerLink
+from pimentocross.owner.clock import WorkerClock
+from pimentocross.work.spec import Size
+from pimentocross.work.state import Run, RunState, Step, Task
+
+RunKey = tuple[Task, int]
+
+
+class Worker:
+    """A worker life, what it carries and its lease.
+
+    Attributes:
+        life: As last listed in the directory.
+        number: Its number in the roster.
+        link: How it is reached.
+        clock: Its clock.
+        runs: Runs that may be on it.
+        committed: What those take of its capacity.
+        lease_end: Latest reading of its clock up to which anything was let
+            run, or None if a former owner may have granted more.
+        blind_until: Until when a former owner's leases may last, monotonic.
+        heard_at: When it last listed what runs, monotonic.
+        seen: Number of the newest ending whose record is stored.
+        adopted: Whether it has listed what runs to this owner.
+        listed: Whether the directory lists it.
+        gone: Whether this life has surely ended.
+        reached: False from the first call without an answer to the next.
+    """
+
+    def __init__(self, life: WorkerLife, number: int, link: WorkerLink) -> None:
+        """Makes a worker that was not heard yet."""
+        self.life = life
+        self.number = number
+        self.link = link
+        self.clock = WorkerClock()
+        self.runs: dict[RunKey, Run] = {}
+        self.committed = Size(0, 0, 0)
+        self.lease_end: float | None = None
+        self.blind_until = 0.0
+        self.heard_at = float("-inf")
+        self.seen = 0
+        self.adopted = False
+        self.listed = True
+        self.gone = False
+        self.reached = True
+        self.draining_since: float | None = None
+        self.calls = trio.Semaphore(4)
+        self._step_counts: dict[Step, int] = {}
+
+    @property
+    def free(self) -> Size:
+        """What is not committed."""
+        return self.life.capacity.minus(self.committed)
+
+    @property
+    def usable(self) -> bool:
+        """True if new runs may be sent to it."""
+        return (
+            self.adopted
+            and self.listed
+            and self.reached
+            and not self.gone
+            and not self.life.draining
+        )
+
+    def count_of(self, step: Step) -> int:
+        """Returns how many runs of a step may be on it."""
+        return self._step_counts.get(step, 0)
+
+    def add(self, task: Task, run: Run) -> None:
+        """Commits what a run takes."""
+        self.runs[(task, run.number)] = run
+        self.committed = self.committed.plus(task.step.spec.committed)
+        counts = self._step_counts
+        counts[task.step] = counts.get(task.step, 0) + 1
+
+    def remove(self, task: Task, number: int) -> None:
+        """Releases what a run took."""
+        if self.runs.pop((task, number), None) is None:
+            return
+        self.committed = self.committed.minus(task.step.spec.committed)
+        left = self._step_counts[task.step] - 1
+        if left:
+            self._step_counts[task.step] = left
+        else:
+            del self._step_counts[task.step]
+
+    def lapsed(self, now: float) -> bool:
+        """True once every lease must have ended, and none can be renewed."""
+        if self.lease_end is None:
+            return now > self.blind_until
+        return self.clock.surely_past(self.lease_end, now)
+
+    @property
+    def serves(self) -> bool:
+        """True if a task with a target for its response times is on it."""
+        return any(task.step.spec.target_tail for task, _ in self.runs)
+
+    @property
+    def filled(self) -> int:
+        """Processor time that tasks that fill ask for, thousandths."""
+        return sum(
+            task.step.spec.size.cpu
+            for task, _ in self.runs
+            if task.step.spec.fills
+        )
+
+    def running(self) -> list[tuple[Task, Run]]:
+        """Returns the runs that were listed and aren't being stopped."""
+        return [
+            (task, run)
+            for (task, _), run in self.runs.items()
+            if run.state is RunState.RUNNING
+        ]
+
+    def drain_left(self, now: float) -> float:
+        """Returns the seconds that a draining worker surely still has."""
+        since = self.draining_since if self.draining_since else now
+        return max(self.life.remaining - (now - since), 0.0)
--- a/pimentocross/placement/quarantine.py
+++ b/pimentocross/placement/quarantine.py
@@ -1,6 +1,7 @@
 """Workers that fail everything: left alone, and tried again now and then."""
 
 from collections import OrderedDict
+from typing import NamedTuple
 
 from pimentocross.placement import const
 
@@ -9,13 +10,30 @@
 _WORKERS_THAT_CLEAR = 2
 
 
+class QuarantineTerms(NamedTuple):
+    """When a worker is left alone, and for how long, in seconds.
+
+    Attributes:
+        after: Jobs that failed in a row.
+        first: The first term.
+        most: The longest term; each failed try doubles it up to this.
+    """
+
+    after: int = const.QUARANTINE_AFTER
+    first: float = const.QUARANTINE_FIRST
+    most: float = const.QUARANTINE_MOST
+
+
+DEFAULT_TERMS = QuarantineTerms()
+
+
 class _Record:
     """What is held against one worker."""
 
-    def __init__(self) -> None:
+    def __init__(self, term: float) -> None:
         self.failed_jobs: set[str] = set()
         self.until = float("-inf")
-        self.term = const.QUARANTINE_FIRST
+        self.term = term
         self.on_probation = False
         self.trying = False
 
@@ -28,8 +46,9 @@
     a while one task is tried there, and each failure doubles the while.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, terms: QuarantineTerms = DEFAULT_TERMS) -> None:
         """Starts with nothing held against anyone."""
+        self._terms = terms
         self._records: dict[str, _Record] = {}
         self._failed_on: OrderedDict[str, set[str]] = OrderedDict()
 
@@ -39,15 +58,15 @@
 
     def note_failed(self, worker: str, job: str, now: float) -> None:
         """Holds a failure against a worker."""
-        record = self._records.setdefault(worker, _Record())
+        record = self._records.setdefault(worker, _Record(self._terms.first))
         record.trying = False
         if self._is_jobs_fault(worker, job):
             return
         record.failed_jobs.add(job)
         if record.on_probation:
-            record.term = min(record.term * 2, const.QUARANTINE_MOST)
+            record.term = min(record.term * 2, self._terms.most)
             record.until = now + record.term
-        elif len(record.failed_jobs) >= const.QUARANTINE_AFTER:
+        elif len(record.failed_jobs) >= self._terms.after:
             record.on_probation = True
             record.until = now + record.term
 
--- /dev/null
+++ b/pimentocross/platform/__main__.py
@@ -0,0 +1,73 @@
+"""Runs an entry VM's process on the users' platform."""
+
+import signal
+import sys
+
+import trio
+
+from pimentocross.gateway.node import GatewayNode, Surfaces
+from pimentocross.gateway.settings import GatewaySettings
+from pimentocross.observe.decisions import enable, note
+from pimentocross.owner.owner import CellPlatform
+from pimentocross.platform.callers import CallerSurface, ReadySurface
+from pimentocross.platform.settings import (
+    SettingsError,
+    read_settings,
+    settings_path,
+)
+from pimentocross.platform.store import StoreClient
+from pimentocross.platform.topics import OperatorTopic, ServerTopic
+from pimentocross.platform.workers import HttpWorkerDialer
+
+_USAGE = 2
+
+
+def build(settings: GatewaySettings) -> tuple[GatewayNode, Surfaces]:
+    """Returns the process's parts, and what answers its HTTP requests."""
+    store = StoreClient(settings.store_address)
+    platform = CellPlatform(store, ServerTopic(store), HttpWorkerDialer())
+    node = GatewayNode(settings, platform, OperatorTopic(store))
+    surfaces = Surfaces(
+        CallerSurface(node.desk).handle, ReadySurface(node.desk).handle
+    )
+    return node, surfaces
+
+
+async def _run(settings: GatewaySettings) -> None:
+    node, surfaces = build(settings)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_follow_signals, node)
+        await node.run(surfaces)
+        nursery.cancel_scope.cancel()
+
+
+async def _follow_signals(
+    node: GatewayNode, *, task_status: trio.TaskStatus[None]
+) -> None:
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*wanted) as signals:
+        task_status.started()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                # Addresses don't change within a process's life, and the
+                # configuration comes through the store.
+                note("reload", outcome="nothing that is used may change")
+            else:
+                node.request_stop()
+
+
+def main() -> int:
+    """Runs until stopped; returns the exit code."""
+    try:
+        settings = read_settings(settings_path())
+    except SettingsError as error:
+        for finding in error.findings:
+            sys.stderr.write(f"pimentocross: {finding}\n")
+        return _USAGE
+    enable(settings.name)
+    trio.run(_run, settings)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pimentocross/platform/callers.py
@@ -0,0 +1,106 @@
+"""What callers send, and what they are answered, in the platform's form."""
+
+import math
+from typing import Final
+
+import msgspec
+
+from pimentocross.gateway.caller_desk import (
+    Answer,
+    AnswerKind,
+    CallerDesk,
+)
+from pimentocross.links.asgi import HttpReply, HttpRequest
+from pimentocross.platform.wire import WireError, read_submission
+from pimentocross.work.spec import SpecError, check_spec
+
+_READY_PATH: Final = "/pimentocross/readyz"
+_DEADLINE_HEADER: Final = b"x-deadline-ms"
+# Callers that don't say how long they wait.
+_DEADLINE_MS: Final = 3000.0
+_JSON: Final = (b"content-type", b"application/json")
+
+_STATUS: Final = {
+    AnswerKind.ACCEPTED: 200,
+    AnswerKind.STATE: 200,
+    AnswerKind.CANCELLED: 200,
+    AnswerKind.PENDING: 200,
+    AnswerKind.NO_SUCH_QUEUE: 404,
+    AnswerKind.NO_SUCH_JOB: 410,
+    AnswerKind.NOT_ACCEPTED: 503,
+    AnswerKind.UNAVAILABLE: 503,
+    AnswerKind.UNKNOWN: 504,
+}
+
+
+class CallerSurface:
+    """Answers callers' requests."""
+
+    def __init__(self, desk: CallerDesk) -> None:
+        """Takes what decides."""
+        self._desk = desk
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answers one request."""
+        host = request.header(b"host").partition(":")[0]
+        deadline = _deadline(request)
+        path = request.path
+        if request.method == "POST":
+            return await self._submit(host, path, request.body, deadline)
+        if request.method == "GET":
+            return _reply(await self._desk.look(host, path, deadline))
+        if request.method == "DELETE":
+            return _reply(await self._desk.cancel(host, path, deadline))
+        return HttpReply(405, [(b"allow", b"GET, POST, DELETE")], b"")
+
+    async def _submit(
+        self, host: str, path: str, body: bytes, deadline: float
+    ) -> HttpReply:
+        found = self._desk.find(host, path)
+        if isinstance(found, Answer):
+            return _reply(found)
+        try:
+            spec = read_submission(body)
+            check_spec(spec)
+        except (WireError, SpecError) as error:
+            content = msgspec.json.encode({"error": str(error)})
+            return HttpReply(400, [_JSON], content)
+        return _reply(await self._desk.submit(found, spec, deadline))
+
+
+class ReadySurface:
+    """Tells the platform whether this VM takes callers."""
+
+    def __init__(self, desk: CallerDesk) -> None:
+        """Takes what knows."""
+        self._desk = desk
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answers one request."""
+        if request.path != _READY_PATH:
+            return HttpReply(404, [], b"")
+        return HttpReply(200 if self._desk.ready() else 503, [], b"")
+
+
+def _deadline(request: HttpRequest) -> float:
+    """Returns the seconds that the caller waits for."""
+    told = request.header(_DEADLINE_HEADER)
+    try:
+        return float(told or _DEADLINE_MS) / 1000
+    except ValueError:
+        return _DEADLINE_MS / 1000
+
+
+def _reply(answer: Answer) -> HttpReply:
+    headers = [_JSON]
+    body: dict[str, str | int] = {}
+    if answer.kind is AnswerKind.PENDING:
+        body["pending"] = answer.pending
+    elif answer.state is not None:
+        body["state"] = answer.state.value
+    elif answer.reason:
+        body["error"] = answer.reason
+    if answer.retry_after:
+        seconds = max(math.ceil(answer.retry_after), 1)
+        headers.append((b"retry-after", b"%d" % seconds))
+    return HttpReply(_STATUS[answer.kind], headers, msgspec.json.encode(body))
--- /dev/null
+++ b/pimentocross/platform/settings.py
@@ -0,0 +1,103 @@
+"""Reads the platform's settings file: lines of the form a.b=value."""
+
+from collections.abc import Mapping
+import os
+from pathlib import Path
+from typing import Final
+
+from pimentocross.gateway.settings import GatewaySettings
+
+_PATH_VARIABLE: Final = "PIMENTOCROSS_BOOT"
+_COMMENT: Final = "#"
+
+
+class SettingsError(Exception):
+    """A settings file that can't be used.
+
+    Attributes:
+        findings: What is wrong, each with its place.
+    """
+
+    def __init__(self, findings: list[str]) -> None:
+        """Takes the findings."""
+        super().__init__("; ".join(findings))
+        self.findings = findings
+
+
+def settings_path() -> Path:
+    """Returns where the platform put the settings.
+
+    Raises:
+        SettingsError: It did not say.
+    """
+    path = os.environ.get(_PATH_VARIABLE, "")
+    if not path:
+        raise SettingsError([f"{_PATH_VARIABLE} is not set"])
+    return Path(path)
+
+
+def read_settings(path: Path) -> GatewaySettings:
+    """Reads a settings file; fields that it doesn't know are ignored.
+
+    Raises:
+        SettingsError: With all findings.
+    """
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    findings: list[str] = []
+    values = _split(path, text, findings)
+
+    def need(name: str) -> str:
+        value = values.get(name, "")
+        if not value:
+            findings.append(f"{path}: {name} is missing")
+        return value
+
+    settings = GatewaySettings(
+        name=need("node_name"),
+        zone=need("zone"),
+        ip=need("ip"),
+        caller_address=need("listen_addrs.frontend"),
+        ready_address=need("listen_addrs.ready"),
+        peer_port=_first_port(need("internal_ports"), findings),
+        store_address=need("platform.address"),
+        grace=_seconds(values, "bounds.grace_s", 6.0, findings),
+    )
+    if findings:
+        raise SettingsError(findings)
+    return settings
+
+
+def _split(path: Path, text: str, findings: list[str]) -> Mapping[str, str]:
+    values = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        line = line.strip()
+        if not line or line.startswith(_COMMENT):
+            continue
+        name, equals, value = line.partition("=")
+        if not equals:
+            findings.append(f"{path}:{number}: no '='")
+        values[name.strip()] = value.strip()
+    return values
+
+
+def _first_port(ports: str, findings: list[str]) -> int:
+    first = ports.partition(",")[0]
+    if first and not first.isdigit():
+        findings.append(f"internal_ports: {first!r} is no port")
+    return int(first) if first.isdigit() else 0
+
+
+def _seconds(
+    values: Mapping[str, str],
+    name: str,
+    default: float,
+    findings: list[str],
+) -> float:
+    try:
+        return float(values.get(name) or default)
+    except ValueError:
+        findings.append(f"{name}: not a number")
+        return default
--- /dev/null
+++ b/pimentocross/platform/store.py
@@ -0,0 +1,204 @@
+"""Client of the platform's store: topics of one partition, records by key."""
+
+import base64
+from collections.abc import Sequence
+import struct
+from typing import Final
+from urllib.parse import urlencode
+
+import msgspec
+
+from pimentocross.contracts.store import (
+    ConditionFailedError,
+    FencedError,
+    HistoryGoneError,
+    Page,
+    ProducerMark,
+    Record,
+    SequenceGapError,
+    StoreUnavailableError,
+)
+from pimentocross.links.asgi import HttpReply
+from pimentocross.links.http_pool import HttpCallError, HttpPool
+
+# Topics that keep the newest record of each key begin with this.
+_KEYED: Final = "keyed."
+_LENGTH: Final = struct.Struct(">I")
+_BOUNDS: Final = struct.Struct(">QQ")
+_OK: Final = 200
+_CONFLICT: Final = 409
+_GONE: Final = 410
+_CONDITION: Final = 412
+# Longest answer to a read, in KB.
+_READ_KB: Final = 1024
+
+
+class _Appended(msgspec.Struct):
+    offset: int = 0
+    end_offset: int = 0
+    reason: str = ""
+    # With reason "seq": the number that is expected.
+    sequence: int = 0
+    expected: int = -1
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    end_offset: int
+    has_more: bool = False
+
+
+_decode_appended = msgspec.json.Decoder(_Appended).decode
+_decode_newest = msgspec.json.Decoder(_Newest).decode
+
+
+class StoreClient:
+    """Speaks to the store; one connection for each call in flight."""
+
+    def __init__(self, address: str) -> None:
+        """Takes the store's host:port."""
+        self._pool = HttpPool(address)
+
+    async def append(
+        self,
+        topic: str,
+        records: Sequence[Record],
+        timeout: float,
+        *,
+        at: int | None = None,
+        mark: ProducerMark | None = None,
+    ) -> int:
+        """Appends records; see `Store`."""
+        query: dict[str, str | int] = {"topic": _KEYED + topic, "part": 0}
+        if at is not None:
+            query["at"] = at
+        if mark is not None:
+            query["producer_id"] = mark.producer
+            query["epoch"] = mark.epoch
+            query["sequence"] = mark.sequence
+        body = b"".join(_frame(record) for record in records)
+        reply = await self._call(
+            "POST", "/pimentocross/log-append", query, body, timeout
+        )
+        if reply.status == _OK:
+            return _decode(reply).offset
+        if reply.status == _CONDITION:
+            raise ConditionFailedError(_decode(reply).end_offset)
+        if reply.status == _CONFLICT:
+            raise _conflict(reply)
+        raise StoreUnavailableError(
+            f"append: status {reply.status}", sent=False
+        )
+
+    async def read(
+        self, topic: str, start: int, wait: float, timeout: float
+    ) -> Page:
+        """Reads records; see `Store`."""
+        query: dict[str, str | int] = {
+            "topic": _KEYED + topic,
+            "part": 0,
+            "from": start,
+            "max_kb": _READ_KB,
+        }
+        if wait > 0:
+            query["wait_ms"] = int(wait * 1000)
+        reply = await self._call(
+            "GET", "/pimentocross/log-read", query, b"", timeout
+        )
+        if reply.status == _GONE:
+            raise HistoryGoneError
+        if reply.status != _OK:
+            raise StoreUnavailableError(
+                f"read: status {reply.status}", sent=False
+            )
+        return _read_page(reply.body, start)
+
+    async def newest(self, topic: str, timeout: float) -> Page:
+        """Returns the newest record of each key; see `Store`."""
+        records: list[Record] = []
+        end = -1
+        query: dict[str, str | int] = {"topic": _KEYED + topic, "part": 0}
+        while True:
+            reply = await self._call(
+                "GET", "/pimentocross/log-newest", query, b"", timeout
+            )
+            if reply.status != _OK:
+                raise StoreUnavailableError(
+                    f"newest: status {reply.status}", sent=False
+                )
+            try:
+                page = _decode_newest(reply.body)
+            except msgspec.DecodeError as error:
+                raise StoreUnavailableError(str(error), sent=False) from error
+            for item in page.items:
+                value = base64.b64decode(item.value)
+                records.append(Record(item.key, value, item.offset))
+            if end < 0:
+                end = page.end_offset
+            if not page.has_more or not page.items:
+                return Page(records, end)
+            query["after"] = page.items[-1].key
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        body: bytes,
+        timeout: float,
+    ) -> HttpReply:
+        target = f"{path}?{urlencode(query)}"
+        try:
+            return await self._pool.call(method, target, body, timeout)
+        except HttpCallError as error:
+            raise StoreUnavailableError(str(error), sent=error.sent) from error
+
+
+def _conflict(reply: HttpReply) -> Exception:
+    answer = _decode(reply)
+    if answer.reason == "fenced":
+        return FencedError()
+    if answer.reason == "seq":
+        expected = answer.expected
+        return SequenceGapError(expected if expected >= 0 else answer.sequence)
+    return StoreUnavailableError(f"append: {answer.reason}", sent=False)
+
+
+def _decode(reply: HttpReply) -> _Appended:
+    try:
+        return _decode_appended(reply.body)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailableError(str(error), sent=True) from error
+
+
+def _frame(record: Record) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + (record.value or b"")
+    return _LENGTH.pack(len(content)) + content
+
+
+def _read_page(body: bytes, start: int) -> Page:
+    try:
+        end, _ = _BOUNDS.unpack_from(body)
+        position = _BOUNDS.size
+        records = []
+        offset = start
+        while position < len(body):
+            (length,) = _LENGTH.unpack_from(body, position)
+            position += _LENGTH.size
+            content = body[position : position + length]
+            position += length
+            key_length = content[0]
+            key = content[1 : 1 + key_length].decode()
+            value = content[1 + key_length :]
+            records.append(Record(key, value or None, offset))
+            offset += 1
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        raise StoreUnavailableError(f"read: {error}", sent=False) from error
+    return Page(records, end)
--- /dev/null
+++ b/pimentocross/work/records.py
@@ -0,0 +1,203 @@
+"""How jobs and their progress are kept in the store.
+
+A job has two keys: its submission, written once, and its progress, written
+whole with each change. Values are msgpack arrays that begin with the version
+of their form. Keys are short, as each byte of the store is paid for.
+"""
+
+from typing import Any, Final, NamedTuple, TypeVar
+
+import msgspec
+
+from pimentocross.work.queue import Queue
+from pimentocross.work.spec import JobSpec
+from pimentocross.work.state import Job, JobState, Run, RunState, Step, Task
+
+FORM: Final = 1
+SUBMISSION: Final = "j"
+PROGRESS: Final = "p"
+WORKER: Final = "w"
+
+_encode: Final = msgspec.msgpack.Encoder().encode
+_T = TypeVar("_T", bound=tuple[Any, ...])
+
+
+class RecordError(Exception):
+    """A record that this version can't read."""
+
+
+class SubmissionRecord(NamedTuple):
+    """A job as accepted."""
+
+    form: int
+    queue: Queue
+    spec: JobSpec
+    accepted_at: float
+
+
+class RunRecord(NamedTuple):
+    """A run that may be on a worker; `worker` is a number in the roster."""
+
+    number: int
+    worker: int
+
+
+class TaskRecord(NamedTuple):
+    """A task that has started and isn't done."""
+
+    position: int
+    last_run: int
+    failures: int
+    checkpoint: str
+    runs: tuple[RunRecord, ...]
+
+
+class StepRecord(NamedTuple):
+    """A step of which something has started.
+
+    Attributes:
+        occurrence: Which occurrence.
+        step: Which step.
+        done: A bit for each task, the lowest of the first byte for task 0.
+        tasks: Those that have started and aren't done.
+    """
+
+    occurrence: int
+    step: int
+    done: bytes
+    tasks: tuple[TaskRecord, ...]
+
+
+class ProgressRecord(NamedTuple):
+    """How far a job is."""
+
+    form: int
+    state: str
+    ended_at: float
+    steps: tuple[StepRecord, ...]
+
+
+class WorkerRecord(NamedTuple):
+    """A worker's life that has a number in the roster.
+
+    Attributes:
+        form: Version of the form.
+        life: The life's id.
+        machine: The machine that it is a life of.
+    """
+
+    form: int
+    life: str
+    machine: str
+
+
+def encode_submission(job: Job) -> bytes:
+    """Returns a job's first record."""
+    record = SubmissionRecord(FORM, job.queue, job.spec, job.accepted_at)
+    return _encode(record)
+
+
+def decode_submission(job_id: str, value: bytes) -> Job:
+    """Returns the job of a submission record.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    record = _decode(value, SubmissionRecord)
+    return Job(job_id, record.queue, record.spec, record.accepted_at)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Returns a job's progress record."""
+    if job.ended and not any(task.runs for task in job.tasks()):
+        steps: tuple[StepRecord, ...] = ()
+    else:
+        steps = tuple(
+            _step_record(step)
+            for occurrence in job.occurrences
+            for step in occurrence.steps
+            if any(task.last_run for task in step.tasks)
+        )
+    record = ProgressRecord(FORM, job.state.value, job.ended_at, steps)
+    return _encode(record)
+
+
+def decode_progress(job: Job, value: bytes) -> None:
+    """Brings a job to where a progress record says.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    record = _decode(value, ProgressRecord)
+    try:
+        job.state = JobState(record.state)
+    except ValueError as error:
+        raise RecordError(str(error)) from error
+    job.recorded_state = job.state
+    job.ended_at = record.ended_at
+    for step_record in record.steps:
+        try:
+            occurrence = job.occurrences[step_record.occurrence]
+            _restore_step(occurrence.steps[step_record.step], step_record)
+        except IndexError as error:
+            raise RecordError("progress of a step unknown") from error
+
+
+def encode_worker(life: str, machine: str) -> bytes:
+    """Returns the record of a worker's number."""
+    return _encode(WorkerRecord(FORM, life, machine))
+
+
+def decode_worker(value: bytes) -> WorkerRecord:
+    """Reads the record of a worker's number.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, WorkerRecord)
+
+
+def _decode(value: bytes, cls: type[_T]) -> _T:
+    try:
+        record: _T = msgspec.msgpack.decode(value, type=cls)
+    except msgspec.DecodeError as error:
+        raise RecordError(f"{cls.__name__}: {error}") from error
+    if record[0] != FORM:
+        raise RecordError(f"{cls.__name__} of form {record[0]}")
+    return record
+
+
+def _step_record(step: Step) -> StepRecord:
+    done = 0
+    tasks = []
+    for index, task in enumerate(step.tasks):
+        if task.done:
+            done |= 1 << index
+        if task.last_run and (task.runs or not task.done):
+            tasks.append(_task_record(index, task))
+    bits = done.to_bytes((step.spec.width + 7) // 8, "little")
+    return StepRecord(step.occurrence.number, step.number, bits, tuple(tasks))
+
+
+def _task_record(index: int, task: Task) -> TaskRecord:
+    runs = tuple(RunRecord(r.number, r.worker) for r in task.runs.values())
+    return TaskRecord(
+        index, task.last_run, task.failures, task.checkpoint, runs
+    )
+
+
+def _restore_step(step: Step, record: StepRecord) -> None:
+    done = int.from_bytes(record.done, "little")
+    for index, task in enumerate(step.tasks):
+        if done >> index & 1:
+            task.last_run = 1
+            task.finish()
+    for saved in record.tasks:
+        task = step.tasks[saved.position]
+        task.last_run = saved.last_run
+        task.failures = saved.failures
+        task.checkpoint = saved.checkpoint
+        for run_record in saved.runs:
+            run = Run(run_record.number, run_record.worker)
+            run.state = RunState.UNSURE
+            task.add_run(run)
--- /dev/null
+++ b/pimentocross/work/state.py
@@ -0,0 +1,305 @@
+"""Where each task of a job stands, as its owner knows it."""
+
+from collections.abc import Iterator
+from enum import IntEnum, StrEnum
+
+from pimentocross.work.queue import Queue
+from pimentocross.work.spec import JobSpec, StepSpec, TaskName
+
+
+class JobState(StrEnum):
+    """What a caller is told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+TERMINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+class RunState(IntEnum):
+    """How far a run is.
+
+    `UNSURE`: its start was not answered; it may run, or begin later.
+    """
+
+    DECIDED = 0
+    SENT = 1
+    UNSURE = 2
+    RUNNING = 3
+    STOPPING = 4
+
+
+class Run:
+    """One run of a task on a worker.
+
+    Attributes:
+        number: Rises with each start of the task.
+        worker: Number of the worker's life in the owner's roster.
+        state: How far it is.
+        decided_at: When the owner decided on it, monotonic.
+        state_at: When it came to that, monotonic.
+        began_at: When it was first listed as running, monotonic, or 0.
+        percent: Progress as last listed; a serving task works at 100.
+        percent_at: When the progress last changed, monotonic.
+        figure: Tail of response times in ms, or processor time in use.
+        pace: Percent at which it is let work.
+        paced_at: When that was last changed, monotonic.
+        stopped_at: When the worker confirmed that it stops it, or 0.
+    """
+
+    def __init__(
+        self, number: int, worker: int, decided_at: float = 0.0
+    ) -> None:
+        """Notes a decision that is not yet sent."""
+        self.number = number
+        self.worker = worker
+        self.state = RunState.DECIDED
+        self.decided_at = decided_at
+        self.state_at = decided_at
+        self.began_at = 0.0
+        self.percent = 0
+        self.percent_at = 0.0
+        self.figure = 0
+        self.pace = 100
+        self.paced_at = 0.0
+        self.stopped_at = 0.0
+
+    def enter(self, state: RunState, now: float) -> None:
+        """Notes how far it is now."""
+        self.state = state
+        self.state_at = now
+
+
+class Task:
+    """One task.
+
+    Attributes:
+        name: Its name.
+        step: The step that it is part of.
+        done: Whether a run of it ended well.
+        last_run: Number of the newest run, 0 before the first.
+        failures: Runs that ended as failed.
+        checkpoint: Newest saved progress, or "".
+        runs: Runs that may be on a worker, by number.
+        failed_on: Numbers of worker lives on which runs failed.
+        not_before: Not started again before this time, monotonic.
+    """
+
+    def __init__(self, name: TaskName, step: "Step") -> None:
+        """Makes a task that was never started."""
+        self.name = name
+        self.step = step
+        self.done = False
+        self.last_run = 0
+        self.failures = 0
+        self.checkpoint = ""
+        self.runs: dict[int, Run] = {}
+        self.failed_on: set[int] = set()
+        self.not_before = 0.0
+
+    @property
+    def waiting(self) -> bool:
+        """True if it is not done and no run of it may be anywhere."""
+        return not self.done and not self.runs
+
+    def add_run(self, run: Run) -> None:
+        """Notes a run that may be on a worker."""
+        if self.waiting:
+            self.step.waiting_count -= 1
+        self.runs[run.number] = run
+        self.last_run = max(self.last_run, run.number)
+
+    def drop_run(self, number: int) -> Run | None:
+        """Forgets a run that surely is on no worker any more."""
+        run = self.runs.pop(number, None)
+        if run is not None and self.waiting:
+            self.step.waiting_count += 1
+        return run
+
+    def finish(self) -> None:
+        """Notes that a run of it ended well."""
+        if self.done:
+            return
+        if self.waiting:
+            self.step.waiting_count -= 1
+        self.done = True
+        self.step.undone -= 1
+
+
+class Step:
+    """One step of one occurrence.
+
+    Attributes:
+        job: The job.
+        occurrence: The occurrence that it is part of.
+        number: Its number within the job.
+        spec: What was asked for.
+        tasks: Its tasks, by index.
+        undone: How many are not done.
+        waiting_count: How many wait for a start.
+    """
+
+    def __init__(
+        self, job: "Job", occurrence: "Occurrence", number: int, spec: StepSpec
+    ) -> None:
+        """Makes a step of which nothing has started."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.undone = spec.width
+        self.waiting_count = spec.width
+        self.tasks = [
+            Task(TaskName(job.id, occurrence.number, number, index), self)
+            for index in range(spec.width)
+        ]
+
+    @property
+    def turn(self) -> bool:
+        """True once all steps that it comes after are done."""
+        steps = self.occurrence.steps
+        return all(steps[before].undone == 0 for before in self.spec.after)
+
+    def waiting(self) -> Iterator[Task]:
+        """Yields the tasks that wait for a start."""
+        if self.waiting_count:
+            for task in self.tasks:
+                if task.waiting:
+                    yield task
+
+
+class Occurrence:
+    """One pass through a job's steps.
+
+    Attributes:
+        number: From 0.
+        due: Seconds since 1970 before which nothing starts.
+    """
+
+    def __init__(self, job: "Job", number: int, due: float) -> None:
+        """Makes an occurrence of which nothing has started."""
+        self.number = number
+        self.due = due
+        self.steps: list[Step] = []
+        for index, spec in enumerate(job.spec.steps):
+            self.steps.append(Step(job, self, index, spec))
+
+    @property
+    def done(self) -> bool:
+        """True once every task is done."""
+        return all(step.undone == 0 for step in self.steps)
+
+
+class Job:
+    """One job.
+
+    Attributes:
+        id: Chosen by the caller.
+        queue: Its queue, as of the newest configuration that had it.
+        spec: What was asked for.
+        accepted_at: Seconds since 1970.
+        occurrences: Passes through the steps, by number.
+        state: Where it stands.
+        recorded_state: The state that its newest stored record has.
+        ended_at: When it came to a final state, seconds since 1970.
+    """
+
+    def __init__(
+        self, job_id: str, queue: Queue, spec: JobSpec, accepted_at: float
+    ) -> None:
+        """Makes a job of which nothing has started."""
+        self.id = job_id
+        self.queue = queue
+        self.spec = spec
+        self.accepted_at = accepted_at
+        self.state = JobState.QUEUED
+        self.recorded_state = JobState.QUEUED
+        self.ended_at = 0.0
+        self.occurrences = [
+            Occurrence(self, number, due)
+            for number, due in enumerate(_due_times(spec, accepted_at))
+        ]
+
+    @property
+    def timed(self) -> bool:
+        """True if its occurrences have times of their own."""
+        return self.spec.repeats > 0
+
+    @property
+    def ended(self) -> bool:
+        """True once it is in a final state."""
+        return self.state in TERMINAL
+
+    @property
+    def started(self) -> bool:
+        """True once any task of it was decided on."""
+        return any(task.last_run for task in self.tasks())
+
+    def tasks(self) -> Iterator[Task]:
+        """Yields all its tasks."""
+        for occurrence in self.occurrences:
+            for step in occurrence.steps:
+                yield from step.tasks
+
+    def find_task(self, name: TaskName) -> Task | None:
+        """Returns the task of a name, or None."""
+        try:
+            step = self.occurrences[name.occurrence].steps[name.step]
+            return step.tasks[name.position]
+        except IndexError:
+            return None
+
+    def advance(self, now: float) -> None:
+        """Moves to running or to a final state, as its tasks say.
+
+        Args:
+            now: Seconds since 1970.
+        """
+        if self.ended:
+            return
+        if self._out_of_attempts():
+            self._end(JobState.FAILED, now)
+        elif all(occurrence.done for occurrence in self.occurrences):
+            self._end(JobState.COMPLETED, now)
+        elif self.started:
+            self.state = JobState.RUNNING
+
+    def cancel(self, now: float) -> None:
+        """Ends as cancelled, unless it has ended."""
+        if not self.ended:
+            self._end(JobState.CANCELLED, now)
+
+    def _end(self, state: JobState, now: float) -> None:
+        self.state = state
+        self.ended_at = now
+
+    def _out_of_attempts(self) -> bool:
+        attempts = self.queue.attempts
+        return any(
+            step.undone
+            and not step.spec.lasting
+            and _failures(step) >= attempts
+            for occurrence in self.occurrences
+            for step in occurrence.steps
+        )
+
+
+def _failures(step: Step) -> int:
+    """Returns the most failures of one task, or those of a gang together."""
+    failures = [task.failures for task in step.tasks if not task.done]
+    if step.spec.gang:
+        return sum(failures)
+    return max(failures, default=0)
+
+
+def _due_times(spec: JobSpec, accepted_at: float) -> list[float]:
+    if spec.repeats <= 0:
+        return [accepted_at]
+    return [
+        spec.first_due + number * spec.interval
+        for number in range(spec.repeats)
+    ]
