--- a/pimentocross/observe/decisions.py
+++ b/pimentocross/observe/decisions.py
@@ -7,7 +7,6 @@
 
 from collections import Counter, deque
 import os
-import select
 import time
 from typing import Final
 
@@ -48,7 +47,7 @@
         if len(line) >= _PIPE_CHUNK or len(self._waiting) >= _WAITING_MOST:
             self.dropped[kind] += 1
             return
-        if self._afford(len(line)):
+        if not self._afford(len(line)):
             self.dropped[kind] += 1
             return
         self._waiting.append(line + b"\n")
@@ -59,11 +58,15 @@
             counts = dict(self.dropped)
             self.dropped.clear()
             self.note("lines_dropped", {"by_kind": counts})
-        poll = select.poll()
-        poll.register(_STDOUT, select.POLLOUT)
-        while self._waiting and poll.poll(0):
+        while self._waiting:
             chunk = self._take_chunk()
-            os.write(_STDOUT, chunk)
+            try:
+                written = os.write(_STDOUT, chunk)
+            except BlockingIOError:
+                written = 0
+            if written < len(chunk):
+                self._waiting.appendleft(chunk[written:])
+                return
 
     def _take_chunk(self) -> bytes:
         lines = [self._waiting.popleft()]
@@ -89,6 +92,7 @@
 
 def enable(source: str) -> None:
     """Turns the log on; `source` names this process in each line."""
+    os.set_blocking(_STDOUT, False)
     _log.enabled = True
     _log.source = source
 
