Keep images that disturb each other apart; group what serves by image; move culprits

Change: room for fillers is judged by the coefficients of its pairs, not by the present tail; a worker serves few images; a filler that may hardly work is moved; jobs that have begun come before others.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -17,9 +17,9 @@
 from pimentocross.placement.durations import Durations
 from pimentocross.placement.hosts import choose, common_rack
 from pimentocross.placement.pacing import (
+    MOVE_BELOW,
     SETTLE,
     Filler,
-    Reading,
     next_paces,
 )
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
@@ -37,7 +37,9 @@
 # Share of all processors kept free of work that isn't of the first priority,
 # so that urgent work starts at once; about the load that it brings.
 HEADROOM = 0.06
-_AT_WORK = 100
+# A run that has done less than this, in percent, loses little by a move.
+_LITTLE_DONE = 25
+_LOAD_INTERVAL = 1.0
 
 
 class Dispatcher:
@@ -57,6 +59,7 @@
         self._disturbance = Disturbance()
         self._quarantine = Quarantine(_QUARANTINE)
         self._applied_version = -1
+        self._load_logged_at = 0.0
         self._wake = trio.Event()
 
     def wake(self) -> None:
@@ -74,6 +77,7 @@
             self._stop_unwanted(orders)
             self._pace_fillers(orders)
             self._start_waiting(orders)
+            self._log_load()
 
     def judge(
         self, worker: Worker, task: Task, run: Run | None, ending: Ending
@@ -139,6 +143,26 @@
                 break
         self._send(placements, orders)
 
+    def _log_load(self) -> None:
+        """Logs once a second what the workers carry and what waits."""
+        now = trio.current_time()
+        if now - self._load_logged_at < _LOAD_INTERVAL:
+            return
+        self._load_logged_at = now
+        workers = [w for w in self._roster.workers() if w.usable]
+        runs = [(t, r) for w in workers for t, r in w.running()]
+        steps = self._book.open_steps(time.time())
+        note(
+            "load",
+            capacity=sum(w.life.capacity.cpu for w in workers),
+            committed=sum(w.committed.cpu for w in workers),
+            serving=sum(sum(w.serving.values()) for w in workers),
+            filling=sum(w.filled for w in workers),
+            filling_used=sum(r.figure for t, r in runs if t.step.spec.fills),
+            waiting=sum(s.waiting_count for s in steps),
+            waiting_fillers=sum(s.waiting_count for s in steps if s.spec.fills),
+        )
+
     def _headroom(self, workers: list[Worker]) -> float:
         whole = sum(worker.life.capacity.cpu for worker in workers)
         free = sum(worker.free.cpu for worker in workers)
@@ -273,7 +297,7 @@
                 image = task.step.spec.image
                 loads[image] = loads.get(image, 0.0) + share
         now = trio.current_time()
-        for reading in _readings(worker):
+        for reading in worker.readings(now):
             self._disturbance.learn(reading.image, loads, reading.ratio, now)
 
     def _pace_fillers(self, orders: Orders) -> None:
@@ -297,11 +321,14 @@
             )
             for task, run in runs
         ]
-        readings = _readings(worker)
-        paces = next_paces(readings, fillers, self._disturbance)
+        paces = next_paces(worker.readings(now), fillers, self._disturbance)
         for (task, run), pace in zip(runs, paces, strict=True):
-            if pace != run.pace:
-                worker.paced_at = run.paced_at = now
+            if pace == run.pace:
+                continue
+            worker.paced_at = run.paced_at = now
+            if pace <= MOVE_BELOW and _moves_cheaply(task, run):
+                orders.stop(worker, task, run, "disturbs what serves")
+            else:
                 orders.pace(worker, task, run, pace)
 
 
@@ -311,12 +338,5 @@
     return not spec.fills and (spec.lasting or step.job.queue.priority > 0)
 
 
-def _readings(worker: Worker) -> list[Reading]:
-    """Returns the worst ratio of each serving image that is at work."""
-    worst: dict[str, float] = {}
-    for task, run in worker.running():
-        spec = task.step.spec
-        if spec.target_tail and run.percent >= _AT_WORK and run.figure:
-            ratio = run.figure / spec.target_tail
-            worst[spec.image] = max(worst.get(spec.image, 0.0), ratio)
-    return [Reading(image, ratio) for image, ratio in worst.items()]
+def _moves_cheaply(task: Task, run: Run) -> bool:
+    return task.step.spec.saves or run.percent < _LITTLE_DONE
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -7,10 +7,13 @@
 
 from pimentocross.contracts.worker_link import WorkerLife, WorkerLink
 from pimentocross.owner.clock import WorkerClock
+from pimentocross.placement.pacing import Reading
 from pimentocross.work.spec import Size
 from pimentocross.work.state import Run, RunState, Step, Task
 
 RunKey = tuple[Task, int]
+# A lasting task that is at work is listed with this percentage.
+_AT_WORK = 100
 
 
 class Worker:
@@ -54,6 +57,7 @@
         self.calls = trio.Semaphore(4)
         self.paced_at = 0.0
         self._step_counts: dict[Step, int] = {}
+        self._over_since: dict[str, float] = {}
         self._serving: Counter[str] = Counter()
         self._filling: Counter[str] = Counter()
 
@@ -135,6 +139,27 @@
         if counter[spec.image] <= 0:
             del counter[spec.image]
 
+    def readings(self, now: float) -> list[Reading]:
+        """Returns the worst ratio of each serving image that is at work."""
+        worst: dict[str, float] = {}
+        for task, run in self.running():
+            spec = task.step.spec
+            if spec.target_tail and run.percent >= _AT_WORK and run.figure:
+                ratio = run.figure / spec.target_tail
+                worst[spec.image] = max(worst.get(spec.image, 0.0), ratio)
+        for image in list(self._over_since):
+            if worst.get(image, 0.0) < 1.0:
+                del self._over_since[image]
+        return [
+            Reading(image, ratio, self._over_for(image, ratio, now))
+            for image, ratio in worst.items()
+        ]
+
+    def _over_for(self, image: str, ratio: float, now: float) -> float:
+        if ratio < 1.0:
+            return 0.0
+        return now - self._over_since.setdefault(image, now)
+
     def running(self) -> list[tuple[Task, Run]]:
         """Returns the runs that were listed and aren't being stopped."""
         return [
--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -25,8 +25,11 @@
 _BASE: Final = Estimate(math.log(0.45), 0.3, 0.0)
 # Coefficients were seen from 0 to 10; an unknown pair is tried with care.
 _PAIR: Final = Estimate(1.5, 9.0, 0.0)
+# On played days two thirds of the pairs lay under this, most near 0, and the
+# others between 2 and 16.
+_NOISE: Final = 0.8
 # A reading is rough by a tenth, and the load of what serves swings by half.
-_READING_VARIANCE: Final = 0.12
+_READING_VARIANCE: Final = 0.2
 # Spread that a second adds: a base is new within 5 s, a pair within 30 s.
 _BASE_DRIFT: Final = 0.02
 _PAIR_DRIFT: Final = 0.05
@@ -41,23 +44,24 @@
         self._estimates: dict[tuple[str, str], Estimate] = {}
 
     def coefficient(self, serving: str, filling: str) -> float:
-        """Returns how much a share of 1 adds to the logarithm, at least 0."""
+        """Returns how much a share of 1 adds to the logarithm.
+
+        It is 0 for pairs whose effect can't be told from that of the load.
+        """
         known = self._estimates.get((serving, filling), _PAIR)
-        return max(known.mean, 0.0)
+        return known.mean if known.mean > _NOISE else 0.0
 
-    def predict(self, serving: str, loads: Mapping[str, float]) -> float:
-        """Returns the tail over its target that is to be expected.
+    def added(self, serving: str, loads: Mapping[str, float]) -> float:
+        """Returns by how much the logarithm of a tail is expected to rise.
 
         Args:
             serving: The image that serves.
             loads: Shares of the worker's processors by image that fills.
         """
-        base = self._estimates.get((serving, _ALONE), _BASE).mean
-        added = sum(
+        return sum(
             share * self.coefficient(serving, image)
             for image, share in loads.items()
         )
-        return math.exp(min(base + added, 10.0))
 
     def learn(
         self,
@@ -70,7 +74,7 @@
 
         Args:
             serving: The image that serves.
-            loads: As for `predict`, while the reading was taken.
+            loads: As for `added`, while the reading was taken.
             ratio: The tail over its target.
             now: Present time.
         """
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -21,9 +21,13 @@
 # Share of what serving tasks ask for that they use: seen at 0.4, swinging by
 # half of that.
 SERVING_LOAD: Final = 0.6
-# A task fills beside serving ones only if their tail is expected to stay
-# under this share of its target.
-HARM_MOST: Final = 0.75
+# A task fills beside serving ones only if what fills there is expected to
+# raise the logarithm of their tail by no more: from the usual 0.45 of the
+# target to 0.58.
+HARM_MOST: Final = 0.25
+# A worker that serves nobody is taken after those that serve the same image,
+# before those that serve others.
+_SERVES_NOBODY: Final = 0.8
 
 
 class Host(Protocol):
@@ -122,11 +126,24 @@
     if spec.fills:
         return _fit_of_filler(spec, host, disturbance)
     fit = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
-    if spec.target_tail and host.filling:
-        fit += disturbance.predict(spec.image, _loads(host))
+    if spec.target_tail:
+        fit += _strangeness(spec.image, host)
+        fit += disturbance.added(spec.image, _loads(host))
     return fit
 
 
+def _strangeness(image: str, host: Host) -> float:
+    """Returns 0 for a host that serves just this image, up to 2 for others.
+
+    The fewer images a worker serves, the more tasks may fill beside them.
+    """
+    whole = sum(host.serving.values())
+    if not whole:
+        return _SERVES_NOBODY
+    others = 1.0 - host.serving.get(image, 0) / whole
+    return 1.0 + others if others else 0.0
+
+
 def _fit_of_filler(
     spec: StepSpec, host: Host, disturbance: Disturbance
 ) -> float:
@@ -139,7 +156,7 @@
         return fit
     loads = _loads(host)
     loads[spec.image] = loads.get(spec.image, 0.0) + spec.size.cpu / capacity
-    harm = max(disturbance.predict(image, loads) for image in host.serving)
+    harm = max(disturbance.added(image, loads) for image in host.serving)
     return fit + 1.0 + harm if harm <= HARM_MOST else math.inf
 
 
--- a/pimentocross/placement/pacing.py
+++ b/pimentocross/placement/pacing.py
@@ -22,6 +22,11 @@
 FAST_TO: Final = 0.75
 # What slows all that fills once the target is passed for no known reason.
 UNEXPLAINED_FACTOR: Final = 0.3
+# ... after this many seconds: two readings in a row, and well before the 4 s
+# after which users are taken to be harmed.
+UNEXPLAINED_AFTER: Final = 1.2
+# A filler that may work at no more than this is better off elsewhere.
+MOVE_BELOW: Final = 30
 # A change of fewer percent is not worth an order.
 LEAST_CHANGE: Final = 5
 FULL_PACE: Final = 100
@@ -30,10 +35,17 @@
 
 
 class Reading(NamedTuple):
-    """The worst tail over its target among tasks of an image that serves."""
+    """The worst tail over its target among tasks of an image that serves.
+
+    Attributes:
+        image: The image.
+        ratio: The tail over its target.
+        over_for: Seconds for which it has been over.
+    """
 
     image: str
     ratio: float
+    over_for: float = 0.0
 
 
 class Filler(NamedTuple):
@@ -81,7 +93,7 @@
         cut = min(excess, effects[index])
         paces[index] = int(paces[index] * (1 - cut / effects[index]))
         excess -= cut
-    if excess > 0 and worst.ratio >= 1:
+    if excess > 0 and worst.over_for >= UNEXPLAINED_AFTER:
         paces = [int(pace * UNEXPLAINED_FACTOR) for pace in paces]
     return _steady(paces, fillers)
 
--- a/pimentocross/placement/urgency.py
+++ b/pimentocross/placement/urgency.py
@@ -3,34 +3,43 @@
 Load pattern: more work arrives than the workers carry (a burst of one queue,
 workers lost), while short urgent jobs and long ones wait beside each other.
 A job earns in full until its objective, a little until three times that, and
-nothing later. So among jobs of one priority those come first that can still
-be in time, the one with the least time to spare first; those that are late
-come after them, those that are hopeless last.
+nothing later. Ordered by the time to spare alone, an overloaded system starts
+every job at the last moment, and a small error makes each of them late. So:
+
+1. jobs that have begun and can be in time, as their work is lost otherwise;
+2. jobs with a comfortable time to spare, the least first;
+3. jobs that are in time only if nothing goes wrong;
+4. jobs that are late, begun ones first; then those that earn nothing more.
 """
 
 from enum import IntEnum
 from typing import Final, NamedTuple
 
 from pimentocross.placement.durations import Durations
-from pimentocross.work.state import Step
+from pimentocross.work.state import Job, JobState, Step
 
 # A job earns a little until this many times its objective.
 LATE_FACTOR: Final = 3.0
+# Share of the objective that a job should have to spare when it begins:
+# estimates of its chain are off by about this much.
+MARGIN: Final = 0.25
 
 
 class Chance(IntEnum):
-    """What can still be earned."""
+    """What can still be earned, and how surely."""
 
-    IN_TIME = 0
-    LATE = 1
-    HOPELESS = 2
+    BEGUN = 0
+    COMFORTABLE = 1
+    TIGHT = 2
+    LATE_BEGUN = 3
+    LATE = 4
+    HOPELESS = 5
 
 
 class Urgency(NamedTuple):
     """Sorts work: the lowest first.
 
     Attributes:
-        lasting: 0 for tasks that last: each second that they're away costs.
         priority: The queue's.
         chance: What can still be earned.
         spare: Seconds that the job could still wait.
@@ -51,15 +60,37 @@
     """
     job = step.job
     if step.spec.lasting:
-        return Urgency(job.queue.priority, Chance.IN_TIME, 0.0)
+        return Urgency(job.queue.priority, Chance.BEGUN, 0.0)
+    objective = _objective(step, durations)
+    waited = wall - max(job.accepted_at, step.occurrence.due)
     left = durations.chain_left(step.occurrence)
-    whole = durations.chain(step.occurrence)
-    objective = job.queue.slack * whole + job.queue.target_latency
-    due = max(job.accepted_at, step.occurrence.due)
-    waited = wall - due
     spare = objective - waited - left
     if spare >= 0:
-        return Urgency(job.queue.priority, Chance.IN_TIME, spare)
+        chance = _chance_in_time(job, spare, objective)
+        return Urgency(job.queue.priority, chance, spare)
     late_spare = LATE_FACTOR * objective - waited - left
-    chance = Chance.LATE if late_spare >= 0 else Chance.HOPELESS
-    return Urgency(job.queue.priority, chance, late_spare)
+    return Urgency(
+        job.queue.priority, _chance_late(job, late_spare), late_spare
+    )
+
+
+def _objective(step: Step, durations: Durations) -> float:
+    queue = step.job.queue
+    chain = durations.chain(step.occurrence)
+    return queue.slack * chain + queue.target_latency
+
+
+def _chance_in_time(job: Job, spare: float, objective: float) -> Chance:
+    if job.state is JobState.RUNNING:
+        return Chance.BEGUN
+    if spare >= MARGIN * objective:
+        return Chance.COMFORTABLE
+    return Chance.TIGHT
+
+
+def _chance_late(job: Job, late_spare: float) -> Chance:
+    if late_spare < 0:
+        return Chance.HOPELESS
+    if job.state is JobState.RUNNING:
+        return Chance.LATE_BEGUN
+    return Chance.LATE
