Tell disturbing pairs by robust readings; never place a sure one

Cause: pairs were blamed for the noise of single readings (worst of an image, right after a filler had left, on workers that hang), so that harmless fillers waited beside 100 to 200 free cores and harmful ones stayed.

Change: the median of an image's tails, bounded surprises, departed fillers count for their lag, pairs not seen go back to the first guess in 30 s.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -15,7 +15,7 @@
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.disturbance import Disturbance
 from pimentocross.placement.durations import Durations
-from pimentocross.placement.hosts import choose, common_rack
+from pimentocross.placement.hosts import choose, common_rack, left_over
 from pimentocross.placement.pacing import (
     MOVE_BELOW,
     SETTLE,
@@ -37,6 +37,11 @@
 # Share of all processors kept free of work that isn't of the first priority,
 # so that urgent work starts at once; about the load that it brings.
 HEADROOM = 0.06
+# What serves alone on a sound worker stays under this share of its target.
+_SOUND_ALONE = 1.2
+# A filler that was slowed to a crawl for this long goes elsewhere: about what
+# its stop and its start cost.
+_STUCK_AFTER = 1.5
 # A run that has done less than this, in percent, loses little by a move.
 _LITTLE_DONE = 25
 _LOAD_INTERVAL = 1.0
@@ -74,6 +79,7 @@
             await trio.sleep(const.PASS_PAUSE)
             self._wake = trio.Event()
             self._apply_config()
+            self._disturbance.advance(trio.current_time())
             self._stop_unwanted(orders)
             self._pace_fillers(orders)
             self._start_waiting(orders)
@@ -159,6 +165,10 @@
             serving=sum(sum(w.serving.values()) for w in workers),
             filling=sum(w.filled for w in workers),
             filling_used=sum(r.figure for t, r in runs if t.step.spec.fills),
+            left_over=int(sum(left_over(w) for w in workers)),
+            slowed=sum(
+                t.step.spec.size.cpu * (100 - r.pace) // 100 for t, r in runs
+            ),
             waiting=sum(s.waiting_count for s in steps),
             waiting_fillers=sum(s.waiting_count for s in steps if s.spec.fills),
         )
@@ -287,18 +297,15 @@
 
     def on_listed(self, worker: Worker) -> None:
         """Learns from the figures of a new listing."""
+        now = trio.current_time()
         if not worker.serves:
             return
-        capacity = max(worker.life.capacity.cpu, 1)
-        loads: dict[str, float] = {}
-        for task, run in worker.running():
-            if task.step.spec.fills:
-                share = run.figure / capacity
-                image = task.step.spec.image
-                loads[image] = loads.get(image, 0.0) + share
-        now = trio.current_time()
+        loads = worker.filler_loads()
         for reading in worker.readings(now):
-            self._disturbance.learn(reading.image, loads, reading.ratio, now)
+            if loads or reading.ratio < _SOUND_ALONE:
+                self._disturbance.learn(
+                    reading.image, loads, reading.typical, now
+                )
 
     def _pace_fillers(self, orders: Orders) -> None:
         now = trio.current_time()
@@ -306,6 +313,19 @@
             if worker.filled and now - worker.paced_at >= SETTLE:
                 self._pace_on(worker, orders, now)
 
+    def _is_misplaced(self, worker: Worker, task: Task, run: Run) -> bool:
+        """True if a filler surely disturbs, and loses little by a move."""
+        spec = task.step.spec
+        if not spec.saves and run.percent >= _LITTLE_DONE:
+            return False
+        if run.pace <= MOVE_BELOW:
+            # It was slowed before, and that has not become better.
+            return True
+        return any(
+            self._disturbance.is_bad(image, spec.image)
+            for image in worker.serving
+        )
+
     def _pace_on(self, worker: Worker, orders: Orders, now: float) -> None:
         capacity = max(worker.life.capacity.cpu, 1)
         runs = [
@@ -323,10 +343,11 @@
         ]
         paces = next_paces(worker.readings(now), fillers, self._disturbance)
         for (task, run), pace in zip(runs, paces, strict=True):
-            if pace == run.pace:
+            stuck = pace <= MOVE_BELOW and now - run.paced_at > _STUCK_AFTER
+            if pace == run.pace and not (stuck and run.paced_at):
                 continue
             worker.paced_at = run.paced_at = now
-            if pace <= MOVE_BELOW and _moves_cheaply(task, run):
+            if pace <= MOVE_BELOW and self._is_misplaced(worker, task, run):
                 orders.stop(worker, task, run, "disturbs what serves")
             else:
                 orders.pace(worker, task, run, pace)
@@ -336,7 +357,3 @@
     """True for work that isn't urgent, or keeps its room for long."""
     spec = step.spec
     return not spec.fills and (spec.lasting or step.job.queue.priority > 0)
-
-
-def _moves_cheaply(task: Task, run: Run) -> bool:
-    return task.step.spec.saves or run.percent < _LITTLE_DONE
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -1,7 +1,9 @@
 """One worker life as the owner of a cell knows it."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Mapping
+import statistics
+from typing import Final, NamedTuple
 
 import trio
 
@@ -13,7 +15,17 @@
 
 RunKey = tuple[Task, int]
 # A lasting task that is at work is listed with this percentage.
-_AT_WORK = 100
+_AT_WORK: Final = 100
+# A figure covers half a second, and a queue takes a moment to drain.
+FIGURE_SPAN: Final = 0.7
+
+
+class Departure(NamedTuple):
+    """A filler that has left: when, its image, and what it used."""
+
+    at: float
+    image: str
+    figure: int
 
 
 class Worker:
@@ -31,6 +43,9 @@
         blind_until: Until when a former owner's leases may last, monotonic.
         heard_at: When it last listed what runs, monotonic.
         seen: Number of the newest ending whose record is stored.
+        paced_at: When fillers on it were last slowed or sped up, monotonic.
+        draining_since: When it was first listed as leaving, or None.
+        calls: Bounds the orders that are on their way to it.
         adopted: Whether it has listed what runs to this owner.
         listed: Whether the directory lists it.
         gone: Whether this life has surely ended.
@@ -56,6 +71,7 @@
         self.draining_since: float | None = None
         self.calls = trio.Semaphore(4)
         self.paced_at = 0.0
+        self._left: deque[Departure] = deque()
         self._step_counts: dict[Step, int] = {}
         self._over_since: dict[str, float] = {}
         self._serving: Counter[str] = Counter()
@@ -91,8 +107,13 @@
 
     def remove(self, task: Task, number: int) -> None:
         """Releases what a run took."""
-        if self.runs.pop((task, number), None) is None:
+        run = self.runs.pop((task, number), None)
+        if run is None:
             return
+        if task.step.spec.fills and run.figure:
+            now = trio.current_time()
+            image = task.step.spec.image
+            self._left.append(Departure(now, image, run.figure))
         self.committed = self.committed.minus(task.step.spec.committed)
         self._count_image(task, -1)
         left = self._step_counts[task.step] - 1
@@ -139,20 +160,42 @@
         if counter[spec.image] <= 0:
             del counter[spec.image]
 
+    def filler_loads(self) -> dict[str, float]:
+        """Returns the share of its processors that each image fills."""
+        used: Counter[str] = Counter()
+        for (task, _), run in self.runs.items():
+            spec = task.step.spec
+            if spec.fills:
+                used[spec.image] += run.figure
+        now = trio.current_time()
+        while self._left and now - self._left[0].at > FIGURE_SPAN:
+            self._left.popleft()
+        for departure in self._left:
+            # The figures of those it disturbed still show a part of it.
+            share = 1.0 - (now - departure.at) / FIGURE_SPAN
+            used[departure.image] += int(departure.figure * share)
+        capacity = max(self.life.capacity.cpu, 1)
+        return {i: cpu / capacity for i, cpu in used.items() if cpu > 0}
+
     def readings(self, now: float) -> list[Reading]:
-        """Returns the worst ratio of each serving image that is at work."""
-        worst: dict[str, float] = {}
+        """Returns how each serving image does that is at work."""
+        ratios: dict[str, list[float]] = {}
         for task, run in self.running():
             spec = task.step.spec
             if spec.target_tail and run.percent >= _AT_WORK and run.figure:
                 ratio = run.figure / spec.target_tail
-                worst[spec.image] = max(worst.get(spec.image, 0.0), ratio)
+                ratios.setdefault(spec.image, []).append(ratio)
         for image in list(self._over_since):
-            if worst.get(image, 0.0) < 1.0:
+            if max(ratios.get(image, [0.0])) < 1.0:
                 del self._over_since[image]
         return [
-            Reading(image, ratio, self._over_for(image, ratio, now))
-            for image, ratio in worst.items()
+            Reading(
+                image,
+                max(found),
+                statistics.median(found),
+                self._over_for(image, max(found), now),
+            )
+            for image, found in ratios.items()
         ]
 
     def _over_for(self, image: str, ratio: float, now: float) -> float:
--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -24,7 +24,7 @@
 # Without neighbours, tails were seen at 0.3 to 0.6 of their target.
 _BASE: Final = Estimate(math.log(0.45), 0.3, 0.0)
 # Coefficients were seen from 0 to 10; an unknown pair is tried with care.
-_PAIR: Final = Estimate(1.5, 9.0, 0.0)
+_PAIR: Final = Estimate(1.0, 6.0, 0.0)
 # On played days two thirds of the pairs lay under this, most near 0, and the
 # others between 2 and 16.
 _NOISE: Final = 0.8
@@ -33,7 +33,16 @@
 # Spread that a second adds: a base is new within 5 s, a pair within 30 s.
 _BASE_DRIFT: Final = 0.02
 _PAIR_DRIFT: Final = 0.05
+# What a single reading may say: a worker in trouble shows wild ones.
+_SURPRISE_MOST: Final = 0.8
+# A pair that isn't seen any more goes back to the first guess in about this
+# many seconds, so that one that was blamed wrongly is tried again.
+_FORGETTING: Final = 30.0
 _ALONE: Final = ""
+# A worker that hangs shows tails of hundreds of times the target: beyond this
+# a reading says no more about pairs.
+_RATIO_MOST: Final = 5.0
+_RATIO_LEAST: Final = 0.05
 
 
 class Disturbance:
@@ -42,15 +51,25 @@
     def __init__(self) -> None:
         """Starts with the same guess for every pair."""
         self._estimates: dict[tuple[str, str], Estimate] = {}
+        self._now = 0.0
+
+    def advance(self, now: float) -> None:
+        """Notes the time, as what is known ages."""
+        self._now = now
 
     def coefficient(self, serving: str, filling: str) -> float:
         """Returns how much a share of 1 adds to the logarithm.
 
         It is 0 for pairs whose effect can't be told from that of the load.
         """
-        known = self._estimates.get((serving, filling), _PAIR)
+        known = self._aged(serving, filling, self._now)
         return known.mean if known.mean > _NOISE else 0.0
 
+    def is_bad(self, serving: str, filling: str) -> bool:
+        """True if a pair surely disturbs, whatever the load."""
+        known = self._aged(serving, filling, self._now)
+        return known.mean - math.sqrt(known.variance) / 2 > _NOISE
+
     def added(self, serving: str, loads: Mapping[str, float]) -> float:
         """Returns by how much the logarithm of a tail is expected to rise.
 
@@ -83,7 +102,9 @@
         known = {image: self._aged(serving, image, now) for image in weights}
         expected = sum(w * known[i].mean for i, w in weights.items())
         spread = sum(w * w * known[i].variance for i, w in weights.items())
-        surprise = math.log(max(ratio, 0.01)) - expected
+        seen = min(max(ratio, _RATIO_LEAST), _RATIO_MOST)
+        surprise = math.log(seen) - expected
+        surprise = min(max(surprise, -_SURPRISE_MOST), _SURPRISE_MOST)
         for image, weight in weights.items():
             before = known[image]
             gain = before.variance * weight / (spread + _READING_VARIANCE)
@@ -97,5 +118,8 @@
         prior = _PAIR if image else _BASE
         drift = _PAIR_DRIFT if image else _BASE_DRIFT
         known = self._estimates.get((serving, image), prior._replace(at=now))
-        grown = known.variance + drift * (now - known.at)
-        return known._replace(variance=min(grown, prior.variance), at=now)
+        age = max(now - known.at, 0.0)
+        kept = math.exp(-age / _FORGETTING)
+        mean = prior.mean + (known.mean - prior.mean) * kept
+        variance = min(known.variance + drift * age, prior.variance)
+        return Estimate(mean, variance, now)
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -154,6 +154,8 @@
     fit = 1.0 - left / capacity
     if not host.serving:
         return fit
+    if any(disturbance.is_bad(image, spec.image) for image in host.serving):
+        return math.inf
     loads = _loads(host)
     loads[spec.image] = loads.get(spec.image, 0.0) + spec.size.cpu / capacity
     harm = max(disturbance.added(image, loads) for image in host.serving)
--- a/pimentocross/placement/pacing.py
+++ b/pimentocross/placement/pacing.py
@@ -35,16 +35,18 @@
 
 
 class Reading(NamedTuple):
-    """The worst tail over its target among tasks of an image that serves.
+    """The tails over their targets of the tasks of an image that serves.
 
     Attributes:
         image: The image.
-        ratio: The tail over its target.
-        over_for: Seconds for which it has been over.
+        ratio: The worst.
+        typical: The median.
+        over_for: Seconds for which the worst has been over its target.
     """
 
     image: str
     ratio: float
+    typical: float
     over_for: float = 0.0
 
 
