Prove the adapter and whole processes on loopback against the published form

Stand-ins serve the store and the workers in the platform's wire form; 12 tests of the adapter, of entry VMs within a process, and of three real processes that are stopped and killed in turn (no job lost, none twice).

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -1,13 +1,12 @@
 """Passes over what waits: decides what starts where, and what stops."""
 
 from collections.abc import Callable
-import time
 
 import trio
 
 from pimentocross.contracts.worker_link import Ending, EndKind, StartVerdict
 from pimentocross.observe.decisions import note
-from pimentocross.owner import const
+from pimentocross.owner import const, wall
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.orders import Orders, Placement
@@ -121,12 +120,12 @@
             note("worker_suspect", worker=worker.life.id, reason=reason)
 
     def _start_waiting(self, orders: Orders) -> None:
-        now, wall = trio.current_time(), time.time()
-        steps = self._book.open_steps(wall)
+        now, today = trio.current_time(), wall.now()
+        steps = self._book.open_steps(today)
         if not steps:
             return
         ranked = sorted(
-            (urgency(step, self._durations, wall), number, step)
+            (urgency(step, self._durations, today), number, step)
             for number, step in enumerate(steps)
         )
         workers = [
@@ -157,7 +156,7 @@
         self._load_logged_at = now
         workers = [w for w in self._roster.workers() if w.usable]
         runs = [(t, r) for w in workers for t, r in w.running()]
-        steps = self._book.open_steps(time.time())
+        steps = self._book.open_steps(wall.now())
         note(
             "load",
             capacity=sum(w.life.capacity.cpu for w in workers),
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -1,9 +1,8 @@
 """All jobs of a cell, and which of their steps wait for a start."""
 
 from collections.abc import Iterator
-import time
 
-from pimentocross.owner import const
+from pimentocross.owner import const, wall
 from pimentocross.owner.ledger import Batch, Ledger, PlainRecord
 from pimentocross.work import records
 from pimentocross.work.queue import Queue, WorkConfig
@@ -61,7 +60,7 @@
 
     def accept(self, job_id: str, queue: Queue, spec: JobSpec) -> Batch:
         """Takes a job in; returns the batch of its first record."""
-        job = Job(job_id, queue, spec, time.time())
+        job = Job(job_id, queue, spec, wall.now())
         self.restore(job)
         return self._ledger.put(
             PlainRecord(
@@ -83,7 +82,7 @@
 
     def changed(self, job: Job) -> Batch:
         """Notes that a job's tasks changed; returns the record's batch."""
-        job.advance(time.time())
+        job.advance(wall.now())
         if job.ended:
             self._close_steps(job)
         else:
@@ -92,15 +91,15 @@
 
     def cancel(self, job: Job) -> Batch:
         """Cancels a job; returns the record's batch."""
-        job.cancel(time.time())
+        job.cancel(wall.now())
         return self.changed(job)
 
-    def open_steps(self, wall: float) -> list[Step]:
+    def open_steps(self, today: float) -> list[Step]:
         """Returns the steps whose turn has come and of which tasks wait."""
         return [
             step
             for step in self._open_steps
-            if step.waiting_count and step.occurrence.due <= wall
+            if step.waiting_count and step.occurrence.due <= today
         ]
 
     def pending(self, queue: str) -> int:
@@ -120,7 +119,7 @@
 
     def sweep(self) -> None:
         """Forgets jobs that ended long ago."""
-        before = time.time() - const.ENDED_KEPT
+        before = wall.now() - const.ENDED_KEPT
         old = [
             job
             for job in self._jobs.values()
--- /dev/null
+++ b/tests/platform_fixtures.py
@@ -0,0 +1,146 @@
+"""Fixtures of the adapter's tests: the users' platform on loopback."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+import socket
+
+import msgspec
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.links.asgi import HttpReply
+from pimentocross.links.http_pool import HttpPool
+from pimentocross.links.listener import HttpListener, ListenerLimits
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import (
+    RunEvent,
+    TaskPlan,
+    TaskWorkerStandin,
+)
+from pimentocross.standins.users_platform import (
+    StoreSurface,
+    WorkerSurface,
+    operator_config,
+    server_entry,
+)
+from tests.owner_fixtures import SMALL, life
+
+HOST = "127.0.0.1"
+PREFIX = "/plans/"
+
+
+class LoopbackPlatform:
+    """The platform's services.
+
+    Attributes:
+        store: The store.
+        store_address: Where it listens.
+        journal: What happened to runs.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.store = StoreStandin()
+        self.store_address = ""
+        self.journal: list[RunEvent] = []
+
+    async def configure(self, version: int, *prefixes: str) -> None:
+        """Publishes a configuration as the operator does."""
+        value = operator_config(version, dict.fromkeys(prefixes, "stock"))
+        await self.store.client("operator").append(
+            "op", [Record("config", value)], 1.0
+        )
+
+    async def list_worker(self, worker: TaskWorkerStandin) -> None:
+        """Writes a worker's entry."""
+        record = Record(worker.life.id, server_entry(worker.life))
+        await self.store.client("worker").append("servers", [record], 1.0)
+
+
+@asynccontextmanager
+async def loopback_platform(
+    workers: int = 3, seconds: float = 0.3
+) -> AsyncIterator[LoopbackPlatform]:
+    """Serves a platform with a configuration and workers."""
+    platform = LoopbackPlatform()
+    async with trio.open_nursery() as nursery:
+
+        async def serve(handler: object) -> str:
+            listener = HttpListener(handler, ListenerLimits)  # type: ignore[arg-type]
+            port = await nursery.start(listener.serve, f"{HOST}:0")
+            return f"{HOST}:{port}"
+
+        platform.store_address = await serve(
+            StoreSurface(platform.store).handle
+        )
+        for number in range(workers):
+            worker = TaskWorkerStandin(
+                life(number),
+                lambda _: TaskPlan(seconds, SMALL),
+                platform.journal,
+            )
+            address = await serve(WorkerSurface(worker).handle)
+            worker.life = worker.life._replace(address=address)
+            await platform.list_worker(worker)
+        await platform.configure(1, PREFIX)
+        yield platform
+        nursery.cancel_scope.cancel()
+
+
+def write_settings(path: Path, name: str, store: str) -> dict[str, str]:
+    """Writes a settings file as the platform does; returns its values."""
+    ports = _free_ports(3)
+    values = {
+        "node_name": name,
+        "role": "entry",
+        "zone": "north",
+        "ip": HOST,
+        "listen_addrs.frontend": f"{HOST}:{ports[0]}",
+        "listen_addrs.ready": f"{HOST}:{ports[1]}",
+        "internal_ports": f"{ports[2]},{ports[2]}",
+        "platform.address": store,
+        "bounds.grace_s": "6",
+        "a.field.of.tomorrow": "1",
+    }
+    lines = [f"{key}={value}" for key, value in values.items()]
+    path.write_text("\n".join(lines) + "\n", "utf-8")
+    return values
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Caller:
+    """A caller of one entry VM."""
+
+    def __init__(self, address: str) -> None:
+        """Takes the VM's callers' address."""
+        self._pool = HttpPool(address)
+
+    async def call(
+        self, method: str, path: str, body: object = None
+    ) -> HttpReply:
+        """Calls by the address, which the configuration names as host."""
+        content = b"" if body is None else msgspec.json.encode(body)
+        return await self._pool.call(method, path, content, 5.0)
+
+    async def state(self, job: str) -> str:
+        """Returns a job's state, or the status if there is none."""
+        reply = await self.call("GET", PREFIX + job)
+        if reply.status != 200:
+            return str(reply.status)
+        return str(msgspec.json.decode(reply.body)["state"])
+
+
+def job_body(width: int = 2) -> dict[str, object]:
+    """Returns a submission of two steps."""
+    step = {"count": width, "cpu": 1000, "mem_mb": 1000, "estimated_ms": 300}
+    return {"spec": "x", "job_steps": [step, step | {"after": [0]}]}
--- /dev/null
+++ b/tests/test_placement_under_load.py
@@ -0,0 +1,223 @@
+"""Decisions at worst load, each against the load pattern that it answers."""
+
+from collections import Counter
+from collections.abc import Mapping
+import math
+import random
+
+from pimentocross.contracts.worker_link import WorkerLife
+from pimentocross.placement.disturbance import Disturbance
+from pimentocross.placement.durations import Durations
+from pimentocross.placement.hosts import choose, left_over
+from pimentocross.placement.pacing import (
+    FULL_PACE,
+    Filler,
+    Reading,
+    next_paces,
+)
+from pimentocross.placement.stalls import STALL_AFTER, is_stalled
+from pimentocross.placement.urgency import Chance, urgency
+from pimentocross.work.spec import JobSpec, Size, StepSpec
+from pimentocross.work.state import Job, Run, RunState, Step
+from tests.owner_fixtures import QUEUE, ROOM, SMALL, life
+
+
+class _Host:
+    """A worker with given tasks."""
+
+    def __init__(
+        self,
+        number: int,
+        free: Size = ROOM,
+        serving: Mapping[str, int] | None = None,
+        filling: Mapping[str, int] | None = None,
+    ) -> None:
+        self.number = number
+        self.free = free
+        self.serving = Counter(serving or {})
+        self.filling = Counter(filling or {})
+
+    @property
+    def life(self) -> WorkerLife:
+        return life(self.number)
+
+    @property
+    def filled(self) -> int:
+        return self.filling.total()
+
+    def count_of(self, step: Step) -> int:
+        return 0
+
+
+def _job(*steps: StepSpec, accepted_at: float = 0.0, job_id: str = "j") -> Job:
+    return Job(job_id, QUEUE, JobSpec("", steps), accepted_at)
+
+
+def _step(spec: StepSpec) -> Step:
+    return _job(spec).occurrences[0].steps[0]
+
+
+def _filler(image: str, cpu: int = 1000) -> StepSpec:
+    return StepSpec(1, Size(cpu, 1000, 0), 1.0, image=image, fills=True)
+
+
+def _taught(
+    truth: Mapping[tuple[str, str], float], seconds: int
+) -> Disturbance:
+    """Returns what is known after some seconds of rough readings."""
+    random_ = random.Random(5)
+    disturbance = Disturbance()
+    images = sorted({image for _, image in truth})
+    for tick in range(seconds * 4):
+        now = tick / 4
+        serving = random_.choice(sorted({s for s, _ in truth}))
+        loads = {
+            image: random_.uniform(0.0, 0.2)
+            for image in random_.sample(images, 2)
+        }
+        effect = sum(
+            share * truth[(serving, image)] for image, share in loads.items()
+        )
+        noise = random_.gauss(0.0, 0.25)
+        ratio = math.exp(math.log(0.45) + effect + noise)
+        disturbance.learn(serving, loads, ratio, now)
+        disturbance.advance(now)
+    return disturbance
+
+
+_TRUTH = {
+    ("shop", "heavy"): 8.0,
+    ("shop", "light"): 0.0,
+    ("shop", "other"): 0.2,
+    ("maps", "heavy"): 0.0,
+    ("maps", "light"): 6.0,
+    ("maps", "other"): 0.0,
+}
+
+
+def test_pairs_that_disturb_are_told_from_those_that_do_not() -> None:
+    disturbance = _taught(_TRUTH, seconds=60)
+    for (serving, image), truth in _TRUTH.items():
+        assert disturbance.is_bad(serving, image) == (truth > 2), image
+
+
+def test_a_pair_that_is_not_seen_any_more_is_tried_again() -> None:
+    disturbance = _taught(_TRUTH, seconds=60)
+    assert disturbance.coefficient("shop", "heavy") > 3
+    disturbance.advance(60 + 300)
+    assert disturbance.coefficient("shop", "heavy") < 1.5
+
+
+def test_a_worker_that_hangs_teaches_little() -> None:
+    disturbance = _taught(_TRUTH, seconds=60)
+    before = disturbance.coefficient("shop", "other")
+    disturbance.learn("shop", {"other": 0.05}, 800.0, 60.5)
+    disturbance.advance(60.5)
+    assert disturbance.coefficient("shop", "other") < before + 1.5
+
+
+def test_fillers_never_join_what_they_surely_disturb() -> None:
+    disturbance = _taught(_TRUTH, seconds=60)
+    shop = _Host(0, serving={"shop": 4000})
+    maps = _Host(1, serving={"maps": 4000})
+    step = _step(_filler("heavy"))
+    assert choose(step.tasks[0], [shop, maps], disturbance) is maps
+    assert choose(step.tasks[0], [shop], disturbance) is None
+
+
+def test_fillers_take_no_more_than_what_is_left_over() -> None:
+    # Thirty-five fillers once shared a worker at 2.5 times its processors.
+    hosts = [_Host(0), _Host(1)]
+    step = _step(StepSpec(40, Size(1000, 100, 0), 1.0, image="f", fills=True))
+    placed = 0
+    for task in step.tasks:
+        host = choose(task, hosts, Disturbance())
+        if host is None:
+            break
+        host.filling["f"] += 1000
+        placed += 1
+    assert placed == 16
+    assert all(left_over(host) == 0 for host in hosts)
+
+
+def test_what_serves_joins_its_own_image() -> None:
+    step = _step(StepSpec(1, SMALL, lasting=True, image="a", target_tail=20))
+    alike = _Host(0, Size(4000, 9000, 0), serving={"a": 4000})
+    empty = _Host(1)
+    mixed = _Host(2, Size(1500, 9000, 0), serving={"b": 4000})
+    chosen = choose(step.tasks[0], [mixed, empty, alike], Disturbance())
+    assert chosen is alike
+
+
+def test_only_the_culprit_is_slowed_and_comes_back() -> None:
+    disturbance = _taught(_TRUTH, seconds=60)
+    fillers = [
+        Filler("heavy", 0.1, FULL_PACE),
+        Filler("light", 0.1, FULL_PACE),
+    ]
+    slow = next_paces([Reading("shop", 1.1, 1.0)], fillers, disturbance)
+    assert slow[0] < 60
+    assert slow[1] == FULL_PACE
+    slowed = [Filler("heavy", 0.1, slow[0]), fillers[1]]
+    calm = next_paces([Reading("shop", 0.3, 0.3)], slowed, disturbance)
+    assert calm[0] > slow[0]
+
+
+def test_a_target_missed_for_no_known_reason_slows_all() -> None:
+    fillers = [Filler("x", 0.01, FULL_PACE), Filler("y", 0.01, FULL_PACE)]
+    brief = next_paces([Reading("shop", 2.0, 2.0, 0.5)], fillers, Disturbance())
+    lasting = next_paces(
+        [Reading("shop", 2.0, 2.0, 1.5)], fillers, Disturbance()
+    )
+    assert max(lasting) <= 30 < min(brief) + FULL_PACE
+
+
+def test_with_nobody_to_disturb_fillers_work_at_full_speed() -> None:
+    paces = next_paces([], [Filler("x", 0.5, 10)], Disturbance())
+    assert paces == [FULL_PACE]
+
+
+def _urgencies(now: float) -> dict[str, Chance]:
+    """Returns the chances of a begun, a fresh, a tight and a hopeless job."""
+    durations = Durations()
+    step = StepSpec(1, SMALL, 2.0)
+    # The objective is 2 times 2 s and 1 s more: 5 s after acceptance.
+    found = {}
+    for name, accepted_at in {
+        "fresh": now,
+        "tight": now - 2.5,
+        "late": now - 6.0,
+        "hopeless": now - 40.0,
+    }.items():
+        job = _job(step, accepted_at=accepted_at)
+        found[name] = urgency(job.occurrences[0].steps[0], durations, now)
+    begun = _job(step, step, accepted_at=now - 0.5)
+    begun.occurrences[0].steps[0].tasks[0].add_run(Run(1, 0))
+    begun.advance(now)
+    found["begun"] = urgency(begun.occurrences[0].steps[1], durations, now)
+    return {name: u.chance for name, u in found.items()}
+
+
+def test_begun_jobs_come_first_and_hopeless_ones_last() -> None:
+    chances = _urgencies(1000.0)
+    order = sorted(chances, key=lambda name: chances[name])
+    assert order == ["begun", "fresh", "tight", "late", "hopeless"]
+
+
+def test_estimates_give_way_to_what_was_seen() -> None:
+    durations = Durations()
+    step = StepSpec(1, SMALL, 0.2)
+    assert durations.task("q", step) == 0.2
+    for _ in range(60):
+        durations.note("q", 2.0)
+    assert 0.8 < durations.task("q", step) < 2.0
+
+
+def test_a_run_without_progress_is_told_from_a_slow_one() -> None:
+    task = _step(StepSpec(1, SMALL)).tasks[0]
+    run = Run(1, 0)
+    run.enter(RunState.RUNNING, 10.0)
+    run.began_at = 10.0
+    run.percent, run.percent_at = 40, 12.0
+    assert not is_stalled(task, run, heard_at=12.0 + STALL_AFTER - 0.1)
+    assert is_stalled(task, run, heard_at=12.0 + STALL_AFTER + 0.1)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,382 @@
+"""The users' platform: the adapter and whole processes, on loopback."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+import os
+from pathlib import Path
+import signal
+import subprocess
+import sys
+import tempfile
+
+import msgspec
+import trio
+
+from pimentocross.contracts.store import (
+    ConditionFailedError,
+    FencedError,
+    HistoryGoneError,
+    ProducerMark,
+    Record,
+    SequenceGapError,
+    StoreUnavailableError,
+)
+from pimentocross.gateway.node import GatewayNode
+from pimentocross.platform.__main__ import build
+from pimentocross.platform.settings import SettingsError, read_settings
+from pimentocross.platform.store import StoreClient
+from pimentocross.platform.topics import OperatorTopic, ServerTopic
+from pimentocross.platform.wire import (
+    WireError,
+    read_config,
+    read_hold,
+    read_submission,
+    read_worker,
+)
+from pimentocross.work.spec import SpecError, check_spec
+from tests.owner_fixtures import count, find_again, find_twice
+from tests.platform_fixtures import (
+    PREFIX,
+    Caller,
+    LoopbackPlatform,
+    job_body,
+    loopback_platform,
+    write_settings,
+)
+
+
+def real_time(function: object) -> object:
+    """Marks a test that uses sockets, and so the real clock."""
+    function.real_time = True  # type: ignore[attr-defined]
+    return function
+
+
+@asynccontextmanager
+async def _node(
+    platform: LoopbackPlatform, name: str
+) -> AsyncIterator[tuple[GatewayNode, dict[str, str]]]:
+    """Runs an entry VM's process within this one; killed at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings"
+        values = write_settings(path, name, platform.store_address)
+        node, surfaces = build(read_settings(path))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.run, surfaces)
+            yield node, values
+            nursery.cancel_scope.cancel()
+
+
+async def _until_ready(values: dict[str, str], seconds: float = 10.0) -> None:
+    caller = Caller(values["listen_addrs.ready"])
+    with trio.fail_after(seconds):
+        while True:
+            await trio.sleep(0.05)
+            try:
+                reply = await caller.call("GET", "/pimentocross/readyz")
+            except Exception:
+                continue
+            if reply.status == 200:
+                return
+
+
+async def _until_accepted(caller: Caller, job: str) -> None:
+    with trio.fail_after(15):
+        while True:
+            try:
+                reply = await caller.call("POST", PREFIX + job, job_body())
+            except Exception:
+                reply = None
+            if reply is not None and reply.status == 200:
+                return
+            await trio.sleep(0.05)
+
+
+async def _until_state(caller: Caller, job: str, state: str) -> None:
+    with trio.fail_after(15):
+        while await caller.state(job) != state:
+            await trio.sleep(0.05)
+
+
+@real_time
+async def test_a_job_is_served_through_the_whole_path() -> None:
+    async with loopback_platform() as platform:
+        async with _node(platform, "vm1") as (_, values):
+            await _until_ready(values)
+            caller = Caller(values["listen_addrs.frontend"])
+            await _until_accepted(caller, "aa01")
+            await _until_accepted(caller, "aa01")
+            await _until_state(caller, "aa01", "completed")
+            assert await caller.state("unknown") == "410"
+            reply = await caller.call("GET", PREFIX)
+            assert msgspec.json.decode(reply.body) == {"pending": 0}
+            reply = await caller.call("GET", "/no/such/queue")
+            assert reply.status == 404
+            reply = await caller.call("DELETE", PREFIX + "aa01")
+            assert reply.status == 200
+            reply = await caller.call("DELETE", PREFIX + "unknown")
+            assert reply.status == 410
+    assert count(platform.journal, "start") == 4
+
+
+@real_time
+async def test_malformed_submissions_are_named_and_change_nothing() -> None:
+    async with loopback_platform() as platform:
+        async with _node(platform, "vm1") as (_, values):
+            await _until_ready(values)
+            caller = Caller(values["listen_addrs.frontend"])
+            await _until_accepted(caller, "aa01")
+            bodies: list[object] = [
+                [],
+                {},
+                {"job_steps": []},
+                {"job_steps": [{"count": 0}]},
+                {"job_steps": [{"count": "many"}]},
+                {"job_steps": [{"count": 1, "after": [0]}]},
+            ]
+            for body in bodies:
+                reply = await caller.call("POST", PREFIX + "bad", body)
+                assert reply.status == 400, body
+                assert b"error" in reply.body
+            huge = {"spec": "x" * 300_000, "job_steps": [{"count": 1}]}
+            reply = await caller.call("POST", PREFIX + "bad", huge)
+            assert reply.status == 413
+            reply = await caller.call("PUT", PREFIX + "bad", {})
+            assert reply.status == 405
+            assert await caller.state("bad") == "410"
+
+
+@real_time
+async def test_a_route_is_gone_and_another_there_within_a_second() -> None:
+    async with loopback_platform() as platform:
+        async with _node(platform, "vm1") as (_, values):
+            await _until_ready(values)
+            caller = Caller(values["listen_addrs.frontend"])
+            await _until_accepted(caller, "aa01")
+            await platform.configure(5, "/new/")
+            await trio.sleep(0.5)
+            assert (await caller.call("GET", "/new/")).status == 200
+            assert (await caller.call("GET", PREFIX)).status == 404
+            # An older version that comes late changes nothing.
+            await platform.configure(4, PREFIX)
+            await trio.sleep(0.3)
+            assert (await caller.call("GET", "/new/")).status == 200
+
+
+@real_time
+async def test_without_the_store_a_new_process_answers_503() -> None:
+    async with loopback_platform() as platform:
+        platform.store.faults.away = True
+        async with _node(platform, "vm1") as (_, values):
+            await trio.sleep(0.5)
+            caller = Caller(values["listen_addrs.frontend"])
+            reply = await caller.call("POST", PREFIX + "aa01", job_body())
+            assert reply.status == 503
+            assert (b"retry-after", b"1") in reply.headers
+            ready = Caller(values["listen_addrs.ready"])
+            reply = await ready.call("GET", "/pimentocross/readyz")
+            assert reply.status == 503
+
+
+@real_time
+async def test_any_vm_answers_and_another_takes_over_from_a_dead_owner() -> (
+    None
+):
+    async with loopback_platform(seconds=1.0) as platform:
+        async with _node(platform, "vm2") as (_, second):
+            await _until_ready(second)
+            caller = Caller(second["listen_addrs.frontend"])
+            async with _node(platform, "vm1") as (_, first):
+                await _until_ready(first)
+                other = Caller(first["listen_addrs.frontend"])
+                await _until_accepted(other, "aa01")
+                assert await caller.state("aa01") in ("queued", "running")
+            await _until_accepted(caller, "aa02")
+            await _until_state(caller, "aa01", "completed")
+            await _until_state(caller, "aa02", "completed")
+    assert not find_twice(platform.journal)
+    assert not find_again(platform.journal)
+
+
+class _Process:
+    """A real process of an entry VM."""
+
+    def __init__(self, folder: str, name: str, store: str) -> None:
+        path = Path(folder) / name
+        self.values = write_settings(path, name, store)
+        self._environment = os.environ | {"PIMENTOCROSS_BOOT": str(path)}
+        self.started: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> "subprocess.Popen[bytes]":
+        self.started = subprocess.Popen(
+            [sys.executable, "-m", "pimentocross.platform"],
+            env=self._environment,
+            stdout=subprocess.DEVNULL,
+        )
+        return self.started
+
+    @property
+    def caller(self) -> Caller:
+        return Caller(self.values["listen_addrs.frontend"])
+
+
+@real_time
+async def test_killed_and_stopped_processes_lose_no_accepted_job() -> None:
+    async with loopback_platform(seconds=0.5) as platform:
+        with tempfile.TemporaryDirectory() as folder:
+            vms = [
+                _Process(folder, f"vm{n}", platform.store_address)
+                for n in range(3)
+            ]
+            try:
+                for vm in vms:
+                    vm.start()
+                for vm in vms:
+                    await _until_ready(vm.values, 20)
+                await _kill_in_turn(vms)
+            finally:
+                for vm in vms:
+                    assert vm.started is not None
+                    vm.started.kill()
+                    vm.started.wait()
+    assert not find_twice(platform.journal)
+    assert not find_again(platform.journal)
+
+
+async def _kill_in_turn(vms: list[_Process]) -> None:
+    for number, vm in enumerate(vms):
+        other = vms[(number + 1) % len(vms)].caller
+        await _until_accepted(vm.caller, f"aa{number}")
+        assert vm.started is not None
+        if number == 0:
+            vm.started.send_signal(signal.SIGHUP)
+            vm.started.send_signal(signal.SIGTERM)
+            with trio.fail_after(8):
+                while vm.started.poll() is None:
+                    await trio.sleep(0.05)
+            assert vm.started.returncode == 0
+        else:
+            vm.started.kill()
+            vm.started.wait()
+        vm.start()
+        await _until_accepted(other, f"ab{number}")
+        await _until_state(other, f"aa{number}", "completed")
+        await _until_ready(vm.values, 20)
+
+
+def test_settings_name_everything_that_is_wrong() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings"
+        path.write_text("node_name=a\nnonsense\ninternal_ports=x,y\n", "utf-8")
+        try:
+            read_settings(path)
+        except SettingsError as error:
+            text = "\n".join(error.findings)
+            for expected in ("settings:2: no '='", "zone is missing", "'x'"):
+                assert expected in text, text
+        else:
+            raise AssertionError("settings without a zone were taken")
+
+
+@real_time
+async def test_appends_are_conditional_idempotent_and_fenced() -> None:
+    async with loopback_platform(0) as platform:
+        client = StoreClient(platform.store_address)
+        records = [Record("a", b"1"), Record("b", b"2")]
+        assert await client.append("t", records, 1.0, at=0) == 0
+        try:
+            await client.append("t", records, 1.0, at=0)
+            raise AssertionError("appended at a wrong offset")
+        except ConditionFailedError as error:
+            assert error.end == 2
+        mark = ProducerMark("p", 7, 0)
+        assert await client.append("t", records[:1], 1.0, mark=mark) == 2
+        assert await client.append("t", records[:1], 1.0, mark=mark) == 2
+        try:
+            await client.append(
+                "t", records[:1], 1.0, mark=ProducerMark("p", 7, 5)
+            )
+            raise AssertionError("a gap was taken")
+        except SequenceGapError as error:
+            assert error.expected == 1
+        try:
+            await client.append(
+                "t", records[:1], 1.0, mark=ProducerMark("p", 6, 0)
+            )
+            raise AssertionError("a lower epoch was taken")
+        except FencedError:
+            pass
+        page = await client.newest("t", 1.0)
+        assert sorted((r.key, r.offset) for r in page.records) == [
+            ("a", 2),
+            ("b", 1),
+        ]
+
+
+@real_time
+async def test_readers_go_on_from_the_newest_once_history_is_gone() -> None:
+    async with loopback_platform(2) as platform:
+        client = StoreClient(platform.store_address)
+        servers, operator = ServerTopic(client), OperatorTopic(client)
+        assert len(await servers.poll(1.0)) == 2
+        first = await operator.next_config(0.0, 1.0)
+        assert first is not None
+        assert first.version == 1
+        await platform.configure(2, "/b/")
+        platform.store.forget_history("op")
+        platform.store.forget_history("servers")
+        try:
+            await client.read("op", 1, 0.0, 1.0)
+            raise AssertionError("forgotten records were read")
+        except HistoryGoneError:
+            pass
+        newer = await operator.next_config(0.0, 1.0)
+        assert newer is not None
+        assert newer.version == 2
+        assert len(await servers.poll(1.0)) == 2
+
+
+@real_time
+async def test_a_store_that_refuses_or_is_not_there_is_unavailable() -> None:
+    async with loopback_platform(0) as platform:
+        client = StoreClient(platform.store_address)
+        platform.store.faults.refused.add("wire")
+        for call in (client.newest("t", 1.0), client.append("t", [], 1.0)):
+            try:
+                await call
+                raise AssertionError("a refusal was taken for an answer")
+            except StoreUnavailableError as error:
+                assert not error.sent
+    try:
+        await client.newest("t", 0.5)
+        raise AssertionError("an absent store answered")
+    except StoreUnavailableError:
+        pass
+
+
+def test_bodies_of_another_form_are_refused_by_name() -> None:
+    for read in (
+        read_config,
+        read_submission,
+        read_hold,
+        lambda body: read_worker("w", body),
+    ):
+        for body in (b"", b"{", b"[]", b"null", b'{"version":"x"}', b"\xff"):
+            try:
+                read(body)
+                raise AssertionError((read, body))
+            except WireError:
+                pass
+
+
+def test_unknown_fields_are_ignored() -> None:
+    spec = read_submission(
+        b'{"spec":"x","color":1,"job_steps":[{"count":2,"shape":"round"}]}'
+    )
+    check_spec(spec)
+    assert spec.steps[0].width == 2
+    empty = read_submission(b'{"job_steps":[]}')
+    try:
+        check_spec(empty)
+        raise AssertionError("a job without steps was taken")
+    except SpecError as error:
+        assert error.findings
