--- a/pimentocross/standins/task_worker.py
+++ b/pimentocross/standins/task_worker.py
@@ -196,7 +196,7 @@
         self._advance()
         self._barred[task] = max(self._barred.get(task, 0), run)
         if (task, run) in self._runs:
-            self._end(task, run, EndKind.STOPPED)
+            self._end(task, run, EndKind.STOPPED, self.clock())
 
     def _check(self, token: int) -> None:
         if self.dead:
@@ -213,20 +213,23 @@
             if not self.faults.hangs and running.ends <= over:
                 failed = running.plan.fails or self.faults.fails_all
                 kind = EndKind.FAILED if failed else EndKind.DONE
-                self._end(task, run, kind)
+                self._end(task, run, kind, running.ends)
         if now >= self._lease_end and not self._lapsed:
             self._lapsed = True
             self._lapses += 1
             for task, run in list(self._runs):
-                self._end(task, run, EndKind.LAPSED)
+                self._end(task, run, EndKind.LAPSED, self._lease_end)
 
-    def _end(self, task: TaskName, run: int, how: EndKind) -> None:
+    def _end(
+        self, task: TaskName, run: int, how: EndKind, clock: float
+    ) -> None:
+        """Ends a run; `clock` is when it really ended."""
         del self._runs[(task, run)]
         self._ended += 1
         self._endings.append(Ending(self._ended, task, run, how, ""))
         self._lapses_at_end[self._ended] = self._lapses
         self._barred[task] = max(self._barred.get(task, 0), run)
-        self._note(task, run, how.value)
+        self._note(task, run, how.value, clock - self._offset)
 
     def _take_note(self, ending: Ending) -> None:
         """Notes an ending whose record the owner has, unless it is void.
@@ -238,8 +241,11 @@
             what = f"noted {ending.how.value}"
             self._note(ending.task, ending.run, what)
 
-    def _note(self, task: TaskName, run: int, what: str) -> None:
-        event = RunEvent(trio.current_time(), self.life.id, task, run, what)
+    def _note(
+        self, task: TaskName, run: int, what: str, at: float | None = None
+    ) -> None:
+        when = trio.current_time() if at is None else at
+        event = RunEvent(when, self.life.id, task, run, what)
         self._journal.append(event)
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -43,12 +43,7 @@
     loopback_platform,
     write_settings,
 )
-
-
-def real_time(function: object) -> object:
-    """Marks a test that uses sockets, and so the real clock."""
-    function.real_time = True  # type: ignore[attr-defined]
-    return function
+from tests.test_http import real_time
 
 
 @asynccontextmanager
