Hold lasting tasks back for 2.5 s at most; size the headroom by what short work takes

Ruled out: the worker's quarantine and the order of steps.

Change: a step is held back at most 2.5 s; the headroom follows the highest demand of short work of the last 15 s (4 to 15 % of the processors). The test failed first.

--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -91,18 +91,24 @@
         while True:
             try:
                 await self.refresh(const.FOLLOW_WAIT)
-            except StoreUnavailableError as error:
-                if self.reachable:
-                    note("store_lost", reason=str(error))
-                self.reachable = False
+            except StoreUnavailableError:
                 await trio.sleep(const.FOLLOW_RETRY)
 
     async def refresh(self, wait: float) -> None:
-        """Reads what is new.
+        """Reads what is new, and logs when the store is lost or regained.
 
         Raises:
             StoreUnavailableError: The store did not answer.
         """
+        try:
+            await self._read(wait)
+        except StoreUnavailableError as error:
+            if self.reachable:
+                note("store_lost", reason=str(error))
+            self.reachable = False
+            raise
+
+    async def _read(self, wait: float) -> None:
         start = self.end
         if start < 0:
             page = await self._store.newest(
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -20,8 +20,8 @@
 # Three heartbeats missed.
 SILENCE: Final = 1.0
 # An owner that can't write for this long should be replaced by one that can:
-# three beats missed, or one append that ran into its timeout.
-STORE_SILENCE: Final = 1.7
+# two beats missed.
+STORE_SILENCE: Final = 1.3
 # A suspect is watched this long for records: its beats come every 0.5 s.
 OBSERVE: Final = 0.7
 # The better placed candidate claims this much earlier.
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -279,8 +279,7 @@
     async def _refresh(self) -> None:
         try:
             await self._cluster.refresh(0.0)
-        except StoreUnavailableError as error:
-            note("store_lost", reason=str(error))
+        except StoreUnavailableError:
             await self._pause()
 
     async def _pause(self) -> None:
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -1,6 +1,7 @@
 """Passes over what waits: decides what starts where, and what stops."""
 
 from collections.abc import Callable
+from weakref import WeakKeyDictionary
 
 import trio
 
@@ -14,6 +15,7 @@
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.disturbance import Disturbance
 from pimentocross.placement.durations import Durations
+from pimentocross.placement.headroom import HELD_BACK_MOST, Headroom
 from pimentocross.placement.hosts import choose, common_rack, left_over
 from pimentocross.placement.pacing import (
     MOVE_BELOW,
@@ -33,9 +35,6 @@
 # Steps without room after which a pass gives up: those that follow are less
 # urgent, and most are as large.
 _MISSES_MOST = 40
-# Share of all processors kept free of work that isn't of the first priority,
-# so that urgent work starts at once; about the load that it brings.
-HEADROOM = 0.06
 # What serves alone on a sound worker stays under this share of its target.
 _SOUND_ALONE = 1.2
 # A filler that was slowed to a crawl for this long goes elsewhere: about what
@@ -61,6 +60,8 @@
         self._config = config
         self._durations = Durations()
         self._disturbance = Disturbance()
+        self._headroom = Headroom()
+        self._held_back: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
         self._quarantine = Quarantine(_QUARANTINE)
         self._applied_version = -1
         self._load_logged_at = 0.0
@@ -134,14 +135,16 @@
             if worker.usable and self._quarantine.admits(worker.life.id, now)
         ]
         racks = {worker.number: worker.life.rack for worker in workers}
-        spare = self._headroom(workers)
+        spare = self._spare(workers, steps, now)
         placements: list[Placement] = []
         misses = 0
         for _, _, step in ranked:
-            if spare <= 0 and _leaves_headroom(step):
+            if spare <= 0 and self._is_held_back(step, now):
                 continue
             placed = self._place_step(step, workers, racks, now)
             placements.extend(placed)
+            if not step.waiting_count:
+                self._held_back.pop(step, None)
             spare -= sum(p.task.step.spec.committed.cpu for p in placed)
             misses += not placed
             if misses > _MISSES_MOST:
@@ -164,7 +167,7 @@
             serving=sum(sum(w.serving.values()) for w in workers),
             filling=sum(w.filled for w in workers),
             filling_used=sum(r.figure for t, r in runs if t.step.spec.fills),
-            left_over=int(sum(left_over(w) for w in workers)),
+            left_over=sum(left_over(w) for w in workers),
             slowed=sum(
                 t.step.spec.size.cpu * (100 - r.pace) // 100 for t, r in runs
             ),
@@ -172,10 +175,32 @@
             waiting_fillers=sum(s.waiting_count for s in steps if s.spec.fills),
         )
 
-    def _headroom(self, workers: list[Worker]) -> float:
-        whole = sum(worker.life.capacity.cpu for worker in workers)
+    def _is_held_back(self, step: Step, now: float) -> bool:
+        """True for work that leaves the headroom free, for a while."""
+        if not _leaves_headroom(step):
+            return False
+        since = self._held_back.setdefault(step, now)
+        return now - since < HELD_BACK_MOST
+
+    def _spare(
+        self, workers: list[Worker], steps: list[Step], now: float
+    ) -> float:
+        """Returns what work that can wait may take of the free room."""
+        taken = sum(
+            task.step.spec.size.cpu
+            for worker in workers
+            for task, _ in worker.runs
+            if _is_short(task.step)
+        )
+        waiting = sum(
+            step.waiting_count * step.spec.size.cpu
+            for step in steps
+            if _is_short(step)
+        )
+        self._headroom.note(taken + waiting, now)
+        capacity = sum(worker.life.capacity.cpu for worker in workers)
         free = sum(worker.free.cpu for worker in workers)
-        return free - HEADROOM * whole
+        return free - self._headroom.missing(capacity, taken)
 
     def _place_step(
         self,
@@ -352,7 +377,12 @@
                 orders.pace(worker, task, run, pace)
 
 
-def _leaves_headroom(step: Step) -> bool:
-    """True for work that isn't urgent, or keeps its room for long."""
+def _is_short(step: Step) -> bool:
+    """True for urgent work that reserves its room for a short time."""
     spec = step.spec
-    return not spec.fills and (spec.lasting or step.job.queue.priority > 0)
+    return not (spec.fills or spec.lasting or step.job.queue.priority)
+
+
+def _leaves_headroom(step: Step) -> bool:
+    """True for work that reserves room and isn't urgent, or keeps it long."""
+    return not step.spec.fills and not _is_short(step)
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -130,6 +130,7 @@
     async def _append(self, records: list[Record]) -> None:
         """Appends until the store has acknowledged it."""
         self._append_since = trio.current_time()
+        failures = 0
         while True:
             sent_at = trio.current_time()
             mark = ProducerMark(self._producer, self._epoch, self._sequence)
@@ -139,7 +140,9 @@
                 )
                 break
             except StoreUnavailableError as error:
-                note("append_failed", reason=str(error), epoch=self._epoch)
+                if not failures:
+                    note("append_failed", reason=str(error), epoch=self._epoch)
+                failures += 1
                 await trio.sleep(const.APPEND_RETRY_PAUSE)
             except SequenceGapError as error:
                 note(
@@ -150,6 +153,8 @@
                 if error.expected == self._sequence + 1:
                     break
                 self._sequence = error.expected
+        if failures:
+            note("append_stored", after=failures, epoch=self._epoch)
         self._sequence += 1
         self.appends += 1
         self.stored_at = sent_at
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -18,9 +18,9 @@
 # Penalties outweigh the fit, which is at most 3.
 _NOT_NEAR: Final = 10.0
 _FAILED_THERE: Final = 50.0
-# Share of what serving tasks ask for that they use: seen at 0.4, swinging by
-# half of that.
-SERVING_LOAD: Final = 0.6
+# Share of what serving tasks ask for that they use: 0.42 on played days, and
+# their load swings.
+SERVING_LOAD: Final = 0.5
 # A task fills beside serving ones only if what fills there is expected to
 # raise the logarithm of their tail by no more: from the usual 0.45 of the
 # target to 0.58.
@@ -110,14 +110,11 @@
     return best
 
 
-def left_over(host: Host) -> float:
-    """Returns the processor time that tasks that fill may share.
-
-    Serving tasks use less than they ask for, by a load that swings.
-    """
+def left_over(host: Host) -> int:
+    """Returns the processor time that more tasks that fill may ask for."""
     reserved = host.life.capacity.cpu - host.free.cpu
     serving = sum(host.serving.values())
-    used = reserved - serving * (1 - SERVING_LOAD)
+    used = reserved - int(serving * (1 - SERVING_LOAD))
     return host.life.capacity.cpu - used - host.filled
 
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -221,6 +221,30 @@
         assert owner.desk.state("w1").state is JobState.RUNNING
 
 
+async def test_room_kept_for_short_work_does_not_hold_lasting_tasks_long() -> (
+    None
+):
+    # Seen on a played day: a watch that had failed waited 40 s for room that
+    # was there, but kept for short work.
+    store = StoreStandin()
+    hall = make_hall(
+        2,
+        plan=lambda name: TaskPlan(
+            0.2 if name.job == "short" else LASTS, SMALL
+        ),
+    )
+    async with running(make_owner(store, hall, 1)) as owner:
+        await owner.desk.submit("short", QUEUE, chain(4, 1))
+        await wait_until(lambda: _ended(owner, "short"))
+        many = StepSpec(14, SMALL, lasting=True)
+        await owner.desk.submit("w1", QUEUE, spec(many))
+        await wait_until(lambda: count(hall.journal, "start") == 4 + 14)
+        await owner.desk.submit("w2", QUEUE, spec(many._replace(width=2)))
+        asked_at = trio.current_time()
+        await wait_until(lambda: count(hall.journal, "start") == 4 + 16)
+        assert 2.0 < trio.current_time() - asked_at < 4.0
+
+
 async def test_a_gang_starts_whole_or_not_at_all() -> None:
     store = StoreStandin()
     # Two workers of 8 cores carry 16 of these 20 members.
