--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -13,7 +13,7 @@
 from pimentocross.owner.orders import Orders, Placement
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
-from pimentocross.placement.disturbance import Disturbance
+from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.durations import Durations
 from pimentocross.placement.headroom import HELD_BACK_MOST, Headroom
 from pimentocross.placement.hosts import choose, common_rack, left_over
@@ -27,6 +27,7 @@
 from pimentocross.placement.stalls import is_stalled
 from pimentocross.placement.urgency import urgency
 from pimentocross.work.queue import WorkConfig
+from pimentocross.work.records import LearnedRecord, encode_learned
 from pimentocross.work.state import Run, RunState, Step, Task
 
 # Two jobs that fail in a row speak against a worker: ordinary tasks fail one
@@ -71,6 +72,18 @@
         """Has decisions made anew."""
         self._wake.set()
 
+    def encode_learned(self) -> bytes:
+        """Returns the record of what was learned."""
+        return encode_learned(
+            self._disturbance.pairs(), self._durations.means()
+        )
+
+    def restore(self, learned: LearnedRecord) -> None:
+        """Takes what a former owner had learned."""
+        pairs = [Pair(*row) for row in learned.pairs]
+        self._disturbance.restore(pairs, trio.current_time())
+        self._durations.restore(learned.durations)
+
     async def run(self, orders: Orders) -> None:
         """Decides whenever something changed, for ever."""
         while True:
@@ -129,11 +142,8 @@
             (urgency(step, self._durations, today), number, step)
             for number, step in enumerate(steps)
         )
-        workers = [
-            worker
-            for worker in self._roster.workers()
-            if worker.usable and self._quarantine.admits(worker.life.id, now)
-        ]
+        usable = [w for w in self._roster.workers() if w.usable]
+        workers = [w for w in usable if self._quarantine.admits(w.life.id, now)]
         racks = {worker.number: worker.life.rack for worker in workers}
         spare = self._spare(workers, steps, now)
         placements: list[Placement] = []
@@ -142,6 +152,8 @@
             if spare <= 0 and self._is_held_back(step, now):
                 continue
             placed = self._place_step(step, workers, racks, now)
+            if not placed and self._needs_any_worker(step, now):
+                placed = self._place_step(step, usable, racks, now)
             placements.extend(placed)
             if not step.waiting_count:
                 self._held_back.pop(step, None)
@@ -182,6 +194,13 @@
         since = self._held_back.setdefault(step, now)
         return now - since < HELD_BACK_MOST
 
+    def _needs_any_worker(self, step: Step, now: float) -> bool:
+        """True for tasks that last and have waited long for a sound worker."""
+        if not step.spec.lasting:
+            return False
+        since = self._held_back.setdefault(step, now)
+        return now - since >= HELD_BACK_MOST
+
     def _spare(
         self, workers: list[Worker], steps: list[Step], now: float
     ) -> float:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -16,7 +16,7 @@
 from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import CellParts
-from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.roster import Roster
 from pimentocross.work import records
@@ -150,6 +150,8 @@
     ) -> None:
         if kind == records.SUBMISSION:
             jobs[name] = records.decode_submission(name, value)
+        elif kind == records.LEARNED:
+            self._dispatcher.restore(records.decode_learned(value))
         elif kind == records.WORKER:
             self._roster.restore(int(name), records.decode_worker(value))
 
@@ -165,6 +167,9 @@
         while True:
             await trio.sleep(const.SWEEP_INTERVAL)
             self._book.sweep()
+            self._ledger.put(
+                PlainRecord(records.LEARNED, self._dispatcher.encode_learned)
+            )
 
 
 def _former_lease(claim: Claim) -> float:
--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -8,7 +8,7 @@
 most do nothing.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 import math
 from typing import Final, NamedTuple
 
@@ -21,6 +21,15 @@
     at: float
 
 
+class Pair(NamedTuple):
+    """What is known of a pair of images; no filling image for a base."""
+
+    serving: str
+    filling: str
+    mean: float
+    variance: float
+
+
 # Without neighbours, tails were seen at 0.3 to 0.6 of their target.
 _BASE: Final = Estimate(math.log(0.45), 0.3, 0.0)
 # Coefficients were seen from 0 to 10; an unknown pair is tried with care.
@@ -53,6 +62,21 @@
         self._estimates: dict[tuple[str, str], Estimate] = {}
         self._now = 0.0
 
+    def pairs(self) -> list[Pair]:
+        """Returns all that was learned, as far as it holds now."""
+        return [
+            Pair(serving, image, known.mean, known.variance)
+            for serving, image in self._estimates
+            for known in [self._aged(serving, image, self._now)]
+        ]
+
+    def restore(self, pairs: Sequence[Pair], now: float) -> None:
+        """Takes what a former owner had learned."""
+        self._now = now
+        for pair in pairs:
+            estimate = Estimate(pair.mean, pair.variance, now)
+            self._estimates[(pair.serving, pair.filling)] = estimate
+
     def advance(self, now: float) -> None:
         """Notes the time, as what is known ages."""
         self._now = now
--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -1,5 +1,6 @@
 """How long tasks take: rough words of callers, corrected by what was seen."""
 
+from collections.abc import Mapping
 import math
 from typing import Final
 
@@ -23,6 +24,14 @@
         """Knows nothing yet."""
         self._means: dict[str, float] = {}
 
+    def means(self) -> dict[str, float]:
+        """Returns the mean logarithm of durations by queue."""
+        return dict(self._means)
+
+    def restore(self, means: Mapping[str, float]) -> None:
+        """Takes what a former owner had seen."""
+        self._means.update(means)
+
     def note(self, queue: str, seconds: float) -> None:
         """Takes in how long one task of a queue took."""
         logarithm = math.log(max(seconds, 0.01))
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -5,6 +5,7 @@
 of their form. Keys are short, as each byte of the store is paid for.
 """
 
+from collections.abc import Sequence
 from typing import Any, Final, NamedTuple, TypeVar
 
 import msgspec
@@ -17,6 +18,7 @@
 SUBMISSION: Final = "j"
 PROGRESS: Final = "p"
 WORKER: Final = "w"
+LEARNED: Final = "l"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -91,6 +93,38 @@
     machine: str
 
 
+class LearnedRecord(NamedTuple):
+    """What an owner has learned, so that its successor needn't anew.
+
+    Attributes:
+        form: Version of the form.
+        pairs: Rows of a serving and a filling image, mean and variance; see
+            `placement.disturbance`.
+        durations: Mean logarithms of durations by queue.
+    """
+
+    form: int
+    pairs: tuple[tuple[str, str, float, float], ...]
+    durations: dict[str, float]
+
+
+def encode_learned(
+    pairs: Sequence[tuple[str, str, float, float]],
+    durations: dict[str, float],
+) -> bytes:
+    """Returns the record of what was learned."""
+    return _encode(LearnedRecord(FORM, tuple(pairs), durations))
+
+
+def decode_learned(value: bytes) -> LearnedRecord:
+    """Reads the record of what was learned.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, LearnedRecord)
+
+
 def encode_submission(job: Job) -> bytes:
     """Returns a job's first record."""
     record = SubmissionRecord(FORM, job.queue, job.spec, job.accepted_at)
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -108,6 +108,15 @@
     assert disturbance.coefficient("shop", "heavy") < 1.5
 
 
+def test_a_successor_takes_what_was_learned() -> None:
+    disturbance = _taught(_TRUTH, seconds=60)
+    successor = Disturbance()
+    successor.restore(disturbance.pairs(), now=0.0)
+    for serving, image in _TRUTH:
+        bad = disturbance.is_bad(serving, image)
+        assert successor.is_bad(serving, image) == bad
+
+
 def test_a_worker_that_hangs_teaches_little() -> None:
     disturbance = _taught(_TRUTH, seconds=60)
     before = disturbance.coefficient("shop", "other")
