--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -18,13 +18,12 @@
 # Penalties outweigh the fit, which is at most 3.
 _NOT_NEAR: Final = 10.0
 _FAILED_THERE: Final = 50.0
-# Share of what serving tasks ask for that they use: 0.42 on played days, and
-# their load swings.
-SERVING_LOAD: Final = 0.5
+# Share of what serving tasks ask for that they use, as seen on played days.
+SERVING_LOAD: Final = 0.42
 # A task fills beside serving ones only if what fills there is expected to
 # raise the logarithm of their tail by no more: from the usual 0.45 of the
-# target to 0.58.
-HARM_MOST: Final = 0.25
+# target to 0.67.
+HARM_MOST: Final = 0.4
 # A worker that serves nobody is taken after those that serve the same image,
 # before those that serve others.
 _SERVES_NOBODY: Final = 0.8
