--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,246 @@
+"""Entry VMs in virtual time: who owns, how fast, and what callers are told."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from pimentocross.contracts.store import ConditionFailedError
+from pimentocross.gateway import const
+from pimentocross.gateway.caller_desk import Answer, AnswerKind, CallerDesk
+from pimentocross.gateway.cluster import Cluster, claim_record, member_record
+from pimentocross.gateway.election import Election
+from pimentocross.gateway.messages import (
+    AskState,
+    GatewayMessage,
+    JobAnswer,
+    NotOwner,
+)
+from pimentocross.links.greeting import PeerIdentity
+from pimentocross.links.peer import PeerUnreachableError
+from pimentocross.owner.desk import Outcome
+from pimentocross.owner.owner import CellPlatform
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import WorkerHall
+from pimentocross.work.queue import WorkConfig
+from pimentocross.work.state import JobState
+from tests.owner_fixtures import (
+    CONFIG,
+    QUEUE,
+    chain,
+    find_twice,
+    make_hall,
+    wait_until,
+)
+
+
+class _Vm:
+    """An entry VM without its listeners: members, claims and the owner.
+
+    Other VMs can't be dialed, so that only the store tells who lives.
+    """
+
+    def __init__(
+        self, name: str, generation: int, store: StoreStandin, hall: WorkerHall
+    ) -> None:
+        process = f"{name}:{generation}"
+        self.identity = PeerIdentity(process, name, "127.0.0.1:9", "z")
+        access = hall.access(name)
+        platform = CellPlatform(store.client(name), access, access)
+        self.cluster = Cluster(platform.store)
+        self.election = Election(
+            self.identity,
+            self.cluster,
+            platform,
+            lambda: CONFIG,
+            trio.current_time,
+        )
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.cluster.follow)
+            mine = self.identity
+            member = member_record(mine.name, mine.process, mine.address)
+            nursery.start_soon(self.cluster.register, member)
+            nursery.start_soon(self.election.run)
+
+    @property
+    def owns(self) -> bool:
+        owner = self.election.owner
+        return owner is not None and owner.ready.is_set()
+
+
+@asynccontextmanager
+async def _vms(
+    count: int, store: StoreStandin, hall: WorkerHall
+) -> AsyncIterator[tuple[list[_Vm], dict[str, trio.CancelScope], trio.Nursery]]:
+    scopes: dict[str, trio.CancelScope] = {}
+    vms = [_Vm(f"vm{n}", 0, store, hall) for n in range(count)]
+    async with trio.open_nursery() as nursery:
+        for vm in vms:
+            nursery.start_soon(_run_killable, vm, scopes)
+        yield vms, scopes, nursery
+        nursery.cancel_scope.cancel()
+
+
+async def _run_killable(vm: _Vm, scopes: dict[str, trio.CancelScope]) -> None:
+    with trio.CancelScope() as scope:
+        scopes[vm.identity.name] = scope
+        await vm.run()
+
+
+async def test_one_of_many_starting_at_once_owns() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(7, store, hall) as (vms, _, _):
+        await wait_until(lambda: any(vm.owns for vm in vms), timeout=3)
+        await trio.sleep(5)
+        assert sum(vm.owns for vm in vms) == 1
+
+
+async def test_a_dead_owner_is_followed_within_three_seconds() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(5, store, hall) as (vms, scopes, _):
+        await wait_until(lambda: any(vm.owns for vm in vms))
+        owner = next(vm for vm in vms if vm.owns)
+        assert owner.election.owner is not None
+        await owner.election.owner.desk.submit("j1", QUEUE, chain(2, 1))
+        scopes[owner.identity.name].cancel()
+        died_at = trio.current_time()
+        rest = [vm for vm in vms if vm is not owner]
+        await wait_until(lambda: any(vm.owns for vm in rest))
+        assert trio.current_time() - died_at < 3.0
+        heir = next(vm for vm in rest if vm.owns)
+        assert heir.election.owner is not None
+        assert heir.election.owner.desk.state("j1").outcome is Outcome.OK
+    assert not find_twice(hall.journal)
+
+
+async def test_a_restarted_process_follows_its_own_former_self() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(1, store, hall) as (vms, scopes, nursery):
+        await wait_until(lambda: vms[0].owns)
+        scopes["vm0"].cancel()
+        again = _Vm("vm0", 1, store, hall)
+        restarted_at = trio.current_time()
+        nursery.start_soon(_run_killable, again, scopes)
+        await wait_until(lambda: again.owns)
+        assert trio.current_time() - restarted_at < 1.0
+
+
+async def test_an_owner_that_the_store_refuses_is_replaced() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(3, store, hall) as (vms, _, _):
+        await wait_until(lambda: any(vm.owns for vm in vms))
+        owner = next(vm for vm in vms if vm.owns)
+        store.faults.refused.add(owner.identity.name)
+        refused_at = trio.current_time()
+        rest = [vm for vm in vms if vm is not owner]
+        await wait_until(lambda: any(vm.owns for vm in rest))
+        assert trio.current_time() - refused_at < 3.5
+        await wait_until(lambda: not owner.owns)
+
+
+async def test_nobody_is_replaced_while_the_whole_store_is_away() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(3, store, hall) as (vms, _, _):
+        await wait_until(lambda: any(vm.owns for vm in vms))
+        owner = next(vm for vm in vms if vm.owns)
+        store.faults.away = True
+        await trio.sleep(6)
+        assert [vm.owns for vm in vms] == [vm is owner for vm in vms]
+        store.faults.away = False
+        await trio.sleep(6)
+        assert sum(vm.owns for vm in vms) == 1
+
+
+async def test_a_planned_stop_gives_the_cell_away_at_once() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(3, store, hall) as (vms, _, _):
+        await wait_until(lambda: any(vm.owns for vm in vms))
+        owner = next(vm for vm in vms if vm.owns)
+        owner.election.leave()
+        left_at = trio.current_time()
+        rest = [vm for vm in vms if vm is not owner]
+        await wait_until(lambda: any(vm.owns for vm in rest))
+        assert trio.current_time() - left_at < 1.0
+        assert not owner.owns
+
+
+async def test_a_claim_on_what_was_not_read_fails() -> None:
+    store = StoreStandin()
+    first, second = Cluster(store.client("a")), Cluster(store.client("b"))
+    await first.refresh(0.0)
+    await second.refresh(0.0)
+    await first.append_claim(claim_record("a", "a:1", ""), first.end)
+    try:
+        await second.append_claim(claim_record("b", "b:1", ""), second.end)
+        raise AssertionError("two claims were taken")
+    except ConditionFailedError:
+        pass
+    await second.refresh(0.0)
+    assert second.claim is not None
+    assert second.claim.process == "a:1"
+
+
+class _Owner:
+    """Answers, or fails, as told."""
+
+    def __init__(
+        self, reply: GatewayMessage | PeerUnreachableError, absent: float = 0.0
+    ) -> None:
+        self.reply = reply
+        self.absent = absent
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        await trio.lowlevel.checkpoint()
+        if isinstance(self.reply, PeerUnreachableError):
+            raise self.reply
+        return self.reply
+
+    def owner_absent(self) -> float:
+        return self.absent
+
+
+async def _submitted(reply: GatewayMessage | PeerUnreachableError) -> Answer:
+    desk = CallerDesk(lambda: CONFIG, _Owner(reply))
+    place = desk.find("host", "/plans/j1")
+    assert not isinstance(place, Answer)
+    return await desk.submit(place, chain(1, 1), 3.0)
+
+
+async def test_a_refusal_says_that_nothing_runs_only_if_that_is_sure() -> None:
+    sent = await _submitted(PeerUnreachableError("lost", sent=True))
+    assert sent.kind is AnswerKind.UNKNOWN
+    assert not sent.retry_after
+    unsent = await _submitted(PeerUnreachableError("no owner", sent=False))
+    assert unsent.kind is AnswerKind.NOT_ACCEPTED
+    assert unsent.retry_after == const.RETRY_AFTER
+    away = await _submitted(JobAnswer(Outcome.STORE_AWAY, None))
+    assert away.kind is AnswerKind.NOT_ACCEPTED
+    moved = await _submitted(NotOwner("moved"))
+    assert moved.kind is AnswerKind.NOT_ACCEPTED
+    done = await _submitted(JobAnswer(Outcome.OK, JobState.QUEUED))
+    assert done.kind is AnswerKind.ACCEPTED
+
+
+async def test_an_unsure_owner_never_denies_a_job() -> None:
+    desk = CallerDesk(lambda: CONFIG, _Owner(NotOwner("moved")))
+    answer = await desk.look("host", "/plans/j1", 3.0)
+    assert answer.kind is AnswerKind.UNAVAILABLE
+    assert AskState("j1").job == "j1"
+
+
+def test_readiness_follows_configuration_owner_and_drain() -> None:
+    config: list[WorkConfig | None] = [None]
+    owner = _Owner(NotOwner(""), absent=0.0)
+    desk = CallerDesk(lambda: config[0], owner)
+    assert not desk.ready()
+    config[0] = CONFIG
+    assert desk.ready()
+    owner.absent = const.READY_WITHOUT_OWNER + 0.1
+    assert not desk.ready()
+    owner.absent = 0.0
+    desk.draining = True
+    assert not desk.ready()
