Tell unsound workers by speed; tickets of the adviser; metrics and explain

Cause: workers that turn slow, and ones on which all that serves suffers, were left with their tasks until the fault was over; queues with an adviser could not be served; counters and a job's story could not be had.

Change: placement/soundness.py (a worker is judged against the others), tickets asked for one step at a time, a metrics page, 'pimentocross explain'.

Ruled out: judging by one job's runs (its estimates are wrong alike).

--- a/pimentocross/cli/main.py
+++ b/pimentocross/cli/main.py
@@ -12,6 +12,7 @@
     config_commands,
     dev,
     entry,
+    explain,
     operate,
     standin,
 )
@@ -39,6 +40,7 @@
     caller.cancel,
     caller.call,
     dev.dev,
+    explain.explain,
 ):
     app.command()(command)
 app.add_typer(standin.app, name="standin")
--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
+import trio
+
 from pimentocross.gateway import const
 from pimentocross.gateway.messages import (
     AskPending,
@@ -16,6 +18,7 @@
 )
 from pimentocross.links.peer import PeerUnreachableError
 from pimentocross.observe.decisions import note
+from pimentocross.observe.histograms import Histograms, Label
 from pimentocross.owner.desk import Outcome
 from pimentocross.work.queue import Queue, WorkConfig
 from pimentocross.work.spec import JobSpec
@@ -82,15 +85,21 @@
 
 
 class CallerDesk:
-    """Finds the queue, asks the owner, and words the answer."""
+    """Finds the queue, asks the owner, and words the answer.
+
+    Attributes:
+        draining: Whether this VM is about to stop.
+        histograms: How long submissions took, by queue.
+    """
 
     def __init__(
         self, config: Callable[[], WorkConfig | None], owner: OwnerAccess
     ) -> None:
         """Takes the configuration in force and how the owner is reached."""
+        self.draining = False
+        self.histograms = Histograms()
         self._config = config
         self._owner = owner
-        self.draining = False
 
     def ready(self) -> bool:
         """True if this VM should get new callers."""
@@ -113,10 +122,13 @@
     ) -> Answer:
         """Submits a job; `deadline` is how long the caller waits."""
         message = SubmitJob(place.rest, place.queue, spec)
+        asked_at = trio.current_time()
         try:
             reply = await self._ask(message, deadline)
         except PeerUnreachableError as error:
             return self._unanswered(place.rest, error)
+        took = trio.current_time() - asked_at
+        self.histograms.record(Label("queue", place.queue.name), took)
         if isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK:
             return Answer(AnswerKind.ACCEPTED)
         return self._refused(place.rest, reply)
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -52,6 +52,7 @@
 
     callers: Handler
     ready: Handler
+    metrics: Handler
 
 
 class GatewayNode:
@@ -111,6 +112,7 @@
             nursery.start_soon(write_lines)
             await nursery.start(ready.serve, settings.ready_address)
             await nursery.start(callers.serve, settings.caller_address)
+            nursery.start_soon(self._serve_metrics, surfaces.metrics)
             nursery.start_soon(self._serve_peers, peers)
             nursery.start_soon(self._follow_config)
             nursery.start_soon(self._cluster.follow)
@@ -138,6 +140,25 @@
         while callers.in_flight and trio.current_time() < end:
             await trio.sleep(0.02)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns present values for the metrics page."""
+        config, owner = self._config, self._election.owner
+        return {
+            "config_version": config.version if config is not None else 0,
+            "owner_absent_seconds": self.owner_absent(),
+            "owned_epoch": owner.epoch if owner is not None else 0,
+            "store_age_seconds": _standing(owner).store_age,
+        }
+
+    async def _serve_metrics(self, handler: Handler) -> None:
+        listener = HttpListener(handler, ListenerLimits)
+        address = f"{self._settings.ip}:{self._settings.metrics_port}"
+        try:
+            await listener.serve(address)
+        except OSError as error:
+            # Metrics are not worth a process that serves callers.
+            note("metrics_unserved", address=address, reason=str(error))
+
     def _limits(self) -> ListenerLimits:
         config = self._config
         if config is None:
--- a/pimentocross/gateway/settings.py
+++ b/pimentocross/gateway/settings.py
@@ -13,7 +13,10 @@
         caller_address: host:port for callers.
         ready_address: host:port where the balancer asks.
         peer_port: Port for peers.
+        metrics_port: Port of the metrics page.
         store_address: host:port of the store.
+        adviser_address: host:port of the service that knows who may run a
+            step, or "".
         grace: Seconds between a request to stop and a kill.
     """
 
@@ -23,5 +26,7 @@
     caller_address: str
     ready_address: str
     peer_port: int
+    metrics_port: int
     store_address: str
+    adviser_address: str
     grace: float
--- a/pimentocross/observe/decisions.py
+++ b/pimentocross/observe/decisions.py
@@ -27,6 +27,7 @@
     """Lines that wait to be written.
 
     Attributes:
+        counts: Decisions by kind, written or not.
         dropped: Lines that were not written, by kind.
     """
 
@@ -34,6 +35,7 @@
         """Starts empty and off."""
         self.enabled = False
         self.source = ""
+        self.counts: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
         self._waiting: deque[bytes] = deque()
         self._allowance = 2.0 * _BYTES_PER_SECOND
@@ -99,10 +101,16 @@
 
 def note(kind: str, **fields: object) -> None:
     """Logs a decision with the inputs that decided it and the outcome."""
+    _log.counts[kind] += 1
     if _log.enabled:
         _log.note(kind, fields)
 
 
+def counts() -> Counter[str]:
+    """Returns how many decisions of each kind there were."""
+    return _log.counts
+
+
 def dropped() -> Counter[str]:
     """Returns the lines that were not written, by kind."""
     return _log.dropped
--- /dev/null
+++ b/pimentocross/observe/metrics.py
@@ -0,0 +1,39 @@
+"""Counters and latency histograms in the text form that scrapers read."""
+
+from pimentocross.observe.decisions import counts, dropped
+from pimentocross.observe.histograms import Histograms
+
+_QUANTILES = ("p50", "p90", "p99", "p999")
+
+
+def render(histograms: Histograms, gauges: dict[str, float]) -> bytes:
+    """Returns the page.
+
+    Args:
+        histograms: Latencies by label.
+        gauges: Present values by name.
+    """
+    lines = ["# TYPE pimentocross_decisions_total counter"]
+    for kind, count in sorted(counts().items()):
+        lines.append(f'pimentocross_decisions_total{{is="{kind}"}} {count}')
+    lines.append("# TYPE pimentocross_log_lines_dropped_total counter")
+    for kind, count in sorted(dropped().items()):
+        lines.append(
+            f'pimentocross_log_lines_dropped_total{{is="{kind}"}} {count}'
+        )
+    for name, value in sorted(gauges.items()):
+        lines.append(f"# TYPE pimentocross_{name} gauge")
+        lines.append(f"pimentocross_{name} {value:g}")
+    lines.append("# TYPE pimentocross_latency_ms summary")
+    for summary in histograms.summaries():
+        label = f'{summary.kind}="{summary.name}"'
+        for quantile in _QUANTILES:
+            value = getattr(summary, quantile)
+            lines.append(
+                f"pimentocross_latency_ms"
+                f'{{{label},quantile="{quantile}"}} {value:g}'
+            )
+        lines.append(
+            f"pimentocross_latency_ms_count{{{label}}} {summary.total}"
+        )
+    return "\n".join(lines).encode() + b"\n"
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -1,13 +1,15 @@
 """Passes over what waits: decides what starts where, and what stops."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from weakref import WeakKeyDictionary
 
 import trio
 
+from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.worker_link import Ending, EndKind, StartVerdict
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const, wall
+from pimentocross.owner.advice import AdviceDesk
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.orders import Orders, Placement
@@ -16,7 +18,7 @@
 from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.durations import Durations
 from pimentocross.placement.headroom import HELD_BACK_MOST, Headroom
-from pimentocross.placement.hosts import choose, common_rack, left_over
+from pimentocross.placement.hosts import allows, choose, common_rack, left_over
 from pimentocross.placement.pacing import (
     MOVE_BELOW,
     SETTLE,
@@ -24,6 +26,12 @@
     next_paces,
 )
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
+from pimentocross.placement.soundness import (
+    Progress,
+    Speeds,
+    is_sick,
+    may_take_away,
+)
 from pimentocross.placement.stalls import is_stalled
 from pimentocross.placement.urgency import urgency
 from pimentocross.work.queue import WorkConfig
@@ -44,24 +52,40 @@
 # A run that has done less than this, in percent, loses little by a move.
 _LITTLE_DONE = 25
 _LOAD_INTERVAL = 1.0
+# A lasting task that is at work is listed with this percentage.
+_AT_WORK = 100
+# A worker that was seen in trouble gets nothing new for this long: faults of
+# this kind were seen to last for 5 to 8 s.
+UNSOUND_FOR = 2.0
+# Workers with room and a ticket from which on no more are asked for.
+_ADVISED_ENOUGH = 4
+# What a stop and a new start cost a task, in seconds.
+_MOVE_COST = 0.8
 
 
 class Dispatcher:
-    """Decides, and has orders sent."""
+    """Decides, and has orders sent.
+
+    Attributes:
+        advice: Tickets for steps that only some workers may run.
+    """
 
     def __init__(
         self,
         book: JobBook,
         roster: Roster,
         config: Callable[[], WorkConfig],
+        adviser: Adviser | None,
     ) -> None:
-        """Takes the jobs, the workers and the configuration in force."""
+        """Takes the jobs, the workers, the configuration and the adviser."""
+        self.advice = AdviceDesk(adviser, self.wake)
         self._book = book
         self._roster = roster
         self._config = config
         self._durations = Durations()
         self._disturbance = Disturbance()
         self._headroom = Headroom()
+        self._speeds = Speeds()
         self._held_back: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
         self._quarantine = Quarantine(_QUARANTINE)
         self._applied_version = -1
@@ -112,8 +136,12 @@
         elif not task.step.spec.lasting:
             self._quarantine.note_lost(worker.life.id)
 
-    def on_refused(self, worker: Worker, verdict: StartVerdict) -> None:
+    def on_refused(
+        self, worker: Worker, task: Task, verdict: StartVerdict
+    ) -> None:
         """Learns from a refused start."""
+        if verdict is StartVerdict.NO_TICKET:
+            self.advice.forget(task.step)
         if verdict is StartVerdict.UNHEALTHY:
             now = trio.current_time()
             self._quarantine.note_failed(worker.life.id, "unhealthy", now)
@@ -143,7 +171,12 @@
             for number, step in enumerate(steps)
         )
         usable = [w for w in self._roster.workers() if w.usable]
-        workers = [w for w in usable if self._quarantine.admits(w.life.id, now)]
+        workers = [
+            w
+            for w in usable
+            if w.unsound_until <= now
+            and self._quarantine.admits(w.life.id, now)
+        ]
         racks = {worker.number: worker.life.rack for worker in workers}
         spare = self._spare(workers, steps, now)
         placements: list[Placement] = []
@@ -228,6 +261,8 @@
         racks: dict[int, str],
         now: float,
     ) -> list[Placement]:
+        if step.job.queue.asks_adviser:
+            workers = self._advised(step, workers)
         if step.spec.gang:
             return self._place_gang(step, workers, now)
         rack = ""
@@ -244,6 +279,17 @@
             placed.append(placement)
         return placed
 
+    def _advised(self, step: Step, workers: list[Worker]) -> list[Worker]:
+        """Returns the workers that may run a step; asks if there are few."""
+        tickets = self.advice.tickets(step)
+        found = [w for w in workers if w.life.id in tickets]
+        room = sum(allows(w, step) for w in found)
+        if room < min(step.waiting_count, _ADVISED_ENOUGH):
+            able = [w for w in workers if allows(w, step)]
+            able.sort(key=lambda w: -w.free.cpu)
+            self.advice.want(step, [w.life.id for w in able])
+        return found
+
     def _place_gang(
         self, step: Step, workers: list[Worker], now: float
     ) -> list[Placement]:
@@ -284,7 +330,8 @@
         self._quarantine.note_started(worker.life.id)
         if not self._quarantine.admits(worker.life.id, now):
             workers.remove(worker)
-        return Placement(task, run, worker)
+        ticket = self.advice.tickets(task.step).get(worker.life.id, "")
+        return Placement(task, run, worker, ticket)
 
     def _send(self, placements: list[Placement], orders: Orders) -> None:
         batch: Batch | None = None
@@ -321,12 +368,29 @@
             return ""
         if worker.life.draining and self._should_leave(worker, task, run, now):
             return "the worker leaves"
+        if worker.unsound_until > now and self._is_better_off(
+            worker, task, run
+        ):
+            task.failed_on.add(worker.number)
+            return "the worker is unsound"
         if worker.reached and is_stalled(task, run, worker.heard_at):
             self._hold_against(worker, task)
             task.failed_on.add(worker.number)
             return "no progress"
         return ""
 
+    def _is_better_off(self, worker: Worker, task: Task, run: Run) -> bool:
+        """True if a run on an unsound worker should go elsewhere."""
+        spec = task.step.spec
+        if spec.lasting:
+            return run.percent >= _AT_WORK and may_take_away(task.step)
+        for other, candidate, progress in self._progress(worker):
+            if other is task and candidate is run:
+                kept = progress.percent / 100 if spec.saves else 0.0
+                again = progress.expected * (1 - kept) + _MOVE_COST
+                return progress.left > again
+        return False
+
     def _should_leave(
         self, worker: Worker, task: Task, run: Run, now: float
     ) -> bool:
@@ -341,15 +405,54 @@
     def on_listed(self, worker: Worker) -> None:
         """Learns from the figures of a new listing."""
         now = trio.current_time()
+        loads = worker.filler_loads()
+        self._check_soundness(worker, loads, now)
         if not worker.serves:
             return
-        loads = worker.filler_loads()
         for reading in worker.readings(now):
             if loads or reading.ratio < _SOUND_ALONE:
                 self._disturbance.learn(
                     reading.image, loads, reading.typical, now
                 )
 
+    def _check_soundness(
+        self, worker: Worker, loads: Mapping[str, float], now: float
+    ) -> None:
+        """Marks a worker that is in trouble, for as long as it is seen."""
+        explained = max(
+            (self._disturbance.added(s, loads) for s in worker.serving),
+            default=0.0,
+        )
+        sick = is_sick(worker.readings(now), explained)
+        runs = [progress for _, _, progress in self._progress(worker)]
+        slow = self._speeds.is_slow(worker.number, runs, now)
+        if not sick and not slow:
+            return
+        if now > worker.unsound_until:
+            note("worker_unsound", worker=worker.life.id, sick=sick, slow=slow)
+        worker.unsound_until = now + UNSOUND_FOR
+
+    def _progress(self, worker: Worker) -> list[tuple[Task, Run, Progress]]:
+        """Returns how far the runs are that end and were never slowed."""
+        found = []
+        for task, run in worker.running():
+            elapsed = run.percent_at - run.state_at
+            if task.step.spec.lasting or run.paced_at or elapsed <= 0:
+                continue
+            if not run.decided_at:
+                # Adopted: how long and how fast it worked isn't known.
+                continue
+            queue = task.step.job.queue.name
+            expected = self._durations.task(queue, task.step.spec)
+            found.append(
+                (
+                    task,
+                    run,
+                    Progress(task.step.job.id, expected, run.percent, elapsed),
+                )
+            )
+        return found
+
     def _pace_fillers(self, orders: Orders) -> None:
         now = trio.current_time()
         for worker in self._roster.workers():
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -41,7 +41,7 @@
         self,
         nursery: trio.Nursery,
         parts: CellParts,
-        on_refused: Callable[[Worker, StartVerdict], None],
+        on_refused: Callable[[Worker, Task, StartVerdict], None],
     ) -> None:
         """Takes the nursery of the owner's tasks and what parts share."""
         self._nursery = nursery
@@ -143,7 +143,7 @@
         if run.state is RunState.SENT:
             task.not_before = now + _REFUSED_PAUSE
             self._drop(worker, task, run)
-        self._on_refused(worker, reply.verdict)
+        self._on_refused(worker, task, reply.verdict)
 
     def _drop(self, worker: Worker, task: Task, run: Run) -> None:
         drop_run(task, run.number, worker)
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import Store
 from pimentocross.contracts.worker_link import (
     WorkerDialer,
@@ -33,6 +34,7 @@
     store: Store
     directory: WorkerDirectory
     workers: WorkerDialer
+    adviser: Adviser | None = None
 
 
 class Claim(NamedTuple):
@@ -79,7 +81,9 @@
             self._ledger,
             trio.current_time() + _former_lease(claim),
         )
-        self._dispatcher = Dispatcher(self._book, self._roster, config)
+        self._dispatcher = Dispatcher(
+            self._book, self._roster, config, platform.adviser
+        )
         self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
         self._release = trio.Event()
 
@@ -115,6 +119,7 @@
             nursery.start_soon(self._ledger.run)
             nursery.start_soon(self._roster.follow, nursery, parts, orders)
             nursery.start_soon(self._dispatcher.run, orders)
+            nursery.start_soon(self._dispatcher.advice.run)
             nursery.start_soon(self._sweep)
             await self._release.wait()
             await self._ledger.barrier().stored.wait()
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -44,6 +44,7 @@
         heard_at: When it last listed what runs, monotonic.
         seen: Number of the newest ending whose record is stored.
         paced_at: When fillers on it were last slowed or sped up, monotonic.
+        unsound_until: Until when it gets nothing new, monotonic.
         draining_since: When it was first listed as leaving, or None.
         calls: Bounds the orders that are on their way to it.
         adopted: Whether it has listed what runs to this owner.
@@ -71,6 +72,7 @@
         self.draining_since: float | None = None
         self.calls = trio.Semaphore(4)
         self.paced_at = 0.0
+        self.unsound_until = float("-inf")
         self._left: deque[Departure] = deque()
         self._step_counts: dict[Step, int] = {}
         self._over_since: dict[str, float] = {}
--- a/pimentocross/platform/__main__.py
+++ b/pimentocross/platform/__main__.py
@@ -9,7 +9,12 @@
 from pimentocross.gateway.settings import GatewaySettings
 from pimentocross.observe.decisions import enable, note
 from pimentocross.owner.owner import CellPlatform
-from pimentocross.platform.callers import CallerSurface, ReadySurface
+from pimentocross.platform.adviser import HttpAdviser
+from pimentocross.platform.callers import (
+    CallerSurface,
+    MetricsSurface,
+    ReadySurface,
+)
 from pimentocross.platform.settings import (
     SettingsError,
     read_settings,
@@ -25,10 +30,17 @@
 def build(settings: GatewaySettings) -> tuple[GatewayNode, Surfaces]:
     """Returns the process's parts, and what answers its HTTP requests."""
     store = StoreClient(settings.store_address)
-    platform = CellPlatform(store, ServerTopic(store), HttpWorkerDialer())
+    adviser = None
+    if settings.adviser_address:
+        adviser = HttpAdviser(settings.adviser_address)
+    platform = CellPlatform(
+        store, ServerTopic(store), HttpWorkerDialer(), adviser
+    )
     node = GatewayNode(settings, platform, OperatorTopic(store))
     surfaces = Surfaces(
-        CallerSurface(node.desk).handle, ReadySurface(node.desk).handle
+        CallerSurface(node.desk).handle,
+        ReadySurface(node.desk).handle,
+        MetricsSurface(node.desk, node.gauges).handle,
     )
     return node, surfaces
 
--- a/pimentocross/platform/callers.py
+++ b/pimentocross/platform/callers.py
@@ -1,5 +1,6 @@
 """What callers send, and what they are answered, in the platform's form."""
 
+from collections.abc import Callable
 import math
 from typing import Final
 
@@ -11,13 +12,16 @@
     CallerDesk,
 )
 from pimentocross.links.asgi import HttpReply, HttpRequest
+from pimentocross.observe.metrics import render
 from pimentocross.platform.wire import WireError, read_submission
 from pimentocross.work.spec import SpecError, check_spec
 
+_METRICS_PATH: Final = "/metrics"
 _READY_PATH: Final = "/pimentocross/readyz"
 _DEADLINE_HEADER: Final = b"x-deadline-ms"
 # Callers that don't say how long they wait.
 _DEADLINE_MS: Final = 3000.0
+Gauges = Callable[[], dict[str, float]]
 _JSON: Final = (b"content-type", b"application/json")
 
 _STATUS: Final = {
@@ -68,6 +72,22 @@
         return _reply(await self._desk.submit(found, spec, deadline))
 
 
+class MetricsSurface:
+    """Serves counters and histograms."""
+
+    def __init__(self, desk: CallerDesk, gauges: Gauges) -> None:
+        """Takes the desk, and what returns present values."""
+        self._desk = desk
+        self._gauges = gauges
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answers one request."""
+        if request.path != _METRICS_PATH:
+            return HttpReply(404, [], b"")
+        page = render(self._desk.histograms, self._gauges())
+        return HttpReply(200, [(b"content-type", b"text/plain")], page)
+
+
 class ReadySurface:
     """Tells the platform whether this VM takes callers."""
 
--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -7,6 +7,9 @@
 
 from pimentocross.gateway.settings import GatewaySettings
 
+_METRICS_VARIABLE: Final = "PIMENTOCROSS_METRICS_PORT"
+# As deploy/system.toml tells the platform.
+_METRICS_PORT: Final = "9464"
 _PATH_VARIABLE: Final = "PIMENTOCROSS_BOOT"
 _COMMENT: Final = "#"
 
@@ -61,8 +64,12 @@
         ip=need("ip"),
         caller_address=need("listen_addrs.frontend"),
         ready_address=need("listen_addrs.ready"),
-        peer_port=_first_port(need("internal_ports"), findings),
+        peer_port=_port(need("internal_ports").partition(",")[0], findings),
+        metrics_port=_port(
+            os.environ.get(_METRICS_VARIABLE, _METRICS_PORT), findings
+        ),
         store_address=need("platform.address"),
+        adviser_address=values.get("recommendation", ""),
         grace=_seconds(values, "bounds.grace_s", 6.0, findings),
     )
     if findings:
@@ -83,11 +90,10 @@
     return values
 
 
-def _first_port(ports: str, findings: list[str]) -> int:
-    first = ports.partition(",")[0]
-    if first and not first.isdigit():
-        findings.append(f"internal_ports: {first!r} is no port")
-    return int(first) if first.isdigit() else 0
+def _port(text: str, findings: list[str]) -> int:
+    if text and not text.isdigit():
+        findings.append(f"{text!r} is no port")
+    return int(text) if text.isdigit() else 0
 
 
 def _seconds(
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import FencedError, StoreUnavailableError
 from pimentocross.contracts.worker_link import WorkerFencedError, WorkerLife
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
@@ -89,10 +90,11 @@
     vm: str = "a",
     former_quiet: bool = True,
     config: WorkConfig = CONFIG,
+    adviser: Adviser | None = None,
 ) -> Owner:
     """Returns an owner under an epoch."""
     access = hall.access(vm)
-    platform = CellPlatform(store.client(vm), access, access)
+    platform = CellPlatform(store.client(vm), access, access, adviser)
     return Owner(Claim("jobs", epoch, former_quiet), platform, lambda: config)
 
 
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+import os
 from pathlib import Path
 import socket
 
@@ -90,7 +91,8 @@
 
 def write_settings(path: Path, name: str, store: str) -> dict[str, str]:
     """Writes a settings file as the platform does; returns its values."""
-    ports = _free_ports(3)
+    ports = _free_ports(4)
+    os.environ["PIMENTOCROSS_METRICS_PORT"] = str(ports[3])
     values = {
         "node_name": name,
         "role": "entry",
@@ -102,6 +104,7 @@
         "platform.address": store,
         "bounds.grace_s": "6",
         "a.field.of.tomorrow": "1",
+        "test.metrics": f"{HOST}:{ports[3]}",
     }
     lines = [f"{key}={value}" for key, value in values.items()]
     path.write_text("\n".join(lines) + "\n", "utf-8")
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,80 @@
+"""The decision log: bounded, never blocking, and readable afterwards."""
+
+import os
+from pathlib import Path
+import tempfile
+import time
+
+from typer.testing import CliRunner
+
+from pimentocross.cli.explain import read_lines, tell
+from pimentocross.cli.main import app
+from pimentocross.observe import decisions
+from pimentocross.observe.decisions import DecisionLog
+from pimentocross.observe.histograms import Histograms, Label
+from pimentocross.observe.metrics import render
+
+_LOG = """\
+ -1.2 edge-1 {"t":10.0,"vm":"a","is":"job_accepted","job":"j1","queue":"q"}
+Traceback (most recent call last):
+{"t":10.2,"vm":"a","is":"run_decided","task":["j1",0,0,1],"run":1,"worker":"w"}
+{"t":10.3,"vm":"a","is":"run_decided","task":["j2",0,0,1],"run":1,"worker":"w"}
+{"t":10.4,"vm":"b","is":"claim","reason":"silent","at":7}
+{"t":10.9,"vm":"b","is":"run_ended","task":["j1",0,0,1],"run":1,"how":"done"}
+{"t":99.0,"vm":"b","is":"claim","reason":"silent","at":9}
+{"not":"a decision"}
+"""
+
+
+def test_a_jobs_story_is_told_in_order_with_what_happened_around() -> None:
+    story = tell(read_lines(_LOG), "j1")
+    assert [line.kind for line in story] == [
+        "job_accepted",
+        "run_decided",
+        "claim",
+        "run_ended",
+    ]
+
+
+def test_the_command_prints_the_story_or_says_that_there_is_none() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "log"
+        path.write_text(_LOG, "utf-8")
+        runner = CliRunner()
+        told = runner.invoke(app, ["explain", "j1", str(path)])
+        assert told.exit_code == 0
+        assert "run_ended" in told.output
+        assert "how=done" in told.output
+        missing = runner.invoke(app, ["explain", "j9", str(path)])
+        assert missing.exit_code == 1
+
+
+def test_a_stuck_reader_costs_lines_and_no_time() -> None:
+    reader, writer = os.pipe()
+    log = DecisionLog()
+    saved = os.dup(1)
+    try:
+        os.dup2(writer, 1)
+        os.set_blocking(1, False)
+        began = time.monotonic()
+        for number in range(20_000):
+            log.note("run_decided", {"number": number, "text": "x" * 100})
+            if number % 100 == 0:
+                log.flush()
+        assert time.monotonic() - began < 5.0
+    finally:
+        os.dup2(saved, 1)
+        os.close(saved)
+        os.close(writer)
+        os.close(reader)
+    assert log.dropped["run_decided"] > 10_000
+
+
+def test_counters_and_latencies_are_rendered_for_scrapers() -> None:
+    decisions.note("run_decided")
+    histograms = Histograms()
+    histograms.record(Label("queue", "q"), 0.02)
+    page = render(histograms, {"config_version": 7}).decode()
+    assert 'pimentocross_decisions_total{is="run_decided"}' in page
+    assert "pimentocross_config_version 7" in page
+    assert 'pimentocross_latency_ms_count{queue="q"} 1' in page
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,7 +1,14 @@
 """The owner of a cell: jobs run to their end, once, whatever fails."""
 
+from collections.abc import Sequence
+
 import trio
 
+from pimentocross.contracts.adviser import (
+    Advice,
+    AdviserUnavailableError,
+    StepName,
+)
 from pimentocross.contracts.store import FencedError, Record
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.owner import const
@@ -15,6 +22,7 @@
 from pimentocross.work.spec import StepSpec, TaskName
 from pimentocross.work.state import JobState
 from tests.owner_fixtures import (
+    CONFIG,
     QUEUE,
     SMALL,
     chain,
@@ -245,6 +253,42 @@
         assert 2.0 < trio.current_time() - asked_at < 4.0
 
 
+class _Adviser:
+    """Lets only two workers run anything, by tickets that hold 2 s."""
+
+    def __init__(self, *, failing: int = 0) -> None:
+        self.calls = 0
+        self.at_once = 0
+        self._failing = failing
+
+    async def advise(
+        self, step: StepName, workers: Sequence[str], timeout: float
+    ) -> Advice:
+        assert self.at_once == 0
+        self.at_once += 1
+        self.calls += 1
+        await trio.sleep(0.1)
+        self.at_once -= 1
+        if self.calls <= self._failing:
+            raise AdviserUnavailableError("status 429")
+        allowed = {"w1-0", "w3-0"} & set(workers)
+        return Advice({w: f"{step.job}-{w}" for w in allowed}, 2.0)
+
+
+async def test_a_step_runs_only_where_its_adviser_lets_it() -> None:
+    store = StoreStandin()
+    hall = make_hall(5, plan=lambda _: TaskPlan(0.5, SMALL))
+    queue = QUEUE._replace(asks_adviser=True)
+    config = CONFIG._replace(queues=(queue,))
+    adviser = _Adviser(failing=2)
+    owner = make_owner(store, hall, 1, config=config, adviser=adviser)
+    async with running(owner):
+        await owner.desk.submit("j1", queue, chain(12, 2))
+        await wait_until(lambda: _ended(owner, "j1"))
+    assert {e.worker for e in hall.journal} == {"w1-0", "w3-0"}
+    assert adviser.calls <= 6, adviser.calls
+
+
 async def test_a_gang_starts_whole_or_not_at_all() -> None:
     store = StoreStandin()
     # Two workers of 8 cores carry 16 of these 20 members.
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -15,6 +15,12 @@
     Reading,
     next_paces,
 )
+from pimentocross.placement.soundness import (
+    Progress,
+    Speeds,
+    is_sick,
+    may_take_away,
+)
 from pimentocross.placement.stalls import STALL_AFTER, is_stalled
 from pimentocross.placement.urgency import Chance, urgency
 from pimentocross.work.spec import JobSpec, Size, StepSpec
@@ -222,6 +228,49 @@
     assert 0.8 < durations.task("q", step) < 2.0
 
 
+def _is_slow(runs: list[Progress], *, others: float = 1.0) -> bool:
+    speeds = Speeds()
+    for number in range(1, 5):
+        usual = [
+            Progress("a", others, 50, 1.0),
+            Progress("b", others, 100, 1.0),
+        ]
+        speeds.is_slow(number, usual, 10.0)
+    return speeds.is_slow(0, runs, 10.0)
+
+
+def test_a_worker_that_is_slow_for_all_is_told_from_wrong_estimates() -> None:
+    usual = [Progress("a", 1.0, 50, 0.8), Progress("b", 2.0, 20, 1.2)]
+    wrong = [Progress("a", 0.4, 20, 1.0), Progress("b", 2.0, 50, 1.0)]
+    slow = [Progress("a", 1.0, 20, 1.3), Progress("b", 2.0, 10, 1.3)]
+    assert not _is_slow(usual)
+    assert not _is_slow(wrong)
+    assert _is_slow(slow)
+    # One job's estimates may all be wrong alike.
+    assert not _is_slow([run._replace(job="a") for run in slow])
+    # Where everything is crowded, no worker is to blame.
+    assert not _is_slow(slow, others=0.3)
+
+
+def test_a_sick_worker_is_told_from_one_with_bad_fillers() -> None:
+    over = [Reading("a", 4.0, 3.0, 1.5), Reading("b", 9.0, 8.0, 1.5)]
+    assert is_sick(over, explained=0.0)
+    assert not is_sick(over, explained=0.8)
+    assert not is_sick([*over, Reading("c", 0.5, 0.4)], explained=0.0)
+    assert not is_sick([Reading("a", 4.0, 3.0, 0.5)], explained=0.0)
+
+
+def test_no_more_tasks_are_taken_away_than_the_step_bears() -> None:
+    step = _step(StepSpec(3, SMALL, lasting=True, away_most=1))
+    for number, task in enumerate(step.tasks):
+        run = Run(1, number)
+        run.percent = 100
+        task.add_run(run)
+    assert may_take_away(step)
+    step.tasks[0].runs[1].percent = 0
+    assert not may_take_away(step)
+
+
 def test_a_run_without_progress_is_told_from_a_slow_one() -> None:
     task = _step(StepSpec(1, SMALL)).tasks[0]
     run = Run(1, 0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -110,6 +110,11 @@
             assert reply.status == 200
             reply = await caller.call("DELETE", PREFIX + "unknown")
             assert reply.status == 410
+            metrics = Caller(values["test.metrics"])
+            page = (await metrics.call("GET", "/metrics")).body.decode()
+            assert 'decisions_total{is="job_accepted"}' in page
+            assert 'latency_ms_count{queue="route0"} 2' in page
+            assert "pimentocross_owned_epoch" in page
     assert count(platform.journal, "start") == 4
 
 
@@ -198,7 +203,10 @@
     def __init__(self, folder: str, name: str, store: str) -> None:
         path = Path(folder) / name
         self.values = write_settings(path, name, store)
-        self._environment = os.environ | {"PIMENTOCROSS_BOOT": str(path)}
+        self._environment = os.environ | {
+            "PIMENTOCROSS_BOOT": str(path),
+            "PIMENTOCROSS_METRICS_PORT": self.values["test.metrics"][10:],
+        }
         self.started: subprocess.Popen[bytes] | None = None
 
     def start(self) -> "subprocess.Popen[bytes]":
