--- a/pimentocross/work/spec.py
+++ b/pimentocross/work/spec.py
@@ -1,6 +1,6 @@
 """What a caller asks for when it submits a job."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 
 class Size(NamedTuple):
@@ -109,6 +109,11 @@
     interval: float = 0.0
 
 
+# Tasks of one job over all occurrences, each of which takes about 400 bytes of
+# the owner's memory.
+TASKS_MOST: Final = 100_000
+
+
 class SpecError(Exception):
     """A submission that can't be meant.
 
@@ -129,6 +134,9 @@
         SpecError: With all findings.
     """
     findings = []
+    whole = sum(step.width for step in spec.steps) * max(spec.repeats, 1)
+    if whole > TASKS_MOST:
+        findings.append(f"{whole} tasks in all, at most {TASKS_MOST}")
     if not spec.steps:
         findings.append("steps: none")
     for number, step in enumerate(spec.steps):
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,6 +1,7 @@
 """The owner of a cell: jobs run to their end, once, whatever fails."""
 
 from collections.abc import Sequence
+from unittest import mock
 
 import trio
 
@@ -11,7 +12,7 @@
 )
 from pimentocross.contracts.store import FencedError, Record
 from pimentocross.contracts.worker_link import WorkerLife
-from pimentocross.owner import const
+from pimentocross.owner import const, wall
 from pimentocross.owner.desk import Outcome
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
@@ -19,7 +20,13 @@
     TaskPlan,
     TaskWorkerStandin,
 )
-from pimentocross.work.spec import StepSpec, TaskName
+from pimentocross.work.spec import (
+    JobSpec,
+    SpecError,
+    StepSpec,
+    TaskName,
+    check_spec,
+)
 from pimentocross.work.state import JobState
 from tests.owner_fixtures import (
     CONFIG,
@@ -289,6 +296,42 @@
     assert adviser.calls <= 6, adviser.calls
 
 
+async def test_each_occurrence_runs_at_its_time() -> None:
+    store, hall = StoreStandin(), make_hall()
+    timed = JobSpec("x", chain(2, 1).steps, 3, first_due=5.0, interval=4.0)
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(store, hall, 1)) as owner:
+            await owner.desk.submit("j1", QUEUE, timed)
+            await wait_until(lambda: _ended(owner, "j1"))
+    starts = sorted(e.at for e in hall.journal if e.what == "start")
+    assert len(starts) == 6
+    for number, at in enumerate(starts):
+        due = 5.0 + 4.0 * (number // 2)
+        assert due <= at < due + 0.5, starts
+
+
+async def test_a_successor_keeps_the_times_of_occurrences() -> None:
+    store, hall = StoreStandin(), make_hall()
+    timed = JobSpec("x", chain(1, 1).steps, 2, first_due=1.0, interval=5.0)
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(store, hall, 1)) as owner:
+            await owner.desk.submit("j1", QUEUE, timed)
+            await trio.sleep(3)
+        async with running(make_owner(store, hall, 2, vm="b")) as owner:
+            await wait_until(lambda: _ended(owner, "j1"))
+    assert count(hall.journal, "start") == 2
+
+
+def test_a_job_of_too_many_tasks_is_refused_by_its_number() -> None:
+    step = StepSpec(60_000, SMALL)
+    try:
+        check_spec(spec(step, step))
+    except SpecError as error:
+        assert "120000 tasks" in error.findings[0]
+    else:
+        raise AssertionError("120,000 tasks were taken")
+
+
 async def test_a_gang_starts_whole_or_not_at_all() -> None:
     store = StoreStandin()
     # Two workers of 8 cores carry 16 of these 20 members.
