--- /dev/null
+++ b/pimentocross/owner/care.py
@@ -0,0 +1,142 @@
+"""Cares for what runs: stops what should not, paces what disturbs."""
+
+from typing import Final
+
+import trio
+
+from pimentocross.owner.learned import Learned
+from pimentocross.owner.orders import Orders
+from pimentocross.owner.roster import Roster
+from pimentocross.owner.worker import AT_WORK, Worker
+from pimentocross.placement.pacing import (
+    MOVE_BELOW,
+    SETTLE,
+    Filler,
+    next_paces,
+)
+from pimentocross.placement.soundness import may_take_away
+from pimentocross.placement.stalls import is_stalled
+from pimentocross.work.state import Run, RunState, Task
+
+# A filler that was slowed to a crawl for this long goes elsewhere: about what
+# its stop and its start cost.
+_STUCK_AFTER: Final = 1.5
+# A run that has done less than this, in percent, loses little by a move.
+_LITTLE_DONE: Final = 25
+# What a stop and a new start cost a task, in seconds.
+_MOVE_COST: Final = 0.8
+
+
+class Care:
+    """Passes over the runs of all workers."""
+
+    def __init__(self, roster: Roster, learned: Learned) -> None:
+        """Takes the workers and what was learned."""
+        self._roster = roster
+        self._learned = learned
+
+    def pass_over(self, orders: Orders) -> None:
+        """Has runs stopped and paced as they should be now."""
+        self._stop_unwanted(orders)
+        self._pace_fillers(orders)
+
+    def _stop_unwanted(self, orders: Orders) -> None:
+        now = trio.current_time()
+        for worker in self._roster.workers():
+            for (task, _), run in list(worker.runs.items()):
+                reason = self._why_stop(worker, task, run, now)
+                if reason:
+                    orders.stop(worker, task, run, reason)
+
+    def _why_stop(
+        self, worker: Worker, task: Task, run: Run, now: float
+    ) -> str:
+        if run.state is RunState.STOPPING:
+            return ""
+        if task.step.job.ended or task.done:
+            return "not needed"
+        if run.state is not RunState.RUNNING:
+            return ""
+        if worker.life.draining and self._should_leave(worker, task, run, now):
+            return "the worker leaves"
+        if worker.unsound_until > now and self._is_better_off(
+            worker, task, run
+        ):
+            task.failed_on.add(worker.number)
+            return "the worker is unsound"
+        if worker.reached and is_stalled(task, run, worker.heard_at):
+            self._learned.hold_against(worker, task)
+            task.failed_on.add(worker.number)
+            return "no progress"
+        return ""
+
+    def _is_better_off(self, worker: Worker, task: Task, run: Run) -> bool:
+        """True if a run on an unsound worker should go elsewhere."""
+        spec = task.step.spec
+        if spec.lasting:
+            return run.percent >= AT_WORK and may_take_away(task.step)
+        for measured in self._learned.progress(worker):
+            if measured.run is run:
+                progress = measured.progress
+                kept = progress.percent / 100 if spec.saves else 0.0
+                again = progress.expected * (1 - kept) + _MOVE_COST
+                return progress.left > again
+        return False
+
+    def _should_leave(
+        self, worker: Worker, task: Task, run: Run, now: float
+    ) -> bool:
+        if task.step.spec.lasting:
+            return True
+        if not run.began_at or run.percent <= 0:
+            return False
+        elapsed = run.percent_at - run.state_at
+        left = elapsed * (100 - run.percent) / run.percent
+        return left > worker.drain_left(now)
+
+    def _pace_fillers(self, orders: Orders) -> None:
+        now = trio.current_time()
+        for worker in self._roster.workers():
+            if worker.filled and now - worker.paced_at >= SETTLE:
+                self._pace_on(worker, orders, now)
+
+    def _is_misplaced(self, worker: Worker, task: Task, run: Run) -> bool:
+        """True if a filler surely disturbs, and loses little by a move."""
+        spec = task.step.spec
+        if not spec.saves and run.percent >= _LITTLE_DONE:
+            return False
+        if run.pace <= MOVE_BELOW:
+            # It was slowed before, and that has not become better.
+            return True
+        return any(
+            self._learned.disturbance.is_bad(image, spec.image)
+            for image in worker.serving
+        )
+
+    def _pace_on(self, worker: Worker, orders: Orders, now: float) -> None:
+        capacity = max(worker.life.capacity.cpu, 1)
+        runs = [
+            (task, run)
+            for task, run in worker.running()
+            if task.step.spec.fills
+        ]
+        fillers = [
+            Filler(
+                task.step.spec.image,
+                task.step.spec.size.cpu / capacity,
+                run.pace,
+            )
+            for task, run in runs
+        ]
+        paces = next_paces(
+            worker.readings(now), fillers, self._learned.disturbance
+        )
+        for (task, run), pace in zip(runs, paces, strict=True):
+            stuck = pace <= MOVE_BELOW and now - run.paced_at > _STUCK_AFTER
+            if pace == run.pace and not (stuck and run.paced_at):
+                continue
+            worker.paced_at = run.paced_at = now
+            if pace <= MOVE_BELOW and self._is_misplaced(worker, task, run):
+                orders.stop(worker, task, run, "disturbs what serves")
+            else:
+                orders.pace(worker, task, run, pace)
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -17,6 +17,7 @@
 from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import CellParts
+from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.roster import Roster
@@ -81,8 +82,9 @@
             self._ledger,
             trio.current_time() + _former_lease(claim),
         )
+        self._learned = Learned()
         self._dispatcher = Dispatcher(
-            self._book, self._roster, config, platform.adviser
+            self._book, self._roster, self._learned, config, platform.adviser
         )
         self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
         self._release = trio.Event()
@@ -108,8 +110,8 @@
                 self._book,
                 self._ledger,
                 self._dispatcher.wake,
-                self._dispatcher.judge,
-                self._dispatcher.on_listed,
+                self._learned.judge,
+                self._learned.on_listed,
             )
             orders = Orders(nursery, parts, self._dispatcher.on_refused)
             await self._roster.poll(nursery, parts, orders)
@@ -156,7 +158,7 @@
         if kind == records.SUBMISSION:
             jobs[name] = records.decode_submission(name, value)
         elif kind == records.LEARNED:
-            self._dispatcher.restore(records.decode_learned(value))
+            self._learned.restore(records.decode_learned(value))
         elif kind == records.WORKER:
             self._roster.restore(int(name), records.decode_worker(value))
 
@@ -172,9 +174,7 @@
         while True:
             await trio.sleep(const.SWEEP_INTERVAL)
             self._book.sweep()
-            self._ledger.put(
-                PlainRecord(records.LEARNED, self._dispatcher.encode_learned)
-            )
+            self._ledger.put(PlainRecord(records.LEARNED, self._learned.encode))
 
 
 def _former_lease(claim: Claim) -> float:
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -15,7 +15,7 @@
 
 RunKey = tuple[Task, int]
 # A lasting task that is at work is listed with this percentage.
-_AT_WORK: Final = 100
+AT_WORK: Final = 100
 # A figure covers half a second, and a queue takes a moment to drain.
 FIGURE_SPAN: Final = 0.7
 
@@ -184,7 +184,7 @@
         ratios: dict[str, list[float]] = {}
         for task, run in self.running():
             spec = task.step.spec
-            if spec.target_tail and run.percent >= _AT_WORK and run.figure:
+            if spec.target_tail and run.percent >= AT_WORK and run.figure:
                 ratio = run.figure / spec.target_tail
                 ratios.setdefault(spec.image, []).append(ratio)
         for image in list(self._over_since):
