Split zones/cell.py: records, roster, views, withdrawals, rebalancing

Cause: 698 lines with the roster, the ledger of ends and the placing loop in one class. It has 465 lines now.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -42,7 +42,6 @@
 from pimentocross.placement.policy import LeastLoaded, Wanted
 from pimentocross.standins.log import LogStandin
 from pimentocross.vms.commitments import Commitments
-from pimentocross.zones.cell import Target
 from pimentocross.zones.cell_state import (
     KINDS,
     CellOpened,
@@ -51,6 +50,7 @@
     TaskEnded,
 )
 from pimentocross.zones.placer import View
+from pimentocross.zones.views import Target
 
 # Headers and first lines of one HTTP exchange with a worker, as counted on
 # the real link: 13 headers of request and reply.
--- a/pimentocross/entry/jobs.py
+++ b/pimentocross/entry/jobs.py
@@ -23,7 +23,8 @@
 from pimentocross.links.peer import PeerUnreachableError
 from pimentocross.observe.logs import log_action, trace_id
 from pimentocross.observe.problems import Problem, not_run, unknown
-from pimentocross.zones.cell import CellLoad, CellOwner
+from pimentocross.zones.cell import CellOwner
+from pimentocross.zones.views import CellLoad
 
 
 class Loads(Protocol):
--- a/pimentocross/entry/node.py
+++ b/pimentocross/entry/node.py
@@ -49,7 +49,8 @@
 )
 from pimentocross.observe.histograms import Histograms
 from pimentocross.zones.candidates import rank_candidates
-from pimentocross.zones.cell import CellLoad, CellOwner
+from pimentocross.zones.cell import CellOwner
+from pimentocross.zones.views import CellLoad
 
 _PUSH_TIMEOUT = 3.0
 
--- a/pimentocross/entry/targets.py
+++ b/pimentocross/entry/targets.py
@@ -8,7 +8,7 @@
 
 from pimentocross.entry import const
 from pimentocross.links.target import TargetLink
-from pimentocross.zones.cell import Target
+from pimentocross.zones.views import Target
 
 # Latency that another availability zone is taken to add, in seconds.
 _FAR_PENALTY = 0.001
--- a/pimentocross/links/messages.py
+++ b/pimentocross/links/messages.py
@@ -5,7 +5,7 @@
 from pimentocross.backing.workers import Resources
 from pimentocross.codec import MessageTags
 from pimentocross.links.peer import PeerLink, PeerListener
-from pimentocross.zones.cell import Target
+from pimentocross.zones.views import Target
 
 
 class Heartbeat(NamedTuple):
--- a/pimentocross/zones/cell.py
+++ b/pimentocross/zones/cell.py
@@ -1,12 +1,10 @@
 """A cell as its owner runs it: jobs, standing tasks and workers."""
 
 from collections.abc import Callable, Sequence
-import heapq
-from typing import NamedTuple
 
 import trio
 
-from pimentocross.backing.vms import Vm, VmRole, VmState
+from pimentocross.backing.vms import Vm
 from pimentocross.backing.workers import (
     Attempt,
     Resources,
@@ -20,57 +18,30 @@
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.authority import Authority
 from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
-from pimentocross.placement.const import MOVE_INTERVAL
 from pimentocross.placement.policy import PlacementPolicy
 from pimentocross.vms.worker import Worker, cell_resource, is_exclusive
 from pimentocross.zones import const
+from pimentocross.zones.cell_records import CellRecorder
+from pimentocross.zones.cell_roster import CellRoster
 from pimentocross.zones.cell_state import (
     KINDS,
     CellOpened,
-    CellRecord,
     CellState,
     JobAccepted,
     JobCancelled,
-    TaskEnded,
-    TaskEvicted,
-    WorkerRostered,
 )
 from pimentocross.zones.placer import Placer
+from pimentocross.zones.rebalancing import rebalance
 from pimentocross.zones.tasks import (
     TaskPhase,
     WantedTask,
     job_tasks,
-    standing_tasks,
+    pending_in_order,
+    sync_standing,
     task_id,
 )
-
-
-class Target(NamedTuple):
-    """Where a service answers.
-
-    Attributes:
-        service: Its name.
-        worker: The worker that runs it.
-        address: host:port.
-        concurrency: Requests that it runs at once.
-        connections: Connections that it accepts from all entry VMs.
-        zone: Its availability zone.
-    """
-
-    service: str
-    worker: str
-    address: str
-    concurrency: int
-    connections: int
-    zone: str
-
-
-class CellLoad(NamedTuple):
-    """How full a cell is, for the choice of a cell for a new job."""
-
-    pending: int
-    running: int
-    free_slots: int
+from pimentocross.zones.views import CellLoad, Target, count_load, find_targets
+from pimentocross.zones.withdrawals import Withdrawals
 
 
 class CellOwner:
@@ -95,11 +66,8 @@
         self._epoch = authority.epoch(self._resource)
         self._fold = fold
         self._config = config
-        self._dialer = dialer
-        self._list_vms = list_vms
         self._placer = Placer(policy)
         self._on_targets = on_targets
-        self._workers: dict[str, Worker] = {}
         self._tasks: dict[str, WantedTask] = {}
         self._opened = False
         self._opened_at = 0.0
@@ -110,7 +78,20 @@
         self._woken = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._config_version = -1
-        self._recording: set[tuple[str, Attempt]] = set()
+        self._withdrawals = Withdrawals(lambda: config.state.config, on_targets)
+        self._recorder = CellRecorder(
+            self._resource, authority, fold, self._tasks, self._wake
+        )
+        self._roster = CellRoster(
+            name,
+            self._epoch,
+            authority,
+            fold,
+            dialer,
+            list_vms,
+            self._recorder,
+            self,
+        )
 
     @property
     def name(self) -> str:
@@ -135,7 +116,7 @@
     @property
     def workers(self) -> dict[str, Worker]:
         """Workers by name."""
-        return self._workers
+        return self._roster.workers
 
     def explain_worker(self, worker: str) -> str:
         """Returns why a worker gets no batch tasks, or ""."""
@@ -149,11 +130,19 @@
     async def run(self) -> None:
         """Acts until the ownership is superseded or `stop` is called."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            self._nursery = self._recorder.nursery = nursery
+            self._withdrawals.nursery = nursery
             if await self._open():
-                nursery.start_soon(self._follow_vm_list)
+                nursery.start_soon(self._roster.follow)
                 nursery.start_soon(self._follow_records)
-                nursery.start_soon(self._rebalance)
+                nursery.start_soon(
+                    rebalance,
+                    self._tasks,
+                    self._roster.workers,
+                    self._placer,
+                    lambda: self._config.state.config,
+                    self.evict,
+                )
                 await self._place_while_owner()
             self._end()
             nursery.cancel_scope.cancel()
@@ -166,43 +155,18 @@
         """Returns how full the cell was a moment ago."""
         now = trio.current_time()
         if now - self._loaded_at >= const.LOAD_INTERVAL:
-            self._load, self._loaded_at = self._count_load(), now
+            self._load = count_load(self._tasks, self._roster.workers)
+            self._loaded_at = now
         return self._load
 
-    def _count_load(self) -> CellLoad:
-        pending = sum(
-            t.phase is TaskPhase.PENDING for t in self._tasks.values()
-        )
-        free = sum(
-            max(w.commitments.free.slots, 0)
-            for w in self._workers.values()
-            if w.met
-        )
-        return CellLoad(pending, len(self._tasks) - pending, free)
-
     def targets(self) -> list[Target]:
         """Returns where services answer, without leaving workers."""
-        config = self._config.state.config
-        found: list[Target] = []
-        if config is None:
-            return found
-        for task in self._tasks.values():
-            worker = self._workers.get(task.worker)
-            runs = task.phase is TaskPhase.RUNNING
-            service = config.services.get(task.class_name)
-            if worker is None or service is None or not runs or worker.leaving:
-                continue
-            found.append(
-                Target(
-                    task.class_name,
-                    worker.name,
-                    worker.service_address,
-                    service.concurrency,
-                    worker.connections,
-                    self._name,
-                )
-            )
-        return found
+        return find_targets(
+            self._name,
+            self._tasks.values(),
+            self._roster.workers,
+            self._config.state.config,
+        )
 
     async def accept(
         self,
@@ -246,7 +210,7 @@
 
     def leave(self, worker: str) -> bool:
         """Empties a worker: nothing new, and what runs moves on."""
-        found = self._workers.get(worker)
+        found = self._roster.workers.get(worker)
         if found is None:
             return False
         found.leaving = True
@@ -255,13 +219,13 @@
 
     def evict(self, task: WantedTask, reason: str) -> None:
         """Stops a running task; it resumes from its checkpoint."""
-        worker = self._workers.get(task.worker)
+        worker = self._roster.workers.get(task.worker)
         if worker is None or task.phase is not TaskPhase.RUNNING:
             return
         task.phase = TaskPhase.STOPPING
         task.reason = reason
         if task.kind is TaskKind.SERVICE:
-            self._withdraw(worker, task.task, task.attempt, task.class_name)
+            self._withdrawals.withdraw(worker, task.spec())
         else:
             worker.stop(task.task, task.attempt, checkpoint=True)
 
@@ -351,50 +315,9 @@
             task.attempt = spec.attempt
             task.phase = TaskPhase.ENDING
             task.reason = "its end is being recorded"
-        self._record_end(worker, task, report)
-
-    def _record_end(
-        self, worker: Worker, task: WantedTask, report: TaskReport
-    ) -> None:
-        attempt = report.spec.attempt
-        if (task.task, attempt) in self._recording or self._nursery is None:
-            return
-        self._recording.add((task.task, attempt))
-        finished = report.state is TaskState.FINISHED
-        self._placer.note_ended(worker.name, task.job, finished=finished)
-        record = TaskEnded(
-            self._epoch,
-            task.job,
-            task.index,
-            attempt,
-            finished,
-            report.result[: const.RESULT_MOST],
-            worker.name,
-        )
-        self._nursery.start_soon(self._publish_end, worker, task, record)
-
-    async def _publish_end(
-        self, worker: Worker, task: WantedTask, record: TaskEnded
-    ) -> None:
-        # The worker keeps the end until it is recorded, so it can wait.
-        verdict = await self._publish_until_settled(record, urgent=False)
-        self._recording.discard((task.task, record.attempt))
-        if verdict is None:
-            return
-        worker.forget(task.task, record.attempt)
-        wanted = self._tasks.get(task.task)
-        if wanted is not None and wanted.phase is TaskPhase.ENDING:
-            if record.finished:
-                del self._tasks[task.task]
-            else:
-                self._retry_failed(wanted, record)
-        self._wake()
-
-    def _retry_failed(self, task: WantedTask, record: TaskEnded) -> None:
-        now = trio.current_time()
-        task.requeue(now, f"failed on {record.worker}: {record.result}")
-        task.not_before = now + const.FAILURE_BACKOFF
-        task.avoid.add(record.worker)
+        if self._recorder.record_end(worker, task, report):
+            finished = report.state is TaskState.FINISHED
+            self._placer.note_ended(worker.name, task.job, finished=finished)
 
     def _on_stopped(self, worker: Worker, report: TaskReport) -> None:
         spec = report.spec
@@ -411,67 +334,27 @@
         task.checkpoint = report.checkpoint or task.checkpoint
         task.requeue(trio.current_time(), f"{report.state} on {worker.name}")
         if task.kind is TaskKind.BATCH and report.checkpoint:
-            self._record_eviction(worker, task, report)
+            self._recorder.record_eviction(worker, task, report)
         else:
             worker.forget(spec.task, spec.attempt)
 
-    def _record_eviction(
-        self, worker: Worker, task: WantedTask, report: TaskReport
-    ) -> None:
-        if self._nursery is None:
-            return
-        record = TaskEvicted(
-            self._epoch,
-            task.job,
-            task.index,
-            report.spec.attempt,
-            report.checkpoint,
-        )
-        self._nursery.start_soon(self._publish_eviction, worker, task, record)
-
-    async def _publish_eviction(
-        self, worker: Worker, task: WantedTask, record: TaskEvicted
-    ) -> None:
-        await self._publish_until_settled(record, urgent=False)
-        worker.forget(task.task, record.attempt)
-
     # What the owner does by itself.
 
     async def _open(self) -> bool:
         """Makes earlier owners' records void; False if superseded."""
-        verdict = await self._publish_until_settled(CellOpened(self._epoch))
+        verdict = await self._recorder.settle(CellOpened(self._epoch))
         if verdict is None:
             return False
         self._opened = True
         self._opened_at = trio.current_time()
         self._fold.state.take_touched()
-        self._sync_roster()
+        self._roster.sync()
         self._sync_tasks(list(self._fold.state.jobs))
         return True
 
-    async def _publish_until_settled(
-        self, record: CellRecord, *, urgent: bool = True
-    ) -> Verdict | None:
-        """Publishes until every reader has judged the record.
-
-        Returns:
-            None if the ownership ended first.
-        """
-        body = self._fold.new_body(KINDS.encode(record))
-        while not self._stopped and self._authority.owns(self._resource):
-            verdict = await self._fold.publish(
-                body, timeout=const.PUBLISH_TIMEOUT, urgent=urgent
-            )
-            if self._fold.state.epoch > self._epoch:
-                # Superseded, though the claim may not have been read yet.
-                return None
-            if verdict.outcome in (Outcome.ACCEPTED, Outcome.REJECTED):
-                return verdict
-        return None
-
     def _end(self) -> None:
-        self._stopped = True
-        for worker in self._workers.values():
+        self._stopped = self._recorder.stopped = True
+        for worker in self._roster.workers.values():
             worker.end()
         self._wake()
 
@@ -486,52 +369,6 @@
                 self._wake()
             await self._fold.wait_change()
 
-    async def _follow_vm_list(self) -> None:
-        while True:
-            self._sync_roster()
-            await trio.sleep(const.VM_LIST_INTERVAL)
-
-    def _sync_roster(self) -> None:
-        listed = {
-            vm.name: vm
-            for vm in self._list_vms()
-            if vm.role is VmRole.WORKER and vm.zone == self._name
-        }
-        for name, address in self._fold.state.roster.items():
-            current = listed[name].address if name in listed else address
-            self._add_worker(name, current)
-        for name, vm in listed.items():
-            if name not in self._fold.state.roster and self._nursery:
-                self._nursery.start_soon(self._roster, name, vm.address)
-            worker = self._workers.get(name)
-            leaving = vm.state is VmState.LEAVING
-            if worker is not None and leaving and not worker.leaving:
-                worker.leaving = True
-                self.on_change(worker)
-
-    async def _roster(self, name: str, address: str) -> None:
-        if (name, Attempt(0, 0)) in self._recording:
-            return
-        self._recording.add((name, Attempt(0, 0)))
-        record = WorkerRostered(self._epoch, name, address)
-        verdict = await self._publish_until_settled(record)
-        self._recording.discard((name, Attempt(0, 0)))
-        if verdict is not None and verdict.accepted:
-            self._add_worker(name, address)
-
-    def _add_worker(self, name: str, address: str) -> None:
-        if name in self._workers or self._nursery is None or self._stopped:
-            return
-        worker = Worker(
-            name,
-            self._name,
-            self._dialer.link(address),
-            self._authority,
-            self._epoch,
-        )
-        self._workers[name] = worker
-        self._nursery.start_soon(worker.run, self)
-
     def _sync_tasks(self, jobs: Sequence[str] | set[str]) -> None:
         config = self._config.state.config
         if config is None:
@@ -539,7 +376,8 @@
         now = trio.current_time()
         if self._config_version != self._config.state.version:
             self._config_version = self._config.state.version
-            self._sync_standing(now)
+            for task in sync_standing(self._tasks, config, self._name, now):
+                self._drop(task)
             jobs = list(self._fold.state.jobs)
         for name in jobs:
             job = self._fold.state.jobs.get(name)
@@ -549,20 +387,6 @@
             for task_name, task in job_tasks(config, job, now).items():
                 self._tasks.setdefault(task_name, task)
 
-    def _sync_standing(self, now: float) -> None:
-        config = self._config.state.config
-        assert config is not None
-        standing = standing_tasks(config, self._name, now)
-        for name, task in standing.items():
-            self._tasks.setdefault(name, task)
-        dropped = [
-            task
-            for task in self._tasks.values()
-            if task.kind is not TaskKind.BATCH and task.task not in standing
-        ]
-        for task in dropped:
-            self._drop(task)
-
     def _drop_job(self, name: str) -> None:
         job = self._fold.state.jobs.get(name)
         for index in range(job.accepted.tasks if job is not None else 0):
@@ -572,62 +396,16 @@
 
     def _drop(self, task: WantedTask) -> None:
         self._tasks.pop(task.task, None)
-        worker = self._workers.get(task.worker)
+        worker = self._roster.workers.get(task.worker)
         if worker is not None and task.phase is not TaskPhase.ENDING:
             self._stop_unwanted(worker, task.spec())
 
     def _stop_unwanted(self, worker: Worker, spec: TaskSpec) -> None:
         if spec.kind is TaskKind.SERVICE:
-            name = spec.class_name
-            self._withdraw(worker, spec.task, spec.attempt, name)
+            self._withdrawals.withdraw(worker, spec)
         else:
             worker.stop(spec.task, spec.attempt, checkpoint=False)
 
-    def _withdraw(
-        self, worker: Worker, task: str, attempt: Attempt, service: str
-    ) -> None:
-        """Stops a replica once nobody sends to it and all have answers."""
-        self._on_targets()
-        config = self._config.state.config
-        declared = config.services.get(service) if config else None
-        longest = declared.timeout if declared else const.WITHDRAW_DEFAULT
-        if self._nursery is not None:
-            self._nursery.start_soon(
-                self._stop_later,
-                worker,
-                task,
-                attempt,
-                longest + const.WITHDRAW_NOTICE,
-            )
-
-    async def _stop_later(
-        self, worker: Worker, task: str, attempt: Attempt, delay: float
-    ) -> None:
-        await trio.sleep(delay)
-        worker.stop(task, attempt, checkpoint=False)
-
-    async def _rebalance(self) -> None:
-        """Moves one replica at a time away from what slows it."""
-        while True:
-            await trio.sleep(MOVE_INTERVAL)
-            settled = all(
-                task.phase is TaskPhase.RUNNING
-                for task in self._tasks.values()
-                if task.kind is TaskKind.SERVICE
-            )
-            if settled:
-                self._move_replica()
-
-    def _move_replica(self) -> None:
-        move = self._placer.choose_move(
-            self._tasks.values(),
-            self._workers.values(),
-            self._config.state.config,
-        )
-        if move is not None:
-            gain = f"moves to {move.to}, cost falls by {move.gain:.2f}"
-            self.evict(self._tasks[move.task], gain)
-
     def _empty(self, worker: Worker) -> None:
         for task in list(self._tasks.values()):
             if task.worker == worker.name:
@@ -646,15 +424,8 @@
 
     def _place_pending(self) -> None:
         now = trio.current_time()
-        queue = [
-            (_urgency(task), task.queued_at, task.task)
-            for task in self._tasks.values()
-            if task.phase is TaskPhase.PENDING and task.not_before <= now
-        ]
-        heapq.heapify(queue)
         blocked: set[tuple[str, Resources]] = set()
-        while queue:
-            task = self._tasks[heapq.heappop(queue)[2]]
+        for task in pending_in_order(self._tasks.values(), now):
             if (task.class_name, task.size) in blocked:
                 continue
             if not self._may_start(task, now):
@@ -665,7 +436,9 @@
     def _may_start(self, task: WantedTask, now: float) -> bool:
         if now >= self._authority.takeover_done_at(self._resource):
             return True
-        unmet = [w.name for w in self._workers.values() if not w.ever_met]
+        unmet = [
+            w.name for w in self._roster.workers.values() if not w.ever_met
+        ]
         if not unmet:
             return True
         patience = self._opened_at + const.MEETING_PATIENCE
@@ -676,11 +449,13 @@
 
     def _place(self, task: WantedTask) -> bool:
         config = self._config.state.config
-        choice = self._placer.choose(task, self._workers.values(), config)
+        choice = self._placer.choose(
+            task, self._roster.workers.values(), config
+        )
         task.reason = choice.reason
         if not choice.worker:
             return False
-        worker = self._workers[choice.worker]
+        worker = self._roster.workers[choice.worker]
         self._attempts += 1
         task.attempt = Attempt(self._epoch, self._attempts)
         task.worker = worker.name
@@ -688,11 +463,3 @@
         worker.start(task.spec())
         self._placer.note_started(task, worker)
         return True
-
-
-def _urgency(task: WantedTask) -> int:
-    if task.kind is TaskKind.SERVICE:
-        return 0
-    if task.kind is TaskKind.WATCH:
-        return 1
-    return 2 if task.urgent else 3
--- /dev/null
+++ b/pimentocross/zones/rebalancing.py
@@ -0,0 +1,35 @@
+"""Moves replicas, one at a time, away from what slows them."""
+
+from collections.abc import Callable, Mapping
+
+import trio
+
+from pimentocross.backing.workers import TaskKind
+from pimentocross.config.schema import Configuration
+from pimentocross.placement.const import MOVE_INTERVAL
+from pimentocross.vms.worker import Worker
+from pimentocross.zones.placer import Placer
+from pimentocross.zones.tasks import TaskPhase, WantedTask
+
+
+async def rebalance(
+    tasks: Mapping[str, WantedTask],
+    workers: Mapping[str, Worker],
+    placer: Placer,
+    config: Callable[[], Configuration | None],
+    evict: Callable[[WantedTask, str], None],
+) -> None:
+    """Moves a replica now and then, while none is on its way, for ever."""
+    while True:
+        await trio.sleep(MOVE_INTERVAL)
+        settled = all(
+            task.phase is TaskPhase.RUNNING
+            for task in tasks.values()
+            if task.kind is TaskKind.SERVICE
+        )
+        if not settled:
+            continue
+        move = placer.choose_move(tasks.values(), workers.values(), config())
+        if move is not None:
+            gain = f"moves to {move.to}, cost falls by {move.gain:.2f}"
+            evict(tasks[move.task], gain)
--- a/pimentocross/zones/tasks.py
+++ b/pimentocross/zones/tasks.py
@@ -1,6 +1,8 @@
 """Tasks that a cell's owner wants to run, and where they stand."""
 
+from collections.abc import Iterable, Iterator
 from enum import StrEnum
+import heapq
 
 from pimentocross.backing.workers import (
     Attempt,
@@ -205,3 +207,42 @@
         wanted.avoid = set(job.failed_on)
         tasks[task] = wanted
     return tasks
+
+
+def sync_standing(
+    tasks: dict[str, WantedTask],
+    config: Configuration,
+    zone: str,
+    now: float,
+) -> list[WantedTask]:
+    """Adds the standing tasks of a configuration; returns those it dropped."""
+    standing = standing_tasks(config, zone, now)
+    for name, task in standing.items():
+        tasks.setdefault(name, task)
+    return [
+        task
+        for task in tasks.values()
+        if task.kind is not TaskKind.BATCH and task.task not in standing
+    ]
+
+
+def pending_in_order(
+    tasks: Iterable[WantedTask], now: float
+) -> Iterator[WantedTask]:
+    """Yields the tasks that may be started, the most urgent first."""
+    queue = [
+        (_urgency(task), task.queued_at, task.task, task)
+        for task in tasks
+        if task.phase is TaskPhase.PENDING and task.not_before <= now
+    ]
+    heapq.heapify(queue)
+    while queue:
+        yield heapq.heappop(queue)[-1]
+
+
+def _urgency(task: WantedTask) -> int:
+    if task.kind is TaskKind.SERVICE:
+        return 0
+    if task.kind is TaskKind.WATCH:
+        return 1
+    return 2 if task.urgent else 3
