Tell in a release whether an owner of before may still renew leases

Cause, found by reading: an owner that was replaced without a word may renew leases for 12 s at workers that its successor can't reach; if that successor gave the cell back at once, the third took it for quiet and waited only for a lease. The release now says so; the test failed first on the record's form.

--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -45,12 +45,15 @@
         vm: The VM's name.
         process: The owner's process, or "".
         address: Its peer listener.
+        quiet: Whether no owner of before may still renew leases; told by the
+            one who gives the cell back.
     """
 
     form: int
     vm: str
     process: str
     address: str
+    quiet: bool
 
 
 class OwnerClaim(NamedTuple):
@@ -60,6 +63,7 @@
     vm: str
     process: str
     address: str
+    quiet: bool
 
     @property
     def released(self) -> bool:
@@ -192,4 +196,9 @@
 
 def claim_record(vm: str, process: str, address: str) -> ClaimRecord:
     """Returns the record of a claim."""
-    return ClaimRecord(_FORM, vm, process, address)
+    return ClaimRecord(_FORM, vm, process, address, False)
+
+
+def release_record(vm: str, *, quiet: bool) -> ClaimRecord:
+    """Returns the record that gives the cell back."""
+    return ClaimRecord(_FORM, vm, "", "", quiet)
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -20,11 +20,16 @@
 )
 from pimentocross.contracts.worker_link import WorkerFencedError
 from pimentocross.gateway import const
-from pimentocross.gateway.cluster import Cluster, OwnerClaim, claim_record
+from pimentocross.gateway.cluster import (
+    Cluster,
+    OwnerClaim,
+    claim_record,
+    release_record,
+)
 from pimentocross.gateway.owner_link import OwnerLink
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
-from pimentocross.owner.owner import CellPlatform, Claim, Owner
+from pimentocross.owner.owner import LOUD_FOR, CellPlatform, Claim, Owner
 from pimentocross.work.queue import WorkConfig
 
 
@@ -65,7 +70,7 @@
         self._not_before = 0.0
         self._unowned_since = trio.current_time()
         self._former_quiet = False
-        self._wake = trio.Event()
+        self._owned_since = trio.current_time()
 
     @property
     def store(self) -> Store:
@@ -107,6 +112,7 @@
 
     async def _own(self, claim: OwnerClaim) -> None:
         note("owner_begins", epoch=claim.epoch)
+        self._owned_since = trio.current_time()
         owner = Owner(
             Claim(const.JOBS_TOPIC, claim.epoch, self._former_quiet),
             self._platform,
@@ -160,7 +166,8 @@
             return
         try:
             await self._cluster.append_claim(
-                claim_record(self._mine.name, "", ""), self._cluster.end
+                release_record(self._mine.name, quiet=self._is_quiet()),
+                self._cluster.end,
             )
         except ConditionFailedError:
             pass
@@ -168,6 +175,11 @@
             note("release_failed", reason=str(error))
         await self._refresh()
 
+    def _is_quiet(self) -> bool:
+        """True if surely no owner of before renews leases any more."""
+        owned_for = trio.current_time() - self._owned_since
+        return self._former_quiet or owned_for > LOUD_FOR
+
     async def _watch(self, claim: OwnerClaim) -> None:
         """Keeps a link to another process that owns, until a newer claim."""
         async with self._linked(claim) as link:
@@ -240,7 +252,7 @@
     async def _consider(self, claim: OwnerClaim | None, reason: str) -> None:
         """Claims, after those who are better placed have had their chance."""
         if claim is None or claim.released:
-            self._former_quiet = True
+            self._former_quiet = claim is None or claim.quiet
         await trio.sleep(self._rank(claim) * const.RANK_DELAY)
         now = trio.current_time()
         if (
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -27,6 +27,10 @@
 from pimentocross.work.state import Job
 
 PRODUCER = "owner"
+# How long a lease lasts at most by our clock.
+_LEASE_MOST = const.LEASE * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
+# How long leases of an owner may last that was replaced without a word.
+LOUD_FOR = _LEASE_MOST + const.RENEWALS_WITHOUT_STORE
 
 
 class CellPlatform(NamedTuple):
@@ -179,7 +183,4 @@
 
 def _former_lease(claim: Claim) -> float:
     """Returns how long a former owner's leases may last from now on."""
-    lease = const.LEASE * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
-    if claim.former_quiet:
-        return lease
-    return lease + const.RENEWALS_WITHOUT_STORE
+    return _LEASE_MOST if claim.former_quiet else LOUD_FOR
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import msgspec
 import trio
 
 from pimentocross.contracts.store import ConditionFailedError
@@ -244,3 +245,24 @@
     owner.absent = 0.0
     desk.draining = True
     assert not desk.ready()
+
+
+async def test_a_release_soon_after_a_silent_owner_is_not_quiet() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with _vms(3, store, hall) as (vms, scopes, _):
+        await wait_until(lambda: any(vm.owns for vm in vms))
+        first = next(vm for vm in vms if vm.owns)
+        scopes[first.identity.name].cancel()
+        rest = [vm for vm in vms if vm is not first]
+        await wait_until(lambda: any(vm.owns for vm in rest))
+        second = next(vm for vm in rest if vm.owns)
+        second.election.leave()
+        third = next(vm for vm in rest if vm is not second)
+        await wait_until(lambda: third.owns)
+        released = [
+            record.value
+            for record in store.topic("cluster").records
+            if record.key.startswith("claim/")
+        ]
+        # The first may still renew leases that the second could not fence.
+        assert msgspec.msgpack.decode(released[-2] or b"")[-1] is False
