--- a/pimentocross/cli/explain.py
+++ b/pimentocross/cli/explain.py
@@ -61,10 +61,11 @@
 
 def tell(lines: list[LogLine], job: str) -> list[LogLine]:
     """Returns a job's lines in order, with what happened around them."""
-    own = sorted(line for line in lines if line.concerns(job))
+    own = [line for line in lines if line.concerns(job)]
     if not own:
         return []
-    first, last = own[0].at, own[-1].at
+    first = min(line.at for line in own)
+    last = max(line.at for line in own)
     around = [
         line
         for line in lines
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -239,7 +239,7 @@
             note("suspect_unconfirmed", reason=reason, store=str(error))
             return False
         writes = second > first
-        note("suspect", vm=claim.vm, reason=reason, writes=writes)
+        note("suspect", owner=claim.vm, reason=reason, writes=writes)
         return not writes and bool(self._suspicion(claim, link))
 
     async def _jobs_end(self) -> int:
--- a/pimentocross/observe/decisions.py
+++ b/pimentocross/observe/decisions.py
@@ -43,9 +43,9 @@
 
     def note(self, kind: str, fields: dict[str, object]) -> None:
         """Adds a line, or counts it if there are too many."""
-        line = _encode(
-            {"t": round(time.time(), 3), "vm": self.source, "is": kind} | fields
-        )
+        # No field may hide who wrote the line.
+        source = {"t": round(time.time(), 3), "vm": self.source, "is": kind}
+        line = _encode(source | fields | source)
         if len(line) >= _PIPE_CHUNK or len(self._waiting) >= _WAITING_MOST:
             self.dropped[kind] += 1
             return
@@ -54,6 +54,12 @@
             return
         self._waiting.append(line + b"\n")
 
+    def newest(self) -> dict[str, object]:
+        """Returns the newest line that waits, without its time."""
+        line: dict[str, object] = msgspec.json.decode(self._waiting[-1])
+        del line["t"]
+        return line
+
     def flush(self) -> None:
         """Writes what the pipe takes without blocking."""
         if self.dropped and not self._waiting and self._afford(0):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -18,6 +18,7 @@
  -1.2 edge-1 {"t":10.0,"vm":"a","is":"job_accepted","job":"j1","queue":"q"}
 Traceback (most recent call last):
 {"t":10.2,"vm":"a","is":"run_decided","task":["j1",0,0,1],"run":1,"worker":"w"}
+{"t":10.2,"vm":"a","is":"run_decided","task":["j1",0,0,2],"run":1,"worker":"w"}
 {"t":10.3,"vm":"a","is":"run_decided","task":["j2",0,0,1],"run":1,"worker":"w"}
 {"t":10.4,"vm":"b","is":"claim","reason":"silent","at":7}
 {"t":10.9,"vm":"b","is":"run_ended","task":["j1",0,0,1],"run":1,"how":"done"}
@@ -31,6 +32,7 @@
     assert [line.kind for line in story] == [
         "job_accepted",
         "run_decided",
+        "run_decided",
         "claim",
         "run_ended",
     ]
@@ -49,6 +51,13 @@
         assert missing.exit_code == 1
 
 
+def test_no_field_hides_who_wrote_a_line() -> None:
+    log = DecisionLog()
+    log.source = "a"
+    log.note("suspect", {"vm": "b", "is": "other", "owner": "b"})
+    assert log.newest() == {"vm": "a", "is": "suspect", "owner": "b"}
+
+
 def test_a_stuck_reader_costs_lines_and_no_time() -> None:
     reader, writer = os.pipe()
     log = DecisionLog()
