Keep leases and the memory of ended jobs within the deployment's bounds

Cause, found by reading: the lease of 5 s and the 150 s for which an ended job is known were constants; a deployment whose workers grant less, or whose callers ask for longer, would have lapsed leases and denied jobs.

--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -29,7 +29,7 @@
 from pimentocross.gateway.owner_link import OwnerLink
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
-from pimentocross.owner.owner import LOUD_FOR, CellPlatform, Claim, Owner
+from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.work.queue import WorkConfig
 
 
@@ -178,7 +178,7 @@
     def _is_quiet(self) -> bool:
         """True if surely no owner of before renews leases any more."""
         owned_for = trio.current_time() - self._owned_since
-        return self._former_quiet or owned_for > LOUD_FOR
+        return self._former_quiet or owned_for > self._platform.terms.loud_for
 
     async def _watch(self, claim: OwnerClaim) -> None:
         """Keeps a link to another process that owns, until a newer claim."""
--- a/pimentocross/gateway/settings.py
+++ b/pimentocross/gateway/settings.py
@@ -17,6 +17,8 @@
         store_address: host:port of the store.
         adviser_address: host:port of the service that knows who may run a
             step, or "".
+        lease_most: Longest lease in seconds that workers grant.
+        ended_least: Seconds for which the state of an ended job is asked for.
         grace: Seconds between a request to stop and a kill.
     """
 
@@ -29,4 +31,6 @@
     metrics_port: int
     store_address: str
     adviser_address: str
+    lease_most: float
+    ended_least: float
     grace: float
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -52,6 +52,8 @@
 
 # A job that has ended is remembered at least this long.
 ENDED_KEPT: Final = 150.0
+# ... and this much longer than a deployment asks for.
+ENDED_SLACK: Final = 30.0
 SWEEP_INTERVAL: Final = 5.0
 # An answer "no such job" is given only if the store acknowledged an append
 # within this, else a successor may know more.
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from pimentocross.owner import const, wall
+from pimentocross.owner import wall
 from pimentocross.owner.ledger import Batch, Ledger, PlainRecord
 from pimentocross.work import records
 from pimentocross.work.queue import Queue, WorkConfig
@@ -32,9 +32,15 @@
 class JobBook:
     """Jobs by id; every change goes to the ledger."""
 
-    def __init__(self, ledger: Ledger) -> None:
-        """Starts empty."""
+    def __init__(self, ledger: Ledger, ended_kept: float) -> None:
+        """Starts empty.
+
+        Args:
+            ledger: Where changes are recorded.
+            ended_kept: Seconds for which an ended job is remembered.
+        """
         self._ledger = ledger
+        self._ended_kept = ended_kept
         self._jobs: dict[str, Job] = {}
         # Steps of jobs that haven't ended, whose turn has come; in order.
         self._open_steps: dict[Step, None] = {}
@@ -119,7 +125,7 @@
 
     def sweep(self) -> None:
         """Forgets jobs that ended long ago."""
-        before = wall.now() - const.ENDED_KEPT
+        before = wall.now() - self._ended_kept
         old = [
             job
             for job in self._jobs.values()
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -39,6 +39,7 @@
 
     Attributes:
         token: The owner's fencing token.
+        lease: Seconds for which what runs is let run on.
         book: The jobs.
         ledger: Where changes are recorded.
         wake: Has decisions made anew.
@@ -47,6 +48,7 @@
     """
 
     token: int
+    lease: float
     book: JobBook
     ledger: Ledger
     wake: Callable[[], None]
@@ -114,7 +116,7 @@
             return None
         if self._parts.ledger.age() > const.RENEWALS_WITHOUT_STORE:
             return None
-        return worker.clock.after(const.LEASE, now)
+        return worker.clock.after(self._parts.lease, now)
 
     def _wait(self) -> float:
         worker = self._worker
@@ -146,7 +148,7 @@
         if worker.lease_end is None:
             # A former owner is fenced from now on; this is the most that it
             # may have granted.
-            worker.lease_end = worker.clock.after(const.LEASE, now)
+            worker.lease_end = worker.clock.after(self._parts.lease, now)
 
     async def _take_in(self, reply: HoldReply, sent_at: float) -> None:
         changed: dict[Job, None] = {}
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -21,16 +21,13 @@
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.roster import Roster
+from pimentocross.owner.terms import OwnerTerms
 from pimentocross.work import records
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.records import RecordError
 from pimentocross.work.state import Job
 
 PRODUCER = "owner"
-# How long a lease lasts at most by our clock.
-_LEASE_MOST = const.LEASE * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
-# How long leases of an owner may last that was replaced without a word.
-LOUD_FOR = _LEASE_MOST + const.RENEWALS_WITHOUT_STORE
 
 
 class CellPlatform(NamedTuple):
@@ -40,6 +37,7 @@
     directory: WorkerDirectory
     workers: WorkerDialer
     adviser: Adviser | None = None
+    terms: OwnerTerms = OwnerTerms()
 
 
 class Claim(NamedTuple):
@@ -79,12 +77,12 @@
         self._ledger = Ledger(
             platform.store, claim.topic, PRODUCER, claim.epoch
         )
-        self._book = JobBook(self._ledger)
+        self._book = JobBook(self._ledger, platform.terms.ended_kept)
         self._roster = Roster(
             platform.directory,
             platform.workers,
             self._ledger,
-            trio.current_time() + _former_lease(claim),
+            trio.current_time() + _former_lease(claim, platform.terms),
         )
         self._learned = Learned()
         self._dispatcher = Dispatcher(
@@ -111,6 +109,7 @@
         async with trio.open_nursery() as nursery:
             parts = CellParts(
                 self.epoch,
+                self._platform.terms.lease,
                 self._book,
                 self._ledger,
                 self._dispatcher.wake,
@@ -181,6 +180,6 @@
             self._ledger.put(PlainRecord(records.LEARNED, self._learned.encode))
 
 
-def _former_lease(claim: Claim) -> float:
+def _former_lease(claim: Claim, terms: OwnerTerms) -> float:
     """Returns how long a former owner's leases may last from now on."""
-    return _LEASE_MOST if claim.former_quiet else LOUD_FOR
+    return terms.lease_most if claim.former_quiet else terms.loud_for
--- a/pimentocross/platform/__main__.py
+++ b/pimentocross/platform/__main__.py
@@ -9,6 +9,7 @@
 from pimentocross.gateway.settings import GatewaySettings
 from pimentocross.observe.decisions import enable, note
 from pimentocross.owner.owner import CellPlatform
+from pimentocross.owner.terms import make_terms
 from pimentocross.platform.adviser import HttpAdviser
 from pimentocross.platform.callers import (
     CallerSurface,
@@ -34,7 +35,11 @@
     if settings.adviser_address:
         adviser = HttpAdviser(settings.adviser_address)
     platform = CellPlatform(
-        store, ServerTopic(store), HttpWorkerDialer(), adviser
+        store,
+        ServerTopic(store),
+        HttpWorkerDialer(),
+        adviser,
+        make_terms(settings.lease_most, settings.ended_least),
     )
     node = GatewayNode(settings, platform, OperatorTopic(store))
     surfaces = Surfaces(
--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -10,6 +10,9 @@
 _METRICS_VARIABLE: Final = "PIMENTOCROSS_METRICS_PORT"
 # As deploy/system.toml tells the platform.
 _METRICS_PORT: Final = "9464"
+# What the users' pages give where the settings leave a bound out.
+_MAX_HOLD_MS: Final = 6000.0
+_STATUS_S: Final = 120.0
 _PATH_VARIABLE: Final = "PIMENTOCROSS_BOOT"
 _COMMENT: Final = "#"
 
@@ -70,7 +73,10 @@
         ),
         store_address=need("platform.address"),
         adviser_address=values.get("recommendation", ""),
-        grace=_seconds(values, "bounds.grace_s", 6.0, findings),
+        lease_most=_number(values, "bounds.max_hold_ms", _MAX_HOLD_MS, findings)
+        / 1000,
+        ended_least=_number(values, "bounds.status_s", _STATUS_S, findings),
+        grace=_number(values, "bounds.grace_s", 6.0, findings),
     )
     if findings:
         raise SettingsError(findings)
@@ -96,7 +102,7 @@
     return int(text) if text.isdigit() else 0
 
 
-def _seconds(
+def _number(
     values: Mapping[str, str],
     name: str,
     default: float,
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -14,6 +14,7 @@
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.owner import const, wall
 from pimentocross.owner.desk import Outcome
+from pimentocross.owner.terms import OwnerTerms, make_terms
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
     LASTS,
@@ -172,6 +173,13 @@
     assert len(lapsed) == on_it
 
 
+def test_leases_and_memory_keep_to_what_the_deployment_asks() -> None:
+    assert make_terms(3.0, 400.0) == OwnerTerms(3.0, 430.0)
+    usual = make_terms(10.0, 120.0)
+    assert usual == OwnerTerms(const.LEASE, const.ENDED_KEPT)
+    assert usual.loud_for > const.RENEWALS_WITHOUT_STORE + const.LEASE
+
+
 async def test_a_job_fails_after_its_attempts_and_not_before() -> None:
     store = StoreStandin()
     hall = make_hall(plan=lambda _: TaskPlan(0.2, SMALL, fails=True))
