Count a failed run once, whoever takes its ending in

An owner records endings before it takes note of them; if it ends in between, its successor is listed them again, and counted each failure once more. Ruled out: endings of other jobs, and late starts (the run numbers differ).

Change: a failure counts only while its run is known. The test failed first.

--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -24,8 +24,7 @@
     if ending.how is EndKind.DONE and not task.step.spec.lasting:
         _finish(task)
     elif ending.how is EndKind.FAILED and not task.step.spec.lasting:
-        task.failures += 1
-        task.failed_on.add(worker.number)
+        _count_failure(task, run, worker)
     note(
         "run_ended",
         task=task.name,
@@ -37,6 +36,18 @@
     return run
 
 
+def _count_failure(task: Task, run: Run | None, worker: Worker) -> None:
+    """Counts a failed run, once.
+
+    A run that isn't known any more was counted when its ending was recorded,
+    maybe by a former owner that did not come to take note of it; or it was
+    given up since its lease had lapsed, which voids the ending.
+    """
+    if run is not None:
+        task.failures += 1
+        task.failed_on.add(worker.number)
+
+
 def _finish(task: Task) -> None:
     if task.step.spec.gang:
         # The members of a gang end together; one ending stands for all.
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,5 +1,6 @@
 """The owner of a cell: jobs run to their end, once, whatever fails."""
 
+from collections import Counter
 from collections.abc import Sequence
 from unittest import mock
 
@@ -14,6 +15,7 @@
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.owner import const, wall
 from pimentocross.owner.desk import Outcome
+from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.terms import OwnerTerms, make_terms
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
@@ -451,3 +453,29 @@
 def test_a_task_name_is_spelled_by_its_parts() -> None:
     name = TaskName("j", 0, 1, 2)
     assert (name.job, name.step, name.position) == ("j", 1, 2)
+
+
+async def test_a_failure_that_was_recorded_is_not_counted_again() -> None:
+    # Seen on a played day: each successor was listed endings that its
+    # predecessors had recorded and not taken note of, and a job of one failure
+    # was shown as failed.
+    store = StoreStandin()
+    begun: Counter[TaskName] = Counter()
+
+    def fails_first(name: TaskName) -> TaskPlan:
+        begun[name] += 1
+        return TaskPlan(
+            0.3 if begun[name] == 1 else 20.0, SMALL, begun[name] == 1
+        )
+
+    async def never_noted(self: Keeper, newest: int, batch: object) -> None:
+        await trio.sleep(0.2)
+
+    hall = make_hall(2, plan=fails_first)
+    with mock.patch.object(Keeper, "_note_endings", never_noted):
+        for epoch in range(1, QUEUE.attempts + 2):
+            async with running(make_owner(store, hall, epoch)) as owner:
+                await owner.desk.submit("j1", QUEUE, chain(1, 1))
+                await trio.sleep(2)
+                assert owner.desk.state("j1").state is JobState.RUNNING
+    assert count(hall.journal, "failed") == 1
