--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -1,5 +1,6 @@
 """Fixtures of the owner's tests: a cell of stand-in workers and a store."""
 
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -178,6 +179,35 @@
     return found
 
 
+def find_over_budget(journal: list[RunEvent]) -> list[RunEvent]:
+    """Returns starts after a task's attempts had failed, as was noted."""
+    noted = {
+        (event.worker, event.task, event.run)
+        for event in journal
+        if event.what == "noted failed"
+    }
+    failures: Counter[TaskName] = Counter()
+    found = []
+    for event in journal:
+        key = (event.worker, event.task, event.run)
+        if event.what == "failed" and key in noted:
+            failures[event.task] += 1
+        over = failures[event.task] >= QUEUE.attempts
+        if event.what == "start" and over:
+            found.append(event)
+    return found
+
+
+def ran_out(journal: list[RunEvent], job: str) -> bool:
+    """True if a task of a job failed as often as its queue allows."""
+    failures = Counter(
+        event.task
+        for event in journal
+        if event.what == "failed" and event.task.job == job
+    )
+    return max(failures.values(), default=0) >= QUEUE.attempts
+
+
 def count(journal: list[RunEvent], what: str) -> int:
     """Returns how many events of a kind there are."""
     return sum(event.what == what for event in journal)
--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -20,7 +20,7 @@
     WorkerHall,
 )
 from pimentocross.work.spec import TaskName
-from pimentocross.work.state import TERMINAL
+from pimentocross.work.state import TERMINAL, JobState
 from tests import run_virtual
 from tests.owner_fixtures import (
     QUEUE,
@@ -28,10 +28,12 @@
     OwnerEndedError,
     chain,
     find_again,
+    find_over_budget,
     find_twice,
     life,
     make_hall,
     make_owner,
+    ran_out,
     running,
     wait_until,
 )
@@ -41,6 +43,7 @@
 SEEDS = range(12)
 _WORKERS = 5
 _ROUNDS = 6
+_FAILING = 0.2
 
 
 class _World:
@@ -59,7 +62,8 @@
         self.store.faults.lost = 0.1
 
     def _plan(self, _: TaskName) -> TaskPlan:
-        return TaskPlan(self.random.uniform(0.2, 4.0), SMALL)
+        fails = self.random.random() < _FAILING
+        return TaskPlan(self.random.uniform(0.2, 4.0), SMALL, fails)
 
     async def submit_some(self, owner: Owner) -> None:
         """Submits jobs as callers do, within a time."""
@@ -137,6 +141,7 @@
             ),
             timeout=90,
         )
+        states = {job: owner.desk.state(job).state for job in world.accepted}
     for worker in world.hall.workers.values():
         worker.listing()
     journal = sorted(
@@ -145,6 +150,12 @@
     assert world.accepted
     assert not find_twice(journal), (seed, find_twice(journal)[:3])
     assert not find_again(journal), (seed, find_again(journal)[:3])
+    assert not find_over_budget(journal), (seed, find_over_budget(journal)[:3])
+    failed = [
+        job for job in sorted(world.accepted) if states[job] is JobState.FAILED
+    ]
+    without_cause = [job for job in failed if not ran_out(journal, job)]
+    assert not without_cause, (seed, without_cause)
 
 
 def test_random_faults_break_no_promise() -> None:
--- a/tests/test_owner_rules.py
+++ b/tests/test_owner_rules.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from pimentocross.owner import const, keeper, ledger, orders
+from pimentocross.owner import const, endings, keeper, ledger, orders
 from pimentocross.owner.worker import Worker
 from pimentocross.work.state import Run, RunState, Task
 from tests import run_virtual
@@ -63,3 +63,11 @@
     with mock.patch.object(orders.Orders, "_start_all", hasty):
         with mock.patch.object(const, "BATCH_PAUSE", 1.5):
             _broken_within_seeds("recording before sending")
+
+
+def test_a_failure_is_counted_once() -> None:
+    def always(task: Task, run: Run | None, worker: Worker) -> None:
+        task.failures += 1
+
+    with mock.patch.object(endings, "_count_failure", always):
+        _broken_within_seeds("counting a failure once")
