Open workers for filling images that wait

A stop that is on its way now counts as a task away: two tasks of one step could be taken away in one pass though the step bears one.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -10,6 +10,7 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const, wall
 from pimentocross.owner.advice import AdviceDesk
+from pimentocross.owner.arranger import Arranger
 from pimentocross.owner.care import Care
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.learned import Learned
@@ -18,8 +19,9 @@
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.headroom import HELD_BACK_MOST, Headroom
-from pimentocross.placement.hosts import allows, choose, common_rack, left_over
-from pimentocross.placement.urgency import urgency
+from pimentocross.placement.host import allows, left_over
+from pimentocross.placement.hosts import choose, common_rack
+from pimentocross.placement.urgency import Chance, urgency
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.state import Run, Step, Task
 
@@ -61,6 +63,7 @@
         self._config = config
         self._learned = learned
         self._care = Care(roster, learned)
+        self._arranger = Arranger(learned)
         self._headroom = Headroom()
         self._held_back: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
         self._applied_version = -1
@@ -119,6 +122,10 @@
             if w.unsound_until <= now
             and self._learned.quarantine.admits(w.life.id, now)
         ]
+        worth_a_place = (
+            step for rank, _, step in ranked if rank.chance < Chance.HOPELESS
+        )
+        self._arranger.pass_over(worth_a_place, workers, orders, now)
         racks = {worker.number: worker.life.rack for worker in workers}
         spare = self._spare(workers, steps, now)
         placements: list[Placement] = []
@@ -164,7 +171,7 @@
 
     def _is_held_back(self, step: Step, now: float) -> bool:
         """True for work that leaves the headroom free, for a while."""
-        if not _leaves_headroom(step):
+        if not _leaves_headroom(step) or _has_run(step):
             return False
         since = self._held_back.setdefault(step, now)
         return now - since < HELD_BACK_MOST
@@ -214,8 +221,11 @@
         for task in step.waiting():
             if task.not_before > now:
                 continue
-            placement = self._place(task, task.last_run + 1, workers, rack, now)
+            where = _destination(task, workers, now)
+            placement = self._place(task, task.last_run + 1, where, rack, now)
             if placement is None:
+                if task.bound_for is not None:
+                    continue
                 break
             rack = rack or placement.worker.life.rack
             placed.append(placement)
@@ -263,10 +273,11 @@
         rack: str,
         now: float,
     ) -> Placement | None:
-        worker = choose(task, workers, self._learned.disturbance, rack)
+        worker = choose(task, workers, self._arranger.view, rack)
         if worker is None:
             return None
         run = Run(number, worker.number, now)
+        task.bound_for = None
         task.add_run(run)
         worker.add(task, run)
         self._learned.quarantine.note_started(worker.life.id)
@@ -292,12 +303,27 @@
         orders.start(placements, batch)
 
 
+def _destination(task: Task, workers: list[Worker], now: float) -> list[Worker]:
+    """Returns the worker that a task is moved to, for a while, or all."""
+    if task.bound_for is None:
+        return workers
+    if now >= task.bound_for.until:
+        task.bound_for = None
+        return workers
+    return [w for w in workers if w.number == task.bound_for.worker]
+
+
 def _is_short(step: Step) -> bool:
     """True for urgent work that reserves its room for a short time."""
     spec = step.spec
     return not (spec.fills or spec.lasting or step.job.queue.priority)
 
 
+def _has_run(step: Step) -> bool:
+    """True if a task waits that was taken from its place."""
+    return step.spec.lasting and any(t.last_run for t in step.waiting())
+
+
 def _leaves_headroom(step: Step) -> bool:
     """True for work that reserves room and isn't urgent, or keeps it long."""
     return not step.spec.fills and not _is_short(step)
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -8,18 +8,17 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 import math
-from typing import Final, Protocol, TypeVar
+from typing import Final, NamedTuple, TypeVar
 
-from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.placement.disturbance import Disturbance
-from pimentocross.work.spec import Size, StepSpec
-from pimentocross.work.state import Step, Task
+from pimentocross.placement.host import Host, allows, left_over
+from pimentocross.placement.layout import Opening, bears, closed_by
+from pimentocross.work.spec import StepSpec
+from pimentocross.work.state import Task
 
 # Penalties outweigh the fit, which is at most 3.
 _NOT_NEAR: Final = 10.0
 _FAILED_THERE: Final = 50.0
-# Share of what serving tasks ask for that they use, as seen on played days.
-SERVING_LOAD: Final = 0.42
 # A task fills beside serving ones only if what fills there is expected to
 # raise the logarithm of their tail by no more: from the usual 0.45 of the
 # target to 0.67.
@@ -29,63 +28,38 @@
 _SERVES_NOBODY: Final = 0.8
 
 
-class Host(Protocol):
-    """A worker as a place for tasks."""
+# Closing a worker to all that has no other room outweighs the fit.
+_CLOSED: Final = 4.0
+# A worker that is kept open for an image is taken by what can't bear it only
+# if nothing else has room.
+_KEPT_OPEN: Final = 8.0
 
-    @property
-    def life(self) -> WorkerLife:
-        """As listed."""
-        ...
-
-    @property
-    def number(self) -> int:
-        """Its number in the roster."""
-        ...
-
-    @property
-    def free(self) -> Size:
-        """What is not committed."""
-        ...
-
-    @property
-    def serving(self) -> Mapping[str, int]:
-        """Processor time that serving tasks ask for, thousandths by image."""
-        ...
+HostT = TypeVar("HostT", bound=Host)
 
-    @property
-    def filling(self) -> Mapping[str, int]:
-        """The same of tasks that fill."""
-        ...
 
-    @property
-    def filled(self) -> int:
-        """Processor time that all tasks that fill ask for, thousandths."""
-        ...
+class View(NamedTuple):
+    """What is known beside the workers.
 
-    def count_of(self, step: Step) -> int:
-        """Returns how many runs of a step may be on it."""
-        ...
+    Attributes:
+        disturbance: Which images disturb which.
+        missing: Processor time that has nowhere to fill, thousandths by image.
+        openings: Workers that are kept open, by number.
+    """
 
+    disturbance: Disturbance
+    missing: Mapping[str, int]
+    openings: Mapping[int, Opening]
 
-HostT = TypeVar("HostT", bound=Host)
 
-
-def allows(host: Host, step: Step) -> bool:
-    """True if a worker may run a step at all and has room for a task."""
-    spec = step.spec
-    if host.life.service != step.job.queue.service:
-        return False
-    if spec.label and spec.label not in host.life.labels:
-        return False
-    if spec.per_worker and host.count_of(step) >= spec.per_worker:
-        return False
-    return spec.committed.fits_in(host.free)
+def plain_view(disturbance: Disturbance) -> View:
+    """Returns a view with nothing that waits for room to fill."""
+    return View(disturbance, {}, {})
 
 
 def choose(
     task: Task,
     hosts: Sequence[HostT],
-    disturbance: Disturbance,
+    view: View,
     rack: str = "",
 ) -> HostT | None:
     """Returns the best worker for a task, or None if none has room.
@@ -93,7 +67,7 @@
     Args:
         task: What is to be started.
         hosts: Workers that may be used.
-        disturbance: What is known of pairs of images.
+        view: What is known beside them.
         rack: Rack that the step's other tasks are on, or "".
     """
     best: HostT | None = None
@@ -101,7 +75,7 @@
     for host in hosts:
         if not allows(host, task.step):
             continue
-        cost = _fit(task.step.spec, host, disturbance)
+        cost = _fit(task.step.spec, host, view)
         if cost < least:
             cost += _penalties(task, host, rack)
         if cost < least:
@@ -109,25 +83,28 @@
     return best
 
 
-def left_over(host: Host) -> int:
-    """Returns the processor time that more tasks that fill may ask for."""
-    reserved = host.life.capacity.cpu - host.free.cpu
-    serving = sum(host.serving.values())
-    used = reserved - int(serving * (1 - SERVING_LOAD))
-    return host.life.capacity.cpu - used - host.filled
-
-
-def _fit(spec: StepSpec, host: Host, disturbance: Disturbance) -> float:
+def _fit(spec: StepSpec, host: Host, view: View) -> float:
     """Returns how badly a task fits, infinite if it should not be there."""
     if spec.fills:
-        return _fit_of_filler(spec, host, disturbance)
+        return _fit_of_filler(spec, host, view.disturbance)
     fit = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
     if spec.target_tail:
         fit += _strangeness(spec.image, host)
-        fit += disturbance.added(spec.image, _loads(host))
+        fit += view.disturbance.added(spec.image, _loads(host))
+        fit += _closing(spec.image, host, view)
     return fit
 
 
+def _closing(image: str, host: Host, view: View) -> float:
+    """Returns the cost of shutting out what waits for room to fill."""
+    opening = view.openings.get(host.number)
+    if opening is not None and image in opening.leaving:
+        return _KEPT_OPEN
+    if not view.missing:
+        return 0.0
+    return _CLOSED * closed_by(image, host, view.missing, view.disturbance)
+
+
 def _strangeness(image: str, host: Host) -> float:
     """Returns 0 for a host that serves just this image, up to 2 for others.
 
@@ -150,7 +127,7 @@
     fit = 1.0 - left / capacity
     if not host.serving:
         return fit
-    if any(disturbance.is_bad(image, spec.image) for image in host.serving):
+    if not bears(host.serving, spec.image, disturbance):
         return math.inf
     loads = _loads(host)
     loads[spec.image] = loads.get(spec.image, 0.0) + spec.size.cpu / capacity
--- a/pimentocross/placement/soundness.py
+++ b/pimentocross/placement/soundness.py
@@ -11,7 +11,7 @@
 from typing import Final, NamedTuple
 
 from pimentocross.placement.pacing import Reading
-from pimentocross.work.state import Step
+from pimentocross.work.state import Run, RunState, Step
 
 # Estimates of jobs are off by a factor of 2.5: the median over several jobs at
 # a third of what it is on other workers is most likely the worker's doing.
@@ -113,13 +113,17 @@
     )
 
 
+def _is_at_work(run: Run) -> bool:
+    return run.state is RunState.RUNNING and run.percent >= 100
+
+
 def may_take_away(step: Step) -> bool:
     """True if one more task of a lasting step may be away by our doing."""
     most = step.spec.away_most
     if most is None:
         return True
     at_work = sum(
-        any(run.percent >= 100 for run in task.runs.values())
+        any(_is_at_work(run) for run in task.runs.values())
         for task in step.tasks
     )
     return step.spec.width - at_work < most
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from enum import IntEnum, StrEnum
+from typing import NamedTuple
 
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, StepSpec, TaskName
@@ -74,6 +75,18 @@
         self.state_at = now
 
 
+class Destination(NamedTuple):
+    """The worker that a task is moved to, and until when that is waited for.
+
+    Attributes:
+        worker: Number of the worker's life in the owner's roster.
+        until: Monotonic.
+    """
+
+    worker: int
+    until: float
+
+
 class Task:
     """One task.
 
@@ -87,6 +100,7 @@
         runs: Runs that may be on a worker, by number.
         failed_on: Numbers of worker lives on which runs failed.
         not_before: Not started again before this time, monotonic.
+        bound_for: Where it is being moved to, or None.
     """
 
     def __init__(self, name: TaskName, step: "Step") -> None:
@@ -100,6 +114,7 @@
         self.runs: dict[int, Run] = {}
         self.failed_on: set[int] = set()
         self.not_before = 0.0
+        self.bound_for: Destination | None = None
 
     @property
     def waiting(self) -> bool:
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -8,7 +8,8 @@
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.placement.disturbance import Disturbance
 from pimentocross.placement.durations import Durations
-from pimentocross.placement.hosts import choose, left_over
+from pimentocross.placement.host import left_over
+from pimentocross.placement.hosts import choose, plain_view
 from pimentocross.placement.pacing import (
     FULL_PACE,
     Filler,
@@ -136,8 +137,8 @@
     shop = _Host(0, serving={"shop": 4000})
     maps = _Host(1, serving={"maps": 4000})
     step = _step(_filler("heavy"))
-    assert choose(step.tasks[0], [shop, maps], disturbance) is maps
-    assert choose(step.tasks[0], [shop], disturbance) is None
+    assert choose(step.tasks[0], [shop, maps], plain_view(disturbance)) is maps
+    assert choose(step.tasks[0], [shop], plain_view(disturbance)) is None
 
 
 def test_fillers_take_no_more_than_what_is_left_over() -> None:
@@ -146,7 +147,7 @@
     step = _step(StepSpec(40, Size(1000, 100, 0), 1.0, image="f", fills=True))
     placed = 0
     for task in step.tasks:
-        host = choose(task, hosts, Disturbance())
+        host = choose(task, hosts, plain_view(Disturbance()))
         if host is None:
             break
         host.filling["f"] += 1000
@@ -160,7 +161,9 @@
     alike = _Host(0, Size(4000, 9000, 0), serving={"a": 4000})
     empty = _Host(1)
     mixed = _Host(2, Size(1500, 9000, 0), serving={"b": 4000})
-    chosen = choose(step.tasks[0], [mixed, empty, alike], Disturbance())
+    chosen = choose(
+        step.tasks[0], [mixed, empty, alike], plain_view(Disturbance())
+    )
     assert chosen is alike
 
 
@@ -264,6 +267,7 @@
     step = _step(StepSpec(3, SMALL, lasting=True, away_most=1))
     for number, task in enumerate(step.tasks):
         run = Run(1, number)
+        run.enter(RunState.RUNNING, 0.0)
         run.percent = 100
         task.add_run(run)
     assert may_take_away(step)
