--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -30,6 +30,8 @@
 
 # Closing a worker to all that has no other room outweighs the fit.
 _CLOSED: Final = 4.0
+# What fills takes a worker that is open to what has no other room last.
+_TAKEN_FROM_OTHERS: Final = 0.3
 # A worker that is kept open for an image is taken by what can't bear it only
 # if nothing else has room.
 _KEPT_OPEN: Final = 8.0
@@ -86,7 +88,7 @@
 def _fit(spec: StepSpec, host: Host, view: View) -> float:
     """Returns how badly a task fits, infinite if it should not be there."""
     if spec.fills:
-        return _fit_of_filler(spec, host, view.disturbance)
+        return _fit_of_filler(spec, host, view)
     fit = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
     if spec.target_tail:
         fit += _strangeness(spec.image, host)
@@ -117,14 +119,13 @@
     return 1.0 + others if others else 0.0
 
 
-def _fit_of_filler(
-    spec: StepSpec, host: Host, disturbance: Disturbance
-) -> float:
+def _fit_of_filler(spec: StepSpec, host: Host, view: View) -> float:
+    disturbance = view.disturbance
     capacity = max(host.life.capacity.cpu, 1)
     left = left_over(host) - spec.size.cpu
     if left < 0:
         return math.inf
-    fit = 1.0 - left / capacity
+    fit = 1.0 - left / capacity + _wanted_by_others(spec.image, host, view)
     if not host.serving:
         return fit
     if not bears(host.serving, spec.image, disturbance):
@@ -135,6 +136,22 @@
     return fit + 1.0 + harm if harm <= HARM_MOST else math.inf
 
 
+def _wanted_by_others(image: str, host: Host, view: View) -> float:
+    """Returns the share of what has no room elsewhere that a host is open to.
+
+    What is borne nearly everywhere leaves such room to what is not.
+    """
+    whole = sum(view.missing.values())
+    if not whole:
+        return 0.0
+    others = sum(
+        amount
+        for other, amount in view.missing.items()
+        if other != image and bears(host.serving, other, view.disturbance)
+    )
+    return _TAKEN_FROM_OTHERS * others / whole
+
+
 def _loads(host: Host) -> dict[str, float]:
     capacity = max(host.life.capacity.cpu, 1)
     return {image: cpu / capacity for image, cpu in host.filling.items()}
