--- a/pimentocross/owner/arranger.py
+++ b/pimentocross/owner/arranger.py
@@ -24,14 +24,14 @@
 _INTERVAL: Final = 0.5
 # Workers that are being emptied at once: each move takes about a second, and
 # what is learned meanwhile may change the next choice.
-_AT_ONCE: Final = 2
+_AT_ONCE: Final = 3
 # Serving tasks stay away from an opened worker for this long: the moves, and
 # the time until what fills has come.
 _KEPT_FOR: Final = 8.0
 # A task that has just come is not moved again: its figures say nothing yet.
-_SETTLED_AFTER: Final = 3.0
+_SETTLED_AFTER: Final = 2.0
 # A worker that could not be opened is looked at again after this.
-_TRIED_AGAIN_AFTER: Final = 3.0
+_TRIED_AGAIN_AFTER: Final = 1.5
 # Plans that are made in one pass before giving up; each looks at all tasks.
 _PLANS_MOST: Final = 4
 # A moved task waits this long for its place: a stop takes 0.4 s at most, and
--- a/pimentocross/placement/layout.py
+++ b/pimentocross/placement/layout.py
@@ -27,6 +27,9 @@
 # A worker is worth opening for this much room, thousandths of a core: about
 # what one filling task asks for.
 ROOM_LEAST: Final = 2_000
+# What leaves may shut out this share of what has no room, elsewhere: with
+# several images that wait, hardly a worker is closed to all of them.
+CLOSED_MOST: Final = 0.15
 # Images that wait most and workers with most to gain that are looked at.
 _IMAGES_MOST: Final = 3
 _HOSTS_MOST: Final = 8
@@ -241,10 +244,11 @@
         return None
 
     def _welcomes(self, host: Host, seat: Seat, more: Size) -> bool:
-        """True if a host has room for more and a task shuts nothing out."""
-        return self._has_room(host, seat, more) and not closed_by(
-            seat.image, host, self._missing, self._disturbance
-        )
+        """True if a host has room for more and a task shuts little out."""
+        if not self._has_room(host, seat, more):
+            return False
+        closed = closed_by(seat.image, host, self._missing, self._disturbance)
+        return closed <= CLOSED_MOST
 
     def _has_room(self, host: Host, seat: Seat, more: Size) -> bool:
         return (
