Tell callers at once when the store goes away under their job

The owner now answers 'unsure' as soon as the store counts as away (0.8 s without an answer): the caller gets its 504 then and asks again with the same id. A job whose record is stored is confirmed at once, also while the store is away; before, that too waited for the store.

Ruled out: a dead or frozen owner (its link fails after 0.8 s of missed heartbeats and the caller is told then).

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -129,8 +129,11 @@
             return self._unanswered(place.rest, error)
         took = trio.current_time() - asked_at
         self.histograms.record(Label("queue", place.queue.name), took)
-        if isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK:
-            return Answer(AnswerKind.ACCEPTED)
+        if isinstance(reply, JobAnswer):
+            if reply.outcome is Outcome.OK:
+                return Answer(AnswerKind.ACCEPTED)
+            if reply.outcome is Outcome.UNSURE:
+                return Answer(AnswerKind.UNKNOWN, reason=reply.outcome.value)
         return self._refused(place.rest, reply)
 
     async def look(self, host: str, path: str, deadline: float) -> Answer:
@@ -195,6 +198,8 @@
             return Answer(kind, state=reply.state)
         if reply.outcome is Outcome.NO_SUCH_JOB:
             return Answer(AnswerKind.NO_SUCH_JOB)
+        if reply.outcome is Outcome.UNSURE:
+            return Answer(AnswerKind.UNKNOWN, reason=reply.outcome.value)
     return _unavailable(_reason(reply))
 
 
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -14,6 +14,8 @@
 # An append unanswered for this long means that the store is away: new jobs
 # are refused at once rather than left to wait.
 AWAY_AFTER: Final = 0.8
+# How often a caller's wait looks whether the store has gone away.
+AWAY_LOOK: Final = 0.1
 # Largest append, half of what the platform takes.
 APPEND_BYTES: Final = 1_000_000
 
--- a/pimentocross/owner/desk.py
+++ b/pimentocross/owner/desk.py
@@ -4,19 +4,26 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+import trio
+
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.jobs import JobBook, shown_state
-from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.ledger import Batch, Ledger
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec
 from pimentocross.work.state import JobState
 
 
 class Outcome(StrEnum):
-    """What became of a caller's question."""
+    """What became of a caller's question.
+
+    After `UNSURE` a change may be in the store or not: the same question again
+    finds out.
+    """
 
     OK = "ok"
+    UNSURE = "the store has not answered"
     NO_SUCH_JOB = "no such job"
     STORE_AWAY = "store away"
 
@@ -38,24 +45,28 @@
         self._book = book
         self._ledger = ledger
         self._wake = wake
+        # Batches of acceptances that may not be stored yet, by job.
+        self._storing: dict[str, Batch] = {}
 
     async def submit(
         self, job_id: str, queue: Queue, spec: JobSpec
     ) -> JobReply:
         """Takes a job in and returns once its record is stored.
 
-        The same id again is the same job.
+        The same id again is the same job. If the store goes away meanwhile,
+        the caller is told so at once.
         """
-        job = self._book.find(job_id)
-        if job is not None:
-            await self._ledger.barrier().stored.wait()
-            return JobReply(Outcome.OK, job.state)
-        if self._ledger.away:
-            note("job_refused", job=job_id, reason="store away")
-            return JobReply(Outcome.STORE_AWAY)
-        batch = self._book.accept(job_id, queue, spec)
-        self._wake()
-        await batch.stored.wait()
+        self._forget_stored()
+        if self._book.find(job_id) is None:
+            if self._ledger.away:
+                note("job_refused", job=job_id, reason="store away")
+                return JobReply(Outcome.STORE_AWAY)
+            self._storing[job_id] = self._book.accept(job_id, queue, spec)
+            self._wake()
+        batch = self._storing.get(job_id)
+        if batch is not None and not await self._is_stored(batch):
+            note("job_unsure", job=job_id, store_age=self._ledger.age())
+            return JobReply(Outcome.UNSURE)
         note("job_accepted", job=job_id, queue=queue.name, steps=spec.steps)
         return JobReply(Outcome.OK, JobState.QUEUED)
 
@@ -73,7 +84,9 @@
             return self._unknown()
         batch = self._book.cancel(job)
         self._wake()
-        await batch.stored.wait()
+        if not await self._is_stored(batch):
+            note("cancel_unsure", job=job_id, store_age=self._ledger.age())
+            return JobReply(Outcome.UNSURE)
         note("job_cancelled", job=job_id, state=job.state.value)
         return JobReply(Outcome.OK, job.state)
 
@@ -83,6 +96,20 @@
             return None
         return self._book.pending(queue)
 
+    async def _is_stored(self, batch: Batch) -> bool:
+        """Waits for a batch; False as soon as the store is away."""
+        while not batch.stored.is_set():
+            if self._ledger.away:
+                return False
+            with trio.move_on_after(const.AWAY_LOOK):
+                await batch.stored.wait()
+        return True
+
+    def _forget_stored(self) -> None:
+        stored = [j for j, b in self._storing.items() if b.stored.is_set()]
+        for job_id in stored:
+            del self._storing[job_id]
+
     def _unknown(self) -> JobReply:
         if self._ledger.age() > const.CURRENT_WITHIN:
             # A successor may have taken jobs in that aren't known here.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -220,6 +220,9 @@
     assert unsent.retry_after == const.RETRY_AFTER
     away = await _submitted(JobAnswer(Outcome.STORE_AWAY, None))
     assert away.kind is AnswerKind.NOT_ACCEPTED
+    unsure = await _submitted(JobAnswer(Outcome.UNSURE, None))
+    assert unsure.kind is AnswerKind.UNKNOWN
+    assert not unsure.retry_after
     moved = await _submitted(NotOwner("moved"))
     assert moved.kind is AnswerKind.NOT_ACCEPTED
     done = await _submitted(JobAnswer(Outcome.OK, JobState.QUEUED))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -114,6 +114,40 @@
     assert count(hall.journal, "start") == 4
 
 
+async def test_a_job_caught_by_an_outage_is_told_so_at_once() -> None:
+    # It was held for 2.7 of the 3 s that its caller waits.
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        store.faults.away = True
+        asked_at = trio.current_time()
+        reply = await owner.desk.submit("j1", QUEUE, chain(1, 1))
+        assert reply.outcome is Outcome.UNSURE
+        assert trio.current_time() - asked_at < 1.2
+        again = await owner.desk.submit("j1", QUEUE, chain(1, 1))
+        assert again.outcome is Outcome.UNSURE
+        other = await owner.desk.submit("j2", QUEUE, chain(1, 1))
+        assert other.outcome is Outcome.STORE_AWAY
+        await trio.sleep(3)
+        store.faults.away = False
+        await trio.sleep(1)
+        again = await owner.desk.submit("j1", QUEUE, chain(1, 1))
+        assert again.outcome is Outcome.OK
+        await wait_until(lambda: _ended(owner, "j1"))
+    assert count(hall.journal, "start") == 1
+
+
+async def test_an_accepted_job_is_confirmed_while_the_store_is_away() -> None:
+    store = StoreStandin()
+    hall = make_hall(1, plan=lambda _: TaskPlan(9.0, SMALL))
+    async with running(make_owner(store, hall, 1)) as owner:
+        await owner.desk.submit("j1", QUEUE, chain(1, 1))
+        await wait_until(lambda: count(hall.journal, "start") == 1)
+        store.faults.away = True
+        await trio.sleep(const.BEAT_INTERVAL + const.AWAY_AFTER + 0.2)
+        again = await owner.desk.submit("j1", QUEUE, chain(1, 1))
+        assert again.outcome is Outcome.OK
+
+
 async def test_no_job_is_denied_while_a_successor_may_know_it() -> None:
     store, hall = StoreStandin(), make_hall()
     async with running(make_owner(store, hall, 1)) as owner:
