explain tells where a job's time went, and the cause

The story of a job was all its lines; the reader had to find the step and task that ended last and add up. The path that ended last is walked back now: waits with what was taken meanwhile, runs that came to nothing with the worker's troubles, work; the largest part is the cause. Owners log the end of each job.

--- a/pimentocross/cli/explain.py
+++ b/pimentocross/cli/explain.py
@@ -1,17 +1,14 @@
 """The command that tells the story of one job out of collected logs."""
 
 from pathlib import Path
-import re
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated
 
-import msgspec
 import typer
 
 from pimentocross.cli.const import ExitCode
 from pimentocross.cli.output import fail
+from pimentocross.cli.story import LogLine, diagnose, read_lines
 
-# What may stand before a line's JSON: a collector's time and host.
-_LINE = re.compile(r"^[^{]*(\{.*\})\s*$")
 # Kinds that change who answers or what can run, told beside a job's own lines.
 _AROUND = frozenset(
     {
@@ -29,36 +26,6 @@
 _SKIPPED = ("t", "vm", "is")
 
 
-class LogLine(NamedTuple):
-    """One line of a decision log."""
-
-    at: float
-    vm: str
-    kind: str
-    fields: dict[str, Any]
-
-    def concerns(self, job: str) -> bool:
-        """True if it is about a job or one of its tasks."""
-        task = self.fields.get("task") or self.fields.get("step") or [""]
-        return self.fields.get("job") == job or task[0] == job
-
-
-def read_lines(text: str) -> list[LogLine]:
-    """Returns the decision lines of a log; others are left out."""
-    lines = []
-    for raw in text.splitlines():
-        match = _LINE.match(raw)
-        if match is None:
-            continue
-        try:
-            fields = msgspec.json.decode(match.group(1))
-            line = LogLine(fields["t"], fields["vm"], fields["is"], fields)
-        except (msgspec.DecodeError, KeyError, TypeError):
-            continue
-        lines.append(line)
-    return lines
-
-
 def tell(lines: list[LogLine], job: str) -> list[LogLine]:
     """Returns a job's lines in order, with what happened around them."""
     own = [line for line in lines if line.concerns(job)]
@@ -81,7 +48,7 @@
         typer.Argument(exists=True, dir_okay=False, help="Logs of all VMs."),
     ],
 ) -> None:
-    """Prints the story of one job, over all processes, in order."""
+    """Prints the story of one job, where its time went, and the cause."""
     lines: list[LogLine] = []
     for file in files:
         lines.extend(read_lines(file.read_text("utf-8", errors="replace")))
@@ -96,3 +63,11 @@
             if name not in _SKIPPED
         )
         typer.echo(f"{line.at - began:8.3f}  {line.vm}  {line.kind}  {fields}")
+    diagnosis = diagnose(lines, job)
+    typer.echo(f"\n{diagnosis.outcome}")
+    for part in diagnosis.parts:
+        typer.echo(
+            f"{part.began - began:8.3f}  {part.seconds:7.3f} s  "
+            f"{part.span.value}  {part.detail}"
+        )
+    typer.echo(f"cause: {diagnosis.cause}")
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from pimentocross.observe.decisions import note
 from pimentocross.owner import wall
 from pimentocross.owner.ledger import Batch, Ledger, PlainRecord
 from pimentocross.work import records
@@ -88,9 +89,13 @@
 
     def changed(self, job: Job) -> Batch:
         """Notes that a job's tasks changed; returns the record's batch."""
+        was_open = not job.ended
         job.advance(wall.now())
         if job.ended:
             self._close_steps(job)
+            if was_open:
+                took = round(job.ended_at - job.accepted_at, 3)
+                note("job_ended", job=job.id, state=job.state, took=took)
         else:
             self._open_turns(job)
         return self._ledger.put(_Progress(job))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -7,8 +7,9 @@
 
 from typer.testing import CliRunner
 
-from pimentocross.cli.explain import read_lines, tell
+from pimentocross.cli.explain import tell
 from pimentocross.cli.main import app
+from pimentocross.cli.story import read_lines
 from pimentocross.observe import decisions
 from pimentocross.observe.decisions import DecisionLog
 from pimentocross.observe.histograms import Histograms, Label
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,155 @@
+"""Where the time of a job went, out of the decision log."""
+
+from typing import Any
+
+import msgspec
+
+from pimentocross.cli.story import Diagnosis, Span, diagnose, read_lines
+from pimentocross.work.spec import Size, StepSpec
+
+_SIZE = Size(1500, 1000, 0)
+
+
+def _line(at: float, kind: str, **fields: Any) -> str:
+    return msgspec.json.encode(
+        {"t": at, "vm": "a", "is": kind} | fields
+    ).decode()
+
+
+def _accepted(*steps: StepSpec) -> str:
+    return _line(10.0, "job_accepted", job="j", queue="q", steps=steps)
+
+
+def _run(
+    began: float,
+    ended: float | None,
+    how: str = "done",
+    *,
+    task: tuple[int, int] = (0, 0),
+    run: int = 1,
+    worker: str = "w1",
+) -> list[str]:
+    named = {"task": ["j", 0, *task], "run": run, "worker": worker}
+    lines = [_line(began, "run_decided", **named)]
+    if ended is not None:
+        lines.append(_line(ended, "run_ended", how=how, **named))
+    return lines
+
+
+def _loads(until: int, **more: int) -> list[str]:
+    usual = {
+        "capacity": 100_000,
+        "committed": 98_000,
+        "left_over": 40_000,
+        "waiting": 12,
+        "waiting_fillers": 30,
+    }
+    return [
+        _line(float(at), "load", **(usual | more)) for at in range(9, until)
+    ]
+
+
+def _told(*lines: str) -> Diagnosis:
+    return diagnose(read_lines("\n".join(lines)), "j")
+
+
+def test_a_wait_for_room_is_told_with_what_was_taken() -> None:
+    told = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(14.0, 15.0),
+        _line(15.0, "job_ended", job="j", state="completed", took=5.0),
+        *_loads(17),
+    )
+    assert told.outcome == "completed"
+    assert [part.span for part in told.parts] == [Span.WAITED, Span.WORKED]
+    assert told.cause == "4.0 of 5.0 s waited: no room for 1.5 cores"
+
+
+def test_a_filler_that_is_shut_out_is_told_from_full_workers() -> None:
+    filler = StepSpec(1, _SIZE, image="x", fills=True)
+    shut = _told(_accepted(filler), *_run(14.0, 15.0), *_loads(17))
+    assert "image x was shut out" in shut.cause
+    full = _told(
+        _accepted(filler), *_run(14.0, 15.0), *_loads(17, left_over=1000)
+    )
+    assert "nothing was left over to fill" in full.cause
+
+
+def test_runs_that_came_to_nothing_are_told_with_their_worker() -> None:
+    told = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(10.1, None),
+        _line(12.0, "worker_silent", worker="w1", reason="no answer"),
+        _line(15.0, "runs_lost", worker="w1", count=1, reason="lapsed"),
+        *_run(15.2, 16.0, run=2, worker="w2"),
+        _line(16.0, "job_ended", job="j", state="completed", took=6.0),
+        *_loads(18),
+    )
+    assert told.cause.startswith("5.1 of 5.9 s lost: no word of its end")
+    assert "worker silent" in told.cause
+
+
+def test_the_step_that_ended_last_is_walked_back() -> None:
+    # Steps 0 and 1 run side by side, 2 after both; 1 is the slow one.
+    steps = [
+        StepSpec(1, _SIZE),
+        StepSpec(2, _SIZE),
+        StepSpec(1, _SIZE, after=(0, 1)),
+    ]
+    told = _told(
+        _accepted(*steps),
+        *_run(10.0, 11.0, task=(0, 0)),
+        *_run(10.0, 11.5, task=(1, 0)),
+        *_run(10.0, 13.0, "failed", task=(1, 1)),
+        *_run(13.05, 14.0, task=(1, 1), run=2),
+        *_run(14.05, 15.0, task=(2, 0)),
+        *_loads(17),
+    )
+    assert [part.detail for part in told.parts] == [
+        "it failed, on w1",
+        "on w1",
+        "on w1",
+    ]
+    assert told.cause == "3.0 of 4.9 s lost: it failed, on w1"
+
+
+def test_a_time_without_an_owner_is_told() -> None:
+    loads = [
+        line
+        for line in _loads(20)
+        if not 10.5 < msgspec.json.decode(line)["t"] < 14.5
+    ]
+    told = _told(_accepted(StepSpec(1, _SIZE)), *_run(15.0, 15.5), *loads)
+    assert "no owner for 5.0 s" in told.cause
+
+
+def test_a_job_that_was_never_accepted_is_told_with_the_refusal() -> None:
+    told = _told(
+        _line(1.0, "submit_refused", job="j", reason="store away"),
+        *_loads(12),
+    )
+    assert told == Diagnosis("not accepted", (), "refused: store away")
+
+
+def test_an_acceptance_of_another_version_is_no_reason_to_break_off() -> None:
+    for steps in (None, [["x"]]):
+        told = _told(
+            _line(10.0, "job_accepted", job="j", steps=steps),
+            *_run(10.0, 11.0),
+        )
+        assert told.cause == "the log holds the job's steps in another form"
+
+
+def test_a_job_out_of_attempts_and_a_cancelled_one_are_told() -> None:
+    failed = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(10.0, 11.0, "failed"),
+        *_run(11.0, 12.0, "failed", run=2),
+        _line(12.0, "job_ended", job="j", state="failed", took=2.0),
+    )
+    assert failed.cause == "out of attempts: 2 runs failed"
+    cancelled = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        _line(11.0, "job_ended", job="j", state="cancelled", took=1.0),
+    )
+    assert cancelled.cause == "cancelled by its caller"
