Ask live VMs for a job's story; a stalled reader of the log, attacked

A process whose standard output nobody reads for 10 s under load answers as fast as one without a reader (median, and count of requests), and counts the lines that it lost.

--- a/pimentocross/cli/client.py
+++ b/pimentocross/cli/client.py
@@ -37,12 +37,34 @@
     sent = list(headers or [])
     if token:
         sent.append((b"Authorization", f"Bearer {token}".encode()))
+    reply = _request(method, address, path, sent, content)
+    try:
+        return Answer(reply.status, msgspec.json.decode(reply.content))
+    except msgspec.DecodeError:
+        return Answer(reply.status, reply.content.decode("utf-8", "replace"))
+
+
+def ask_text(address: str, path: str) -> str:
+    """Returns a page as text; ends the command if there is none."""
+    reply = _request("GET", address, path, [], b"")
+    if reply.status >= _ERRORS_FROM:
+        fail(f"{address} answers {reply.status}", ExitCode.UNREACHABLE)
+    return reply.content.decode("utf-8", "replace")
+
+
+def _request(
+    method: str,
+    address: str,
+    path: str,
+    headers: list[tuple[bytes, bytes]],
+    content: bytes,
+) -> httpcore.Response:
     timeouts = dict.fromkeys(["connect", "read", "write", "pool"], _TIMEOUT)
     try:
-        reply = httpcore.request(
+        return httpcore.request(
             method,
             f"http://{address}{path}",
-            headers=sent,
+            headers=headers,
             content=content,
             extensions={"timeout": timeouts},
         )
@@ -52,10 +74,6 @@
         httpcore.ProtocolError,
     ) as error:
         fail(f"no answer from {address}: {error}", ExitCode.UNREACHABLE)
-    try:
-        return Answer(reply.status, msgspec.json.decode(reply.content))
-    except msgspec.DecodeError:
-        return Answer(reply.status, reply.content.decode("utf-8", "replace"))
 
 
 def end_on_problem(answer: Answer) -> None:
--- a/pimentocross/cli/explain.py
+++ b/pimentocross/cli/explain.py
@@ -1,13 +1,15 @@
-"""The command that tells the story of one job out of collected logs."""
+"""The command that tells the story of one job, from logs or live VMs."""
 
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from pimentocross.cli.client import ask_text
 from pimentocross.cli.const import ExitCode
 from pimentocross.cli.output import fail
 from pimentocross.cli.story import LogLine, diagnose, read_lines
+from pimentocross.observe.decisions import DECISIONS_PATH
 
 # Kinds that change who answers or what can run, told beside a job's own lines.
 _AROUND = frozenset(
@@ -44,14 +46,22 @@
 def explain(
     job: Annotated[str, typer.Argument(help="The job's id.")],
     files: Annotated[
-        list[Path],
+        list[Path] | None,
         typer.Argument(exists=True, dir_okay=False, help="Logs of all VMs."),
-    ],
+    ] = None,
+    live: Annotated[
+        list[str] | None,
+        typer.Option(
+            "--live", help="Metrics address of a VM to ask, for each VM."
+        ),
+    ] = None,
 ) -> None:
     """Prints the story of one job, where its time went, and the cause."""
     lines: list[LogLine] = []
-    for file in files:
+    for file in files or []:
         lines.extend(read_lines(file.read_text("utf-8", errors="replace")))
+    for address in live or []:
+        lines.extend(read_lines(ask_text(address, DECISIONS_PATH)))
     story = tell(lines, job)
     if not story:
         fail(f"no line of {job} in {len(lines)} lines", ExitCode.FINDINGS)
--- a/pimentocross/observe/decisions.py
+++ b/pimentocross/observe/decisions.py
@@ -17,7 +17,12 @@
 _WAITING_MOST: Final = 4_000
 # Ceiling of what a process writes, bytes a second; bursts of twice as much.
 _BYTES_PER_SECOND: Final = 60_000
+# What is kept of the newest lines for whoever asks the live process: about two
+# minutes of a busy owner, a hundredth of what an entry VM has.
+_RECENT_BYTES: Final = 3_000_000
 _FLUSH_INTERVAL: Final = 0.1
+# Where a process serves its newest lines, beside its metrics.
+DECISIONS_PATH: Final = "/decisions"
 _STDOUT: Final = 1
 _PIPE_CHUNK: Final = 4_096
 _encode: Final = msgspec.json.Encoder().encode
@@ -38,6 +43,8 @@
         self.counts: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
         self._waiting: deque[bytes] = deque()
+        self._recent: deque[bytes] = deque()
+        self._recent_bytes = 0
         self._allowance = 2.0 * _BYTES_PER_SECOND
         self._refilled_at = time.monotonic()
 
@@ -53,6 +60,17 @@
             self.dropped[kind] += 1
             return
         self._waiting.append(line + b"\n")
+        self._keep(line + b"\n")
+
+    def recent(self) -> bytes:
+        """Returns the newest lines, whether written or not yet."""
+        return b"".join(self._recent)
+
+    def _keep(self, line: bytes) -> None:
+        self._recent.append(line)
+        self._recent_bytes += len(line)
+        while self._recent_bytes > _RECENT_BYTES:
+            self._recent_bytes -= len(self._recent.popleft())
 
     def newest(self) -> dict[str, object]:
         """Returns the newest line that waits, without its time."""
@@ -122,6 +140,11 @@
     return _log.dropped
 
 
+def recent() -> bytes:
+    """Returns the newest lines of this process."""
+    return _log.recent()
+
+
 async def write_lines() -> None:
     """Writes lines for ever."""
     try:
--- a/pimentocross/platform/callers.py
+++ b/pimentocross/platform/callers.py
@@ -12,11 +12,13 @@
     CallerDesk,
 )
 from pimentocross.links.asgi import HttpReply, HttpRequest
+from pimentocross.observe.decisions import DECISIONS_PATH, recent
 from pimentocross.observe.metrics import render
 from pimentocross.platform.wire import WireError, read_submission
 from pimentocross.work.spec import SpecError, check_spec
 
 _METRICS_PATH: Final = "/metrics"
+_TEXT: Final = (b"content-type", b"text/plain")
 _READY_PATH: Final = "/pimentocross/readyz"
 _DEADLINE_HEADER: Final = b"x-deadline-ms"
 # Callers that don't say how long they wait.
@@ -82,10 +84,12 @@
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answers one request."""
-        if request.path != _METRICS_PATH:
-            return HttpReply(404, [], b"")
-        page = render(self._desk.histograms, self._gauges())
-        return HttpReply(200, [(b"content-type", b"text/plain")], page)
+        if request.path == _METRICS_PATH:
+            page = render(self._desk.histograms, self._gauges())
+            return HttpReply(200, [_TEXT], page)
+        if request.path == DECISIONS_PATH:
+            return HttpReply(200, [_TEXT], recent())
+        return HttpReply(404, [], b"")
 
 
 class ReadySurface:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,9 +4,11 @@
 from pathlib import Path
 import tempfile
 import time
+from unittest import mock
 
 from typer.testing import CliRunner
 
+from pimentocross.cli import explain
 from pimentocross.cli.explain import tell
 from pimentocross.cli.main import app
 from pimentocross.cli.story import read_lines
@@ -52,6 +54,25 @@
         assert missing.exit_code == 1
 
 
+def test_the_newest_lines_are_kept_within_a_bound() -> None:
+    log = DecisionLog()
+    for number in range(40_000):
+        log.note("load", {"number": number, "text": "x" * 100})
+        log._allowance = 1e9
+        log._waiting.clear()
+    kept = read_lines(log.recent().decode())
+    assert kept[-1].fields["number"] == 39_999
+    assert 2_900_000 < len(log.recent()) <= 3_000_000
+
+
+def test_the_command_asks_live_vms() -> None:
+    with mock.patch.object(explain, "ask_text", return_value=_LOG) as asked:
+        told = CliRunner().invoke(app, ["explain", "j1", "--live", "h:1"])
+    assert told.exit_code == 0, told.output
+    assert "how=done" in told.output
+    asked.assert_called_once_with("h:1", "/decisions")
+
+
 def test_no_field_hides_who_wrote_a_line() -> None:
     log = DecisionLog()
     log.source = "a"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
     StoreUnavailableError,
 )
 from pimentocross.gateway.node import GatewayNode
+from pimentocross.observe.decisions import DECISIONS_PATH
 from pimentocross.platform.__main__ import build
 from pimentocross.platform.settings import SettingsError, read_settings
 from pimentocross.platform.store import StoreClient
@@ -209,11 +210,13 @@
         }
         self.started: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> "subprocess.Popen[bytes]":
+    def start(
+        self, stdout: int = subprocess.DEVNULL
+    ) -> "subprocess.Popen[bytes]":
         self.started = subprocess.Popen(
             [sys.executable, "-m", "pimentocross.platform"],
             env=self._environment,
-            stdout=subprocess.DEVNULL,
+            stdout=stdout,
         )
         return self.started
 
@@ -266,6 +269,68 @@
         await _until_ready(vm.values, 20)
 
 
+_LOAD_SECONDS = 10.0
+
+
+async def _load(vm: _Process) -> list[float]:
+    """Submits wide jobs for a while; returns how long each took, sorted."""
+    took = []
+    began = trio.current_time()
+    number = 0
+    while trio.current_time() - began < _LOAD_SECONDS:
+        asked_at = trio.current_time()
+        path = f"{PREFIX}{number:016x}"
+        reply = await vm.caller.call("POST", path, job_body(12))
+        assert reply.status == 200
+        took.append(trio.current_time() - asked_at)
+        number += 1
+        await trio.sleep(0.05)
+    return sorted(took)
+
+
+async def _load_with(stdout: int) -> tuple[list[float], str]:
+    """Loads a process whose output nobody reads, or that goes nowhere."""
+    async with loopback_platform(6, seconds=0.05) as platform:
+        with tempfile.TemporaryDirectory() as folder:
+            vm = _Process(folder, "vm1", platform.store_address)
+            process = vm.start(stdout)
+            try:
+                await _until_ready(vm.values, 20)
+                await _until_accepted(vm.caller, "aa01")
+                took = await _load(vm)
+                metrics = Caller(vm.values["test.metrics"])
+                page = (await metrics.call("GET", "/metrics")).body.decode()
+            finally:
+                process.kill()
+                process.communicate()
+    return took, page
+
+
+@real_time
+async def test_a_reader_of_the_log_that_stalls_slows_no_request() -> None:
+    read, _ = await _load_with(subprocess.DEVNULL)
+    stalled, page = await _load_with(subprocess.PIPE)
+    middle = len(read) // 2
+    assert stalled[len(stalled) // 2] < 1.5 * read[middle] + 0.01
+    assert len(stalled) > 0.8 * len(read)
+    # Lines beyond the rate, the pipe and the buffer are lost, and counted.
+    assert "pimentocross_log_lines_dropped_total{is=" in page
+
+
+@real_time
+async def test_a_live_process_is_asked_for_a_jobs_story() -> None:
+    async with loopback_platform() as platform:
+        async with _node(platform, "vm1") as (_, values):
+            await _until_ready(values)
+            caller = Caller(values["listen_addrs.frontend"])
+            await _until_accepted(caller, "aa01")
+            await _until_state(caller, "aa01", "completed")
+            metrics = Caller(values["test.metrics"])
+            reply = await metrics.call("GET", DECISIONS_PATH)
+            assert reply.status == 200
+            assert (await metrics.call("GET", "/nothing")).status == 404
+
+
 def test_settings_name_everything_that_is_wrong() -> None:
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings"
