--- a/pimentocross/owner/care.py
+++ b/pimentocross/owner/care.py
@@ -8,6 +8,7 @@
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import AT_WORK, Worker
+from pimentocross.placement.hosts import HARM_MOST
 from pimentocross.placement.pacing import (
     MOVE_BELOW,
     SETTLE,
@@ -100,6 +101,25 @@
             if worker.filled and now - worker.paced_at >= SETTLE:
                 self._pace_on(worker, orders, now)
 
+    def _must_leave(self, worker: Worker, task: Task, run: Run) -> bool:
+        """True if what serves has come to where a filler surely disturbs it.
+
+        Its figures would show that only after half a second and more.
+        """
+        spec = task.step.spec
+        share = spec.size.cpu / max(worker.life.capacity.cpu, 1)
+        disturbance = self._learned.disturbance
+        harm = max(
+            (
+                disturbance.coefficient(image, spec.image) * share
+                for image in worker.serving
+                if disturbance.is_bad(image, spec.image)
+            ),
+            default=0.0,
+        )
+        little_lost = spec.saves or run.percent < _LITTLE_DONE
+        return harm > HARM_MOST and little_lost
+
     def _is_misplaced(self, worker: Worker, task: Task, run: Run) -> bool:
         """True if a filler surely disturbs, and loses little by a move."""
         spec = task.step.spec
@@ -120,6 +140,10 @@
             for task, run in worker.running()
             if task.step.spec.fills
         ]
+        for task, run in list(runs):
+            if self._must_leave(worker, task, run):
+                orders.stop(worker, task, run, "would disturb what serves")
+                runs.remove((task, run))
         fillers = [
             Filler(
                 task.step.spec.image,
