Stop all that fills once a target has been missed for 2 s

All that fills on a worker stops working once a target has been missed for 2 s, and nothing new fills where one has been missed twice in a row. Both tests fail with the older code.

--- a/pimentocross/owner/care.py
+++ b/pimentocross/owner/care.py
@@ -11,6 +11,7 @@
 from pimentocross.placement.hosts import HARM_MOST
 from pimentocross.placement.pacing import (
     MOVE_BELOW,
+    OVER_MOST,
     SETTLE,
     Filler,
     next_paces,
@@ -98,7 +99,8 @@
     def _pace_fillers(self, orders: Orders) -> None:
         now = trio.current_time()
         for worker in self._roster.workers():
-            if worker.filled and now - worker.paced_at >= SETTLE:
+            settled = now - worker.paced_at >= SETTLE
+            if worker.filled and (settled or worker.over_for(now) >= OVER_MOST):
                 self._pace_on(worker, orders, now)
 
     def _must_leave(self, worker: Worker, task: Task, run: Run) -> bool:
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -18,6 +18,9 @@
 AT_WORK: Final = 100
 # A figure covers half a second, and a queue takes a moment to drain.
 FIGURE_SPAN: Final = 0.7
+# Figures are read every half second, and one in thirty is over the target by
+# chance: from the second on it is taken to last.
+OVER_TWICE: Final = 0.8
 
 
 class Departure(NamedTuple):
@@ -179,6 +182,15 @@
         capacity = max(self.life.capacity.cpu, 1)
         return {i: cpu / capacity for i, cpu in used.items() if cpu > 0}
 
+    @property
+    def suffers(self) -> bool:
+        """True if a serving task was over its target twice in a row."""
+        return self.over_for(trio.current_time()) >= OVER_TWICE
+
+    def over_for(self, now: float) -> float:
+        """Returns for how many seconds a serving image has been over."""
+        return now - min(self._over_since.values(), default=now)
+
     def readings(self, now: float) -> list[Reading]:
         """Returns how each serving image does that is at work."""
         ratios: dict[str, list[float]] = {}
--- a/pimentocross/placement/host.py
+++ b/pimentocross/placement/host.py
@@ -44,6 +44,11 @@
         """Processor time that all tasks that fill ask for, thousandths."""
         ...
 
+    @property
+    def suffers(self) -> bool:
+        """True if a task that serves there is over its target."""
+        ...
+
     def count_of(self, step: Step) -> int:
         """Returns how many runs of a step may be on it."""
         ...
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -123,7 +123,7 @@
     disturbance = view.disturbance
     capacity = max(host.life.capacity.cpu, 1)
     left = left_over(host) - spec.size.cpu
-    if left < 0:
+    if left < 0 or host.suffers:
         return math.inf
     fit = 1.0 - left / capacity + _wanted_by_others(spec.image, host, view)
     if not host.serving:
--- a/pimentocross/placement/pacing.py
+++ b/pimentocross/placement/pacing.py
@@ -4,8 +4,8 @@
 times it spoils, by an amount that differs by pair of images and changes within
 seconds. The figure of a serving task is late by half a second and rough. Over
 a share of the target, those that are known to disturb most are slowed just as
-much as is needed; what isn't explained slows all. Speed comes back, the most
-harmless first, while it is expected to do no harm.
+much as is needed; what isn't explained slows all, and stops all once it lasts.
+Speed comes back, the most harmless first, while it is expected to do no harm.
 """
 
 from collections.abc import Sequence
@@ -25,6 +25,10 @@
 # ... after this many seconds: two readings in a row, and well before the 4 s
 # after which users are taken to be harmed.
 UNEXPLAINED_AFTER: Final = 1.2
+# A target missed for this many seconds stops all that fills from working: half
+# of the shortest time after which users count as harmed (4 s), as an order
+# takes 0.1 s to work, the figure half a second to show it, and one may be lost.
+OVER_MOST: Final = 2.0
 # A filler that may work at no more than this is better off elsewhere.
 MOVE_BELOW: Final = 30
 # A change of fewer percent is not worth an order.
@@ -73,6 +77,8 @@
     if not readings:
         return [FULL_PACE for _ in fillers]
     worst = max(readings, key=lambda reading: reading.ratio)
+    if any(reading.over_for >= OVER_MOST for reading in readings):
+        return [0 for _ in fillers]
     if worst.ratio >= SLOW_FROM:
         return _slow(worst, fillers, disturbance)
     if worst.ratio < FAST_BELOW:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -66,6 +66,7 @@
         self.number = number
         self.filling: Mapping[str, int] = {}
         self.filled = 0
+        self.suffers = False
         self.tasks = [
             Job(f"{number}.{i}", QUEUE, JobSpec("", (_serving(image),)), 0.0)
             .occurrences[0]
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -43,6 +43,7 @@
         self.free = free
         self.serving = Counter(serving or {})
         self.filling = Counter(filling or {})
+        self.suffers = False
 
     @property
     def life(self) -> WorkerLife:
@@ -190,6 +191,24 @@
     assert max(lasting) <= 30 < min(brief) + FULL_PACE
 
 
+def test_a_target_that_stays_missed_stops_all_that_fills() -> None:
+    # On a played day a task was over its target for 4 s while what filled
+    # beside it was slowed in steps, and new fillers came at full speed.
+    fillers = [Filler("x", 0.1, FULL_PACE), Filler("y", 0.1, 30)]
+    readings = [Reading("shop", 0.5, 0.4), Reading("maps", 1.1, 0.5, 2.0)]
+    assert next_paces(readings, fillers, Disturbance()) == [0, 0]
+
+
+def test_nothing_fills_beside_a_task_that_is_over_its_target() -> None:
+    calm, over = _Host(0, serving={"a": 4000}), _Host(1, serving={"a": 1000})
+    task = _step(_filler("x")).tasks[0]
+    view = plain_view(Disturbance())
+    assert choose(task, [over], view) is over
+    over.suffers = True
+    assert choose(task, [calm, over], view) is calm
+    assert choose(task, [over], view) is None
+
+
 def test_with_nobody_to_disturb_fillers_work_at_full_speed() -> None:
     paces = next_paces([], [Filler("x", 0.5, 10)], Disturbance())
     assert paces == [FULL_PACE]
