--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -6,7 +6,7 @@
 import random
 
 from pimentocross.contracts.worker_link import WorkerLife
-from pimentocross.placement.disturbance import Disturbance
+from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.durations import Durations
 from pimentocross.placement.host import left_over
 from pimentocross.placement.hosts import choose, plain_view
@@ -196,7 +196,9 @@
     # beside it was slowed in steps, and new fillers came at full speed.
     fillers = [Filler("x", 0.1, FULL_PACE), Filler("y", 0.1, 30)]
     readings = [Reading("shop", 0.5, 0.4), Reading("maps", 1.1, 0.5, 2.0)]
-    assert next_paces(readings, fillers, Disturbance()) == [0, 0]
+    harmless = Disturbance()
+    harmless.restore([Pair("maps", image, 0.0, 0.1) for image in "xy"], 0.0)
+    assert next_paces(readings, fillers, harmless) == [0, 0]
 
 
 def test_nothing_fills_beside_a_task_that_is_over_its_target() -> None:
