--- a/pimentocross/cli/story.py
+++ b/pimentocross/cli/story.py
@@ -21,6 +21,9 @@
 _OWNER_GAP: Final = 1.7
 # A wait shorter than this, in seconds, is the usual record and call.
 _USUAL: Final = 0.1
+_REFUSALS: Final = frozenset(
+    {"job_refused", "submit_refused", "submit_unanswered"}
+)
 _OTHER_FORM: Final = "the log holds the job's steps in another form"
 # From this share on, what the workers can reserve counts as taken.
 _FULL: Final = 0.9
@@ -57,10 +60,14 @@
 
 
 class Span(StrEnum):
-    """What a job's time was spent on."""
+    """What a job's time was spent on.
+
+    `MOVED`: on a run that was stopped and whose progress was kept.
+    """
 
     WAITED = "waited"
     LOST = "lost"
+    MOVED = "moved"
     WORKED = "worked"
 
 
@@ -138,7 +145,7 @@
 
 def _diagnose_refusal(own: Sequence[LogLine]) -> Diagnosis:
     for line in reversed(own):
-        if "reason" in line.fields:
+        if line.kind in _REFUSALS:
             reason = str(line.fields["reason"])
             return Diagnosis("not accepted", (), f"refused: {reason}")
         if line.kind == "job_unsure":
@@ -236,7 +243,8 @@
         for run, after in zip(runs, [*runs[1:], None], strict=True):
             parts.extend(self._wait(step, now, run.decided))
             end = run.ended or (after.decided if after else self._work.until)
-            parts.append(self._run_part(run, max(now, run.decided), end))
+            saves = self._work.steps[step].saves
+            parts.append(self._run_part(run, max(now, run.decided), end, saves))
             now = end
             if run.done:
                 break
@@ -244,7 +252,9 @@
             parts.extend(self._wait(step, now, self._work.until))
         return parts
 
-    def _run_part(self, run: _Run, began: float, ended: float) -> Part:
+    def _run_part(
+        self, run: _Run, began: float, ended: float, saves: bool
+    ) -> Part:
         trouble = self._trouble(run.worker, began, ended)
         where = f"on {run.worker}{trouble}"
         if run.done:
@@ -252,7 +262,9 @@
         why = run.reason or "no word of its end"
         if run.how in ("failed", "lapsed", "broken", "alone"):
             why = f"it {run.how}" if run.how != "alone" else "its gang was late"
-        return Part(began, ended, Span.LOST, f"{why}, {where}")
+        kept = saves and run.how == "stopped"
+        span = Span.MOVED if kept else Span.LOST
+        return Part(began, ended, span, f"{why}, {where}")
 
     def _trouble(self, worker: str, began: float, ended: float) -> str:
         kinds = {
--- a/pimentocross/owner/care.py
+++ b/pimentocross/owner/care.py
@@ -21,8 +21,8 @@
 from pimentocross.work.state import Run, RunState, Task
 
 # A filler that was slowed to a crawl for this long goes elsewhere: about what
-# its stop and its start cost.
-_STUCK_AFTER: Final = 1.5
+# its stop and its start cost, of which no more than 0.4 s are the stop.
+_STUCK_AFTER: Final = 0.8
 # A run that has done less than this, in percent, loses little by a move.
 _LITTLE_DONE: Final = 25
 # What a stop and a new start cost a task, in seconds.
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -89,6 +89,19 @@
     assert "worker silent" in told.cause
 
 
+def test_a_stopped_run_whose_progress_was_kept_is_told_as_moved() -> None:
+    moves = [
+        *_run(10.0, 13.0, "stopped"),
+        _line(12.6, "run_stop", task=["j", 0, 0, 0], run=1, reason="disturbs"),
+        *_run(13.0, 14.0, run=2, worker="w2"),
+        *_loads(16),
+    ]
+    for saves, span in ((True, Span.MOVED), (False, Span.LOST)):
+        told = _told(_accepted(StepSpec(1, _SIZE, saves=saves)), *moves)
+        assert told.parts[0].span is span
+        assert told.cause == f"3.0 of 4.0 s {span.value}: disturbs, on w1"
+
+
 def test_the_step_that_ended_last_is_walked_back() -> None:
     # Steps 0 and 1 run side by side, 2 after both; 1 is the slow one.
     steps = [
@@ -126,6 +139,7 @@
 def test_a_job_that_was_never_accepted_is_told_with_the_refusal() -> None:
     told = _told(
         _line(1.0, "submit_refused", job="j", reason="store away"),
+        _line(2.0, "run_stop", task=["j", 0, 0, 0], run=1, reason="x"),
         *_loads(12),
     )
     assert told == Diagnosis("not accepted", (), "refused: store away")
