Keep fillers going beside waiting short work; let lasting tasks give way

A pass over what waits gave up after 40 steps without room. With as many short steps waiting (they come first), nothing that fills was started for 30 s, beside 690 cores left over and 600 filling tasks.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -1,6 +1,8 @@
 """Passes over what waits: decides what starts where."""
 
+from collections import Counter
 from collections.abc import Callable
+import math
 from weakref import WeakKeyDictionary
 
 import trio
@@ -16,17 +18,18 @@
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.orders import Orders, Placement
+from pimentocross.owner.reclaimer import Reclaimer
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.headroom import HELD_BACK_MOST, Headroom
 from pimentocross.placement.host import allows, left_over
 from pimentocross.placement.hosts import choose, common_rack
-from pimentocross.placement.urgency import Chance, urgency
+from pimentocross.placement.urgency import Chance, Urgency, urgency
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.state import Run, Step, Task
 
-# Steps without room after which a pass gives up: those that follow are less
-# urgent, and most are as large.
+# Steps without room after which a pass gives up on their kind, those that fill,
+# last or neither: what follows is less urgent, and most of it as large.
 _MISSES_MOST = 40
 _LOAD_INTERVAL = 1.0
 # Workers with room and a ticket from which on no more are asked for.
@@ -64,6 +67,7 @@
         self._learned = learned
         self._care = Care(roster, learned)
         self._arranger = Arranger(learned)
+        self._reclaimer = Reclaimer()
         self._headroom = Headroom()
         self._held_back: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
         self._applied_version = -1
@@ -112,7 +116,7 @@
         if not steps:
             return
         ranked = sorted(
-            (urgency(step, self._learned.durations, today), number, step)
+            (self._rank(step, now, today), number, step)
             for number, step in enumerate(steps)
         )
         usable = [w for w in self._roster.workers() if w.usable]
@@ -129,10 +133,16 @@
         racks = {worker.number: worker.life.rack for worker in workers}
         spare = self._spare(workers, steps, now)
         placements: list[Placement] = []
-        misses = 0
-        for _, _, step in ranked:
+        misses: Counter[tuple[bool, bool]] = Counter()
+        missed_short: list[Step] = []
+        for rank, _, step in ranked:
+            kind = (step.spec.fills, step.spec.lasting)
+            if misses[kind] > _MISSES_MOST:
+                continue
             if spare <= 0 and self._is_held_back(step, now):
                 continue
+            if self._reclaimer.has_to_wait(step, now):
+                continue
             placed = self._place_step(step, workers, racks, now)
             if not placed and self._needs_any_worker(step, now):
                 placed = self._place_step(step, usable, racks, now)
@@ -140,10 +150,17 @@
             if not step.waiting_count:
                 self._held_back.pop(step, None)
             spare -= sum(p.task.step.spec.committed.cpu for p in placed)
-            misses += not placed
-            if misses > _MISSES_MOST:
-                break
+            misses[kind] += not placed
+            if step.waiting_count and _is_short(step) and _is_in_time(rank):
+                missed_short.append(step)
         self._send(placements, orders)
+        self._reclaimer.pass_over(missed_short, workers, orders, now)
+
+    def _rank(self, step: Step, now: float, today: float) -> Urgency:
+        rank = urgency(step, self._learned.durations, today)
+        if self._reclaimer.comes_after_short(step, now):
+            return rank._replace(chance=Chance.TIGHT, spare=math.inf)
+        return rank
 
     def _log_load(self) -> None:
         """Logs once a second what the workers carry and what waits."""
@@ -313,6 +330,11 @@
     return [w for w in workers if w.number == task.bound_for.worker]
 
 
+def _is_in_time(rank: Urgency) -> bool:
+    """True if the job can still meet its objective."""
+    return rank.chance <= Chance.TIGHT
+
+
 def _is_short(step: Step) -> bool:
     """True for urgent work that reserves its room for a short time."""
     spec = step.spec
--- /dev/null
+++ b/pimentocross/owner/reclaimer.py
@@ -0,0 +1,129 @@
+"""Has lasting tasks give way while short work has room nowhere."""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+from weakref import WeakKeyDictionary
+
+from pimentocross.observe.decisions import note
+from pimentocross.owner.orders import Orders
+from pimentocross.owner.worker import AT_WORK, Worker
+from pimentocross.placement.layout import Seat
+from pimentocross.placement.reclaim import TAKEN_MOST, choose_evictions
+from pimentocross.placement.soundness import may_take_away
+from pimentocross.work.state import Run, Step, Task
+
+# Short work waits this long before anything gives way: most waits are for a
+# run that is about to end.
+_PATIENCE: Final = 0.2
+# A stop takes 0.4 s at most, and its end is listed at once: before that it
+# isn't known whether the room is enough.
+_INTERVAL: Final = 0.6
+# What has just come stays: a task that is moved about does no work.
+_SETTLED_AFTER: Final = 3.0
+# A task that gave way isn't started again within this: the short work for
+# which it went has to come first.
+_AWAY_LEAST: Final = 1.0
+# ... and again after this, though short work still waits: users count a task
+# that lasts as lost if it is away for 6 s while there is room for it.
+_AWAY_MOST: Final = 5.0
+
+
+class Reclaimer:
+    """Chooses what gives way, and keeps it away for a while."""
+
+    def __init__(self) -> None:
+        """Has taken nothing yet."""
+        self._missed_since: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
+        self._gave_way_at: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
+        self._passed_at = float("-inf")
+
+    def has_to_wait(self, step: Step, now: float) -> bool:
+        """True for a step of which a task gave way a moment ago."""
+        gave_way_at = self._gave_way_at.get(step)
+        return gave_way_at is not None and now - gave_way_at < _AWAY_MOST
+
+    def comes_after_short(self, step: Step, now: float) -> bool:
+        """True for lasting steps while short work has others give way.
+
+        Else they would take the room that was made. What is being moved has
+        its place already.
+        """
+        if not step.spec.lasting or not self._gave_way_at:
+            return False
+        if any(task.bound_for is not None for task in step.waiting()):
+            return False
+        return now - max(self._gave_way_at.values()) < _AWAY_MOST
+
+    def pass_over(
+        self,
+        missed: Sequence[Step],
+        workers: Sequence[Worker],
+        orders: Orders,
+        now: float,
+    ) -> None:
+        """Makes room for short steps.
+
+        Args:
+            missed: Those that can still be in time and found no room, the most
+                urgent first.
+            workers: Those in use.
+            orders: Has tasks stopped.
+            now: Present time.
+        """
+        if not missed:
+            self._gave_way_at.clear()
+        for step in list(self._missed_since):
+            if step not in missed:
+                del self._missed_since[step]
+        waiting: list[Task] = []
+        for step in missed:
+            since = self._missed_since.setdefault(step, now)
+            if now - since >= _PATIENCE:
+                waiting.extend(t for t in step.waiting() if t.not_before <= now)
+        if waiting and now - self._passed_at >= _INTERVAL:
+            self._passed_at = now
+            self._evict(waiting, workers, orders, now)
+
+    def _evict(
+        self,
+        waiting: Sequence[Task],
+        workers: Sequence[Worker],
+        orders: Orders,
+        now: float,
+    ) -> None:
+        capacity = sum(worker.life.capacity.cpu for worker in workers)
+        away = sum(
+            step.waiting_count * step.spec.size.cpu
+            for step in self._gave_way_at
+        )
+        most = int(TAKEN_MOST * capacity) - away
+        seats = _movable(workers, now)
+        for seat in choose_evictions(waiting, seats, most):
+            if may_take_away(seat.task.step):
+                self._give_way(seat, workers, orders, now)
+
+    def _give_way(
+        self, seat: Seat, workers: Sequence[Worker], orders: Orders, now: float
+    ) -> None:
+        task = seat.task
+        worker = next(w for w in workers if w is seat.host)
+        run = next(r for t, r in worker.running() if t is task)
+        self._gave_way_at[task.step] = now
+        task.not_before = now + _AWAY_LEAST
+        note("gives_way", task=task.name, worker=worker.life.id)
+        orders.stop(worker, task, run, "gives way to short work")
+
+
+def _movable(workers: Iterable[Worker], now: float) -> list[Seat]:
+    return [
+        Seat(task, worker)
+        for worker in workers
+        for task, run in worker.running()
+        if task.step.spec.lasting
+        and not task.step.spec.gang
+        and _has_settled(run, now)
+    ]
+
+
+def _has_settled(run: Run, now: float) -> bool:
+    return run.percent >= AT_WORK and now - run.began_at >= _SETTLED_AFTER
