Test that lasting tasks give way, and that fillers go on beside what waits

With eight workers of 95 % lasting tasks, 17 of 20 short jobs or more are in time and all lasting tasks come back; without giving way none is.

--- /dev/null
+++ b/tests/test_reclaim.py
@@ -0,0 +1,155 @@
+"""Short urgent work finds room though tasks that last hold nearly all."""
+
+from unittest import mock
+
+import trio
+
+from pimentocross.owner import wall
+from pimentocross.owner.reclaimer import Reclaimer
+from pimentocross.placement.layout import Seat
+from pimentocross.placement.reclaim import choose_evictions
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import LASTS, TaskPlan, WorkerHall
+from pimentocross.work.spec import Size, StepSpec, TaskName
+from pimentocross.work.state import Job, JobState, Task
+from tests import run_virtual
+from tests.owner_fixtures import (
+    CONFIG,
+    QUEUE,
+    count,
+    life,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+)
+
+_LASTING = Size(1900, 1000, 0)
+_SHORT = Size(2000, 1000, 0)
+_FILLER = Size(100, 500, 0)
+_BATCH = QUEUE._replace(name="batch", prefix="/batch/", priority=2)
+
+
+class _Host:
+    """A worker with given room."""
+
+    def __init__(self, number: int, free: Size) -> None:
+        self.number = number
+        self.free = free
+        self.life = life(number)
+        self.serving: dict[str, int] = {}
+        self.filling: dict[str, int] = {}
+        self.filled = 0
+        self.suffers = False
+
+    def count_of(self, step: object) -> int:
+        return 0
+
+
+def _tasks(width: int, size: Size, *, lasting: bool = False) -> list[Task]:
+    step = StepSpec(width, size, lasting=lasting)
+    return Job("j", QUEUE, spec(step), 0.0).occurrences[0].steps[0].tasks
+
+
+def _seat(host: _Host, cpu: int) -> Seat:
+    return Seat(_tasks(1, Size(cpu, 100, 0), lasting=True)[0], host)
+
+
+def test_the_smallest_that_leaves_enough_gives_way() -> None:
+    near, far = _Host(0, Size(400, 9000, 0)), _Host(1, Size(100, 9000, 0))
+    seats = [_seat(near, 5000), _seat(near, 1700), _seat(far, 1700)]
+    chosen = choose_evictions(_tasks(1, _SHORT), seats, 10_000)
+    # 400 and 1,700 are enough; 100 and 1,700 are not.
+    assert chosen == [seats[1]]
+
+
+def test_one_that_leaves_room_for_several_is_enough() -> None:
+    host = _Host(0, Size(400, 9000, 0))
+    seats = [_seat(host, 6000), _seat(host, 6000)]
+    assert len(choose_evictions(_tasks(3, _SHORT), seats, 20_000)) == 1
+
+
+def test_no_more_gives_way_than_is_allowed() -> None:
+    hosts = [_Host(number, Size(400, 9000, 0)) for number in range(9)]
+    seats = [_seat(host, 1900) for host in hosts]
+    chosen = choose_evictions(_tasks(9, _SHORT), seats, 4_000)
+    assert len(chosen) == 2
+
+
+def _plan(task: TaskName) -> TaskPlan:
+    if task.job.startswith("short"):
+        return TaskPlan(0.5, _SHORT)
+    if task.job.startswith("fill"):
+        return TaskPlan(0.5, Size(0, 500, 0))
+    return TaskPlan(LASTS, _LASTING)
+
+
+async def _play_short(hall: WorkerHall, in_time: list[bool]) -> None:
+    """Fills all workers with tasks that last, then sends short jobs."""
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+            watch = StepSpec(32, _LASTING, lasting=True, away_most=2)
+            await owner.desk.submit("watch", QUEUE, spec(watch))
+            await trio.sleep(8)
+            for number in range(20):
+                job = f"short{number}"
+                await owner.desk.submit(
+                    job, QUEUE, spec(StepSpec(1, _SHORT, 0.5))
+                )
+                # The objective: 2 times 0.5 s, and 1 s.
+                await trio.sleep(2.0)
+                state = owner.desk.state(job).state
+                in_time.append(state is JobState.COMPLETED)
+            await trio.sleep(6)
+    assert count(hall.journal, "lapsed") == 0
+
+
+def _short_in_time() -> tuple[int, WorkerHall]:
+    # Eight workers of 8 cores, 7.6 of them reserved on each.
+    hall = make_hall(8, _plan)
+    in_time: list[bool] = []
+    run_virtual(lambda: _play_short(hall, in_time))
+    return sum(in_time), hall
+
+
+def test_lasting_tasks_give_way_to_short_work_and_come_back() -> None:
+    served, hall = _short_in_time()
+    assert served >= 17, served
+    at_work = {
+        (event.task, event.run)
+        for event in hall.journal
+        if event.task.job == "watch" and event.what == "start"
+    } - {
+        (event.task, event.run)
+        for event in hall.journal
+        if event.what == "stopped"
+    }
+    assert len(at_work) == 32
+    with mock.patch.object(Reclaimer, "pass_over", lambda *_: None):
+        before, _ = _short_in_time()
+    assert before == 0
+
+
+async def _play_fillers(hall: WorkerHall) -> None:
+    """Has more short steps wait than a pass looks at, and then fillers."""
+    config = CONFIG._replace(queues=(QUEUE, _BATCH))
+    with mock.patch.object(wall, "now", trio.current_time):
+        owner = make_owner(StoreStandin(), hall, 1, config=config)
+        async with running(owner):
+            watch = StepSpec(4, _LASTING, lasting=True, away_most=0)
+            await owner.desk.submit("watch", QUEUE, spec(watch))
+            await trio.sleep(1)
+            for number in range(60):
+                wide = StepSpec(1, Size(7000, 1000, 0), 0.5)
+                await owner.desk.submit(f"short{number}", QUEUE, spec(wide))
+            filler = StepSpec(3, _FILLER, 0.5, image="x", fills=True)
+            await owner.desk.submit("fill", _BATCH, spec(filler))
+            await trio.sleep(5)
+
+
+def test_fillers_are_started_beside_any_number_of_steps_without_room() -> None:
+    # On a played day 600 filling tasks waited beside 690 idle cores.
+    hall = make_hall(1, _plan)
+    run_virtual(lambda: _play_fillers(hall))
+    done = [e.task.job for e in hall.journal if e.what == "done"]
+    assert done.count("fill") == 3
