--- a/pimentocross/owner/arranger.py
+++ b/pimentocross/owner/arranger.py
@@ -7,7 +7,7 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.orders import Orders
-from pimentocross.owner.worker import AT_WORK, Worker
+from pimentocross.owner.worker import Worker
 from pimentocross.placement.hosts import View
 from pimentocross.placement.layout import (
     Exchange,
@@ -209,24 +209,18 @@
 
 
 def _movable(workers: Iterable[Worker], now: float) -> list[Seat]:
-    """Returns the serving tasks that may be moved."""
+    """Returns the serving tasks that do as well on any other worker."""
     return [
         Seat(task, worker)
         for worker in workers
-        for task, run in worker.running()
-        if _may_move(task) and _has_settled(run, now)
+        for task in worker.settled(now, _SETTLED_AFTER)
+        if task.step.spec.target_tail and not _is_bound(task)
     ]
 
 
-def _may_move(task: Task) -> bool:
-    """True for tasks that do as well on any other worker."""
+def _is_bound(task: Task) -> bool:
     spec = task.step.spec
-    bound = spec.gang or spec.same_rack or spec.rack or spec.label
-    return bool(spec.target_tail and spec.lasting and not bound)
-
-
-def _has_settled(run: Run, now: float) -> bool:
-    return run.percent >= AT_WORK and now - run.began_at >= _SETTLED_AFTER
+    return bool(spec.same_rack or spec.rack or spec.label)
 
 
 def _log(
--- a/pimentocross/owner/reclaimer.py
+++ b/pimentocross/owner/reclaimer.py
@@ -1,16 +1,16 @@
 """Has lasting tasks give way while short work has room nowhere."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Final
 from weakref import WeakKeyDictionary
 
 from pimentocross.observe.decisions import note
 from pimentocross.owner.orders import Orders
-from pimentocross.owner.worker import AT_WORK, Worker
+from pimentocross.owner.worker import Worker
 from pimentocross.placement.layout import Seat
 from pimentocross.placement.reclaim import TAKEN_MOST, choose_evictions
 from pimentocross.placement.soundness import may_take_away
-from pimentocross.work.state import Run, Step, Task
+from pimentocross.work.state import Step, Task
 
 # Short work waits this long before anything gives way: most waits are for a
 # run that is about to end.
@@ -97,7 +97,11 @@
             for step in self._gave_way_at
         )
         most = int(TAKEN_MOST * capacity) - away
-        seats = _movable(workers, now)
+        seats = [
+            Seat(task, worker)
+            for worker in workers
+            for task in worker.settled(now, _SETTLED_AFTER)
+        ]
         for seat in choose_evictions(waiting, seats, most):
             if may_take_away(seat.task.step):
                 self._give_way(seat, workers, orders, now)
@@ -112,18 +116,3 @@
         task.not_before = now + _AWAY_LEAST
         note("gives_way", task=task.name, worker=worker.life.id)
         orders.stop(worker, task, run, "gives way to short work")
-
-
-def _movable(workers: Iterable[Worker], now: float) -> list[Seat]:
-    return [
-        Seat(task, worker)
-        for worker in workers
-        for task, run in worker.running()
-        if task.step.spec.lasting
-        and not task.step.spec.gang
-        and _has_settled(run, now)
-    ]
-
-
-def _has_settled(run: Run, now: float) -> bool:
-    return run.percent >= AT_WORK and now - run.began_at >= _SETTLED_AFTER
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -225,6 +225,22 @@
             if run.state is RunState.RUNNING
         ]
 
+    def settled(self, now: float, least: float) -> list[Task]:
+        """Returns lasting tasks, in no gang, at work for at least some seconds.
+
+        Args:
+            now: Present time.
+            least: Seconds; what has just come does no work if it moves again.
+        """
+        return [
+            task
+            for task, run in self.running()
+            if task.step.spec.lasting
+            and not task.step.spec.gang
+            and run.percent >= AT_WORK
+            and now - run.began_at >= least
+        ]
+
     def drain_left(self, now: float) -> float:
         """Returns the seconds that a draining worker surely still has."""
         since = self.draining_since if self.draining_since else now
