Bring lasting tasks back after 2.5 s, whatever else of their step gives way

Its step had to wait 5 s each time a task of it gave way, and tasks of one step gave way in turn; short work waited all the while and came first.

Each task's own time away counts now: after 2.5 s its step comes first again, and only one task of a step gives way at a time. The test keeps short work waiting for 30 s and measures the longest time away.

--- a/pimentocross/owner/reclaimer.py
+++ b/pimentocross/owner/reclaimer.py
@@ -23,9 +23,9 @@
 # A task that gave way isn't started again within this: the short work for
 # which it went has to come first.
 _AWAY_LEAST: Final = 1.0
-# ... and again after this, though short work still waits: users count a task
-# that lasts as lost if it is away for 6 s while there is room for it.
-_AWAY_MOST: Final = 5.0
+# After this it comes first again, though short work still waits: users count a
+# task that lasts as lost if it is away for 6 s while there is room for it.
+_AWAY_MOST: Final = 2.5
 
 
 class Reclaimer:
@@ -35,24 +35,38 @@
         """Has taken nothing yet."""
         self._missed_since: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
         self._gave_way_at: WeakKeyDictionary[Step, float] = WeakKeyDictionary()
+        # The last run of each task that waits, and since when, monotonic.
+        self._away_since: WeakKeyDictionary[Task, tuple[int, float]] = (
+            WeakKeyDictionary()
+        )
         self._passed_at = float("-inf")
 
     def has_to_wait(self, step: Step, now: float) -> bool:
         """True for a step of which a task gave way a moment ago."""
-        gave_way_at = self._gave_way_at.get(step)
-        return gave_way_at is not None and now - gave_way_at < _AWAY_MOST
+        return step in self._gave_way_at and not self._is_due(step, now)
 
     def comes_after_short(self, step: Step, now: float) -> bool:
         """True for lasting steps while short work has others give way.
 
         Else they would take the room that was made. What is being moved has
-        its place already.
+        its place already, and what has been away for long comes first.
         """
         if not step.spec.lasting or not self._gave_way_at:
             return False
         if any(task.bound_for is not None for task in step.waiting()):
             return False
-        return now - max(self._gave_way_at.values()) < _AWAY_MOST
+        return not self._is_due(step, now)
+
+    def _is_due(self, step: Step, now: float) -> bool:
+        """True once a task of a lasting step has been away for long."""
+        due = False
+        for task in step.waiting():
+            run, since = self._away_since.get(task, (-1, now))
+            if run != task.last_run:
+                since = now
+            self._away_since[task] = (task.last_run, since)
+            due = due or now - since >= _AWAY_MOST
+        return due
 
     def pass_over(
         self,
@@ -70,8 +84,10 @@
             orders: Has tasks stopped.
             now: Present time.
         """
-        if not missed:
-            self._gave_way_at.clear()
+        for step in list(self._gave_way_at):
+            whole = not step.waiting_count and now - self._gave_way_at[step] > 1
+            if not missed or whole:
+                del self._gave_way_at[step]
         for step in list(self._missed_since):
             if step not in missed:
                 del self._missed_since[step]
@@ -101,9 +117,12 @@
             Seat(task, worker)
             for worker in workers
             for task in worker.settled(now, _SETTLED_AFTER)
+            # One task of a step at a time: else the step might never be whole.
+            if not task.step.waiting_count
         ]
         for seat in choose_evictions(waiting, seats, most):
-            if may_take_away(seat.task.step):
+            step = seat.task.step
+            if step not in self._gave_way_at and may_take_away(step):
                 self._give_way(seat, workers, orders, now)
 
     def _give_way(
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -130,6 +130,41 @@
     assert before == 0
 
 
+async def _play_pressure(hall: WorkerHall) -> None:
+    """Keeps more short work waiting than there is room for."""
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+            watch = StepSpec(16, _LASTING, lasting=True)
+            for name in ("watch-a", "watch-b"):
+                await owner.desk.submit(name, QUEUE, spec(watch))
+            await trio.sleep(8)
+            for number in range(250):
+                step = StepSpec(1, _SHORT, 0.5)
+                await owner.desk.submit(f"short{number}", QUEUE, spec(step))
+                await trio.sleep(0.12)
+
+
+def _longest_away(hall: WorkerHall) -> float:
+    """Returns the longest time between a stop and the next start."""
+    stopped: dict[TaskName, float] = {}
+    longest = 0.0
+    for event in hall.journal:
+        if event.what == "stopped":
+            stopped[event.task] = event.at
+        elif event.what == "start" and event.task in stopped:
+            longest = max(longest, event.at - stopped.pop(event.task))
+    return longest
+
+
+def test_no_lasting_task_stays_away_however_much_short_work_waits() -> None:
+    # On a played day one was away for 20 s: tasks of its step gave way in
+    # turn, and each time the whole step had to wait anew.
+    hall = make_hall(8, _plan)
+    run_virtual(lambda: _play_pressure(hall))
+    assert any(e.what == "stopped" for e in hall.journal)
+    assert _longest_away(hall) < 4.0, _longest_away(hall)
+
+
 async def _play_fillers(hall: WorkerHall) -> None:
     """Has more short steps wait than a pass looks at, and then fillers."""
     config = CONFIG._replace(queues=(QUEUE, _BATCH))
