Make the test of a sudden load hold beside other load

Its 60 callers have to ask within one round of the service; a round took 0.2 s, and under that load they needed longer. A round takes 0.6 s now; what is allowed stays 20, and the time three rounds and 1.4 s, as before.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -315,7 +315,9 @@
 async def test_sudden_load_is_refused_early_and_nothing_is_lost() -> None:
     async with open_served("limits: {queue: 8}\n") as (cluster, client):
         for worker in cluster.workers:
-            worker.service.faults.plan = FaultPlan(delay=0.2)
+            # Long against the time that 60 callers need to ask, also beside
+            # other load: with 0.2 s a second round began and 24 were answered.
+            worker.service.faults.plan = FaultPlan(delay=0.6)
         replies: list[Reply] = []
 
         async def order(number: int) -> None:
@@ -338,6 +340,7 @@
         assert 8 <= len(answered) <= 16 + 4, len(answered)
         assert {r.body["state"] for r in refused} == {"not run"}
         assert {r.body["reason"] for r in refused} == {"queue-full"}
-        assert trio.current_time() - began < 2.0
+        # Three rounds, and 1.4 s.
+        assert trio.current_time() - began < 3.2
         served = [e for e in cluster.journal.entries if e.kind == "request"]
         assert len(served) == len(answered)
