--- /dev/null
+++ b/tests/test_large_cell.py
@@ -0,0 +1,96 @@
+"""A cell as large as a grown deployment's, on VMs whose time counts.
+
+On a day with 246 workers tasks that are to last were away for 10 to 30 s with
+room for them, under an owner that lived. Its VM was at all the processor time
+that it has, 2.15 cores, from second 8 on:
+
+    second,machine,cpu_percent      16,edge-dune-hall-2,214
+    worker_silent 121 at 14 s, 192 at 39 s, 269 at 64 s (of 246 workers)
+    -2.618 s to 67.375 s   ... run 2 on i-3872b84a88: lapsed
+    71.482 s to 77.792 s   ... run 3 on i-a68fe3a142: lapsed
+
+Each task that was placed had all workers looked at, so that a pass of decisions
+cost what waits times the workers, 0.07 s on average and up to 0.7 s of a core;
+each listing asked for another pass, and nothing bounded what passes take of the
+one thread. Listings were then given up as too late by the owner that had come
+late to read them, and a worker that is taken for silent has its lease left to
+lapse.
+"""
+
+from collections import Counter
+
+import trio
+
+from pimentocross.owner.owner import CellPlatform, Claim, Owner
+from pimentocross.standins.store import StoreStandin
+from tests.owner_fixtures import CONFIG, QUEUE, running
+from tests.slow_vm import (
+    ChargingClock,
+    LargeHall,
+    filling_job,
+    lasting_job,
+    make_large_hall,
+    plan_of,
+    quick_job,
+    run_on_slow_vm,
+)
+
+_WORKERS = 246
+_LASTING_JOBS = 80
+_SECONDS = 12.0
+# Jobs a second that a day of that size brings.
+_FILLING_RATE = 9.5
+_QUICK_RATE = 5.8
+# Peers take an owner for silent after a second.
+_LATE_MOST = 0.8
+
+
+def test_a_large_cell_keeps_its_leases_on_a_small_vm() -> None:
+    run_on_slow_vm(2.0, _keep_leases)
+
+
+async def _keep_leases(clock: ChargingClock) -> None:
+    hall = make_large_hall(clock, _WORKERS, plan_of)
+    late: list[float] = []
+    async with running(_owner(hall)) as owner, trio.open_nursery() as nursery:
+        for number in range(_LASTING_JOBS):
+            job = f"last{number}"
+            await owner.desk.submit(job, QUEUE, lasting_job(number))
+        await trio.sleep(3.0)
+        nursery.start_soon(_note_lateness, late)
+        await _bring_jobs(owner)
+        nursery.cancel_scope.cancel()
+    ended = Counter(event.what for event in hall.journal)
+    assert not ended["lapsed"], ended
+    assert max(late) < _LATE_MOST, sorted(late)[-9:]
+    assert ended["done"] > 1_000, ended
+
+
+def _owner(hall: LargeHall) -> Owner:
+    store = StoreStandin()
+    access = hall.access("a")
+    platform = CellPlatform(store.client("a"), access, access)
+    return Owner(Claim("jobs", 1, True), platform, lambda: CONFIG)
+
+
+async def _note_lateness(late: list[float]) -> None:
+    """Notes how late a timer of 0.05 s fires, for ever."""
+    while True:
+        began = trio.current_time()
+        await trio.sleep(0.05)
+        late.append(trio.current_time() - began - 0.05)
+
+
+async def _bring_jobs(owner: Owner) -> None:
+    """Submits jobs that fill and short ones at their rates."""
+    began = trio.current_time()
+    filling = quick = 0
+    while (passed := trio.current_time() - began) < _SECONDS:
+        while filling < passed * _FILLING_RATE:
+            job = f"fill{filling}"
+            await owner.desk.submit(job, QUEUE, filling_job(filling))
+            filling += 1
+        while quick < passed * _QUICK_RATE:
+            await owner.desk.submit(f"quick{quick}", QUEUE, quick_job())
+            quick += 1
+        await trio.sleep(0.05)
