--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -78,7 +78,7 @@
     for host in hosts:
         if not allows(host, task.step):
             continue
-        cost = _fit(task.step.spec, host, view)
+        cost = fit(task.step.spec, host, view)
         if cost < least:
             cost += _penalties(task, host, rack)
         if cost < least:
@@ -86,16 +86,16 @@
     return best
 
 
-def _fit(spec: StepSpec, host: Host, view: View) -> float:
+def fit(spec: StepSpec, host: Host, view: View) -> float:
     """Returns how badly a task fits, infinite if it should not be there."""
     if spec.fills:
         return _fit_of_filler(spec, host, view)
-    fit = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
+    cost = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
     if spec.target_tail:
-        fit += _strangeness(spec.image, host)
-        fit += view.disturbance.added(spec.image, _loads(host))
-        fit += _closing(spec, host, view.outlook)
-    return fit
+        cost += _strangeness(spec.image, host)
+        cost += view.disturbance.added(spec.image, _loads(host))
+        cost += _closing(spec, host, view.outlook)
+    return cost
 
 
 def _closing(spec: StepSpec, host: Host, outlook: Outlook) -> float:
