Keep workers in lists by kind of task for a pass

Each task that was placed had all workers looked at anew. Now a kind of task (service, size, image, label, what it is bounded by) looks at each worker once in a pass and again only at those that changed since; the best of a list of what fills is looked at once more before it is taken, as trials of pairs and missed targets shut workers out meanwhile. Racks have lists of their own; workers on which a task failed are passed over. Step by step the plain scan stays for a few workers: the one that a task is moved to, and those with a ticket.

What to ask an adviser is worked out only if it would be asked.

--- a/pimentocross/owner/advice.py
+++ b/pimentocross/owner/advice.py
@@ -85,6 +85,10 @@
         self._wanted.setdefault(step, list(workers))
         self._changed.set()
 
+    def is_asked(self, step: Step) -> bool:
+        """True if to want tickets for a step would change nothing."""
+        return self._adviser is None or step in self._wanted
+
     def forget(self, step: Step) -> None:
         """Drops tickets that a worker has refused."""
         known = self._known.get(step)
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -142,7 +142,9 @@
         )
         self._arranger.pass_over(worth_a_place, sound, orders, now)
         self._arranger.renew_probes(sound, now)
-        placer = Placer(sound, self._learned, self._arranger, self.advice, now)
+        placer = Placer(
+            sound, usable, self._learned, self._arranger, self.advice, now
+        )
         spare = self._room.spare(sound, steps, now)
         placements: list[Placement] = []
         misses: Counter[_Kind] = Counter()
@@ -157,7 +159,7 @@
                 continue
             placed = placer.place(step)
             if not placed and self._room.needs_any_worker(step, now):
-                placed = placer.place(step, usable)
+                placed = placer.place_anywhere(step)
             placements.extend(placed)
             if not step.waiting_count:
                 self._room.forget(step)
--- a/pimentocross/owner/placer.py
+++ b/pimentocross/owner/placer.py
@@ -1,6 +1,6 @@
 """Finds workers for the tasks of a step and commits their room."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from pimentocross.owner.advice import AdviceDesk
@@ -8,8 +8,9 @@
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.orders import Placement
 from pimentocross.owner.worker import Worker
+from pimentocross.placement.field import Few, Field, Places
 from pimentocross.placement.host import allows
-from pimentocross.placement.hosts import choose, common_rack
+from pimentocross.placement.hosts import common_rack
 from pimentocross.work.state import Run, Step, Task
 
 # Workers with room and a ticket from which on no more are asked for.
@@ -21,36 +22,49 @@
 
     def __init__(
         self,
-        workers: Iterable[Worker],
+        sound: Sequence[Worker],
+        usable: Sequence[Worker],
         learned: Learned,
         arranger: Arranger,
         advice: AdviceDesk,
         now: float,
     ) -> None:
-        """Takes the workers in use and what choosing among them goes by."""
-        self._workers = list(workers)
+        """Takes the workers and what choosing among them goes by.
+
+        Args:
+            sound: Workers that are in no trouble.
+            usable: All that may be taken for want of a better one.
+            learned: What was learned of workers.
+            arranger: Knows what their room is worth.
+            advice: Knows who may run some steps.
+            now: Present time.
+        """
+        self._sound = Field(sound, arranger.view)
+        self._usable = Field(usable, arranger.view)
         self._racks: Mapping[int, str] = {
-            worker.number: worker.life.rack for worker in self._workers
+            worker.number: worker.life.rack for worker in sound
         }
         self._learned = learned
         self._arranger = arranger
         self._advice = advice
         self._now = now
 
-    def place(
-        self, step: Step, among: Sequence[Worker] | None = None
-    ) -> list[Placement]:
-        """Places what waits of a step, as far as there is room.
+    def place(self, step: Step) -> list[Placement]:
+        """Places what waits of a step on sound workers, as far as it fits."""
+        return self._place_among(step, self._sound)
 
-        Args:
-            step: The step.
-            among: Workers that may be taken; those in use if left out.
-        """
-        workers = self._workers if among is None else list(among)
+    def place_anywhere(self, step: Step) -> list[Placement]:
+        """Places what waits of a step on any worker, as far as it fits."""
+        placed = self._place_among(step, self._usable)
+        self._usable.reopen()
+        return placed
+
+    def _place_among(self, step: Step, field: Field[Worker]) -> list[Placement]:
+        places: Places[Worker] = field
         if step.job.queue.asks_adviser:
-            workers = self._advised(step, workers)
+            places = Few(self._advised(step, field.hosts), self._arranger.view)
         if step.spec.gang:
-            return self._place_gang(step, workers)
+            return self._place_gang(step, places)
         rack = ""
         if step.spec.same_rack:
             rack = common_rack(step.tasks, self._racks)
@@ -58,7 +72,7 @@
         for task in step.waiting():
             if task.not_before > self._now:
                 continue
-            where = _destination(task, workers, self._now)
+            where = _destination(task, places, self._now)
             placement = self._place(task, task.last_run + 1, where, rack)
             if placement is None:
                 if task.bound_for is not None:
@@ -73,13 +87,16 @@
         tickets = self._advice.tickets(step)
         found = [w for w in workers if w.life.id in tickets]
         room = sum(allows(w, step) for w in found)
-        if room < min(step.waiting_count, _ADVISED_ENOUGH):
+        enough = min(step.waiting_count, _ADVISED_ENOUGH)
+        if room < enough and not self._advice.is_asked(step):
             able = [w for w in workers if allows(w, step)]
             able.sort(key=lambda w: -w.free.cpu)
             self._advice.want(step, [w.life.id for w in able])
         return found
 
-    def _place_gang(self, step: Step, workers: list[Worker]) -> list[Placement]:
+    def _place_gang(
+        self, step: Step, places: Places[Worker]
+    ) -> list[Placement]:
         """Places all members under one run number, or none."""
         tasks = list(step.waiting())
         if len(tasks) < step.spec.width:
@@ -90,20 +107,21 @@
         placed: list[Placement] = []
         rack = ""
         for task in tasks:
-            placement = self._place(task, number, workers, rack)
+            placement = self._place(task, number, places, rack)
             if placement is None:
                 for taken in placed:
                     taken.worker.remove(taken.task, number)
                     taken.task.drop_run(number)
+                    self._note_changed(taken.worker)
                 return []
             rack = rack or placement.worker.life.rack
             placed.append(placement)
         return placed
 
     def _place(
-        self, task: Task, number: int, workers: list[Worker], rack: str
+        self, task: Task, number: int, places: Places[Worker], rack: str
     ) -> Placement | None:
-        worker = choose(task, workers, self._arranger.view, rack)
+        worker = places.choose(task, rack)
         if worker is None:
             return None
         if task.step.spec.fills:
@@ -113,19 +131,26 @@
         task.bound_for = None
         task.add_run(run)
         worker.add(task, run)
+        self._note_changed(worker)
         quarantine = self._learned.quarantine
         quarantine.note_started(worker.life.id)
         if not quarantine.admits(worker.life.id, self._now):
-            workers.remove(worker)
+            places.close(worker)
         ticket = self._advice.tickets(task.step).get(worker.life.id, "")
         return Placement(task, run, worker, ticket)
 
+    def _note_changed(self, worker: Worker) -> None:
+        self._sound.note_changed(worker)
+        self._usable.note_changed(worker)
+
 
-def _destination(task: Task, workers: list[Worker], now: float) -> list[Worker]:
+def _destination(
+    task: Task, places: Places[Worker], now: float
+) -> Places[Worker]:
     """Returns the worker that a task is moved to, for a while, or all."""
     if task.bound_for is None:
-        return workers
+        return places
     if now >= task.bound_for.until:
         task.bound_for = None
-        return workers
-    return [w for w in workers if w.number == task.bound_for.worker]
+        return places
+    return places.only(task.bound_for.worker)
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -18,8 +18,8 @@
 from pimentocross.work.state import Task
 
 # Penalties outweigh the fit, which is at most 3.
-_NOT_NEAR: Final = 10.0
-_FAILED_THERE: Final = 50.0
+NOT_NEAR: Final = 10.0
+FAILED_THERE: Final = 50.0
 # A task fills beside serving ones only if what fills there is expected to
 # raise the logarithm of their tail by no more: from the usual 0.45 of the
 # target to 0.67.
@@ -80,7 +80,7 @@
             continue
         cost = fit(task.step.spec, host, view)
         if cost < least:
-            cost += _penalties(task, host, rack)
+            cost += penalties(task, host, rack)
         if cost < least:
             best, least = host, cost
     return best
@@ -146,15 +146,26 @@
     return {image: cpu / capacity for image, cpu in host.filling.items()}
 
 
-def _penalties(task: Task, host: Host, rack: str) -> float:
+def penalties(task: Task, host: Host, rack: str) -> float:
+    """Returns what speaks against a worker for one task of a step."""
     spec = task.step.spec
-    penalties = 0.0
+    cost = 0.0
     if host.number in task.failed_on:
-        penalties += _FAILED_THERE
-    wanted_rack = spec.rack or (rack if spec.same_rack else "")
-    if wanted_rack and host.life.rack != wanted_rack:
-        penalties += _NOT_NEAR
-    return penalties
+        cost += FAILED_THERE
+    wanted = wanted_rack(spec, rack)
+    if wanted and host.life.rack != wanted:
+        cost += NOT_NEAR
+    return cost
+
+
+def wanted_rack(spec: StepSpec, rack: str) -> str:
+    """Returns the rack that a task should be on, or "".
+
+    Args:
+        spec: The task's step.
+        rack: Rack that the step's other tasks are on, or "".
+    """
+    return spec.rack or (rack if spec.same_rack else "")
 
 
 def common_rack(tasks: Iterable[Task], rack_of: Mapping[int, str]) -> str:
--- a/tests/test_pass_cost.py
+++ b/tests/test_pass_cost.py
@@ -7,27 +7,19 @@
 counted here are looks at a worker and calls of functions, not seconds.
 """
 
-from collections.abc import Iterator, Sequence
 import sys
 from types import FrameType
-from typing import cast
 from unittest import mock
 
 import trio
 
-from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.jobs import JobBook
-from pimentocross.owner.learned import Learned
-from pimentocross.owner.ledger import Batch, Ledger
-from pimentocross.owner.orders import Orders, Placement
-from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
-from pimentocross.placement import hosts
-from pimentocross.standins.store import StoreStandin
+from pimentocross.placement import field, hosts
 from pimentocross.work.spec import JobSpec, Size, StepSpec
-from pimentocross.work.state import Job, Run, RunState, Step, Task
 from tests import run_virtual
-from tests.owner_fixtures import CONFIG, QUEUE, life, make_hall
+from tests.owner_fixtures import QUEUE, life
+from tests.pass_fixtures import PassCell, make_step, make_worker, put_to_work
 
 _CAPACITY = Size(32_000, 128_000, 0)
 _SERVING = StepSpec(
@@ -42,38 +34,6 @@
 _KINDS = 5
 
 
-class _Roster:
-    """Workers that are all in use, each with tasks that serve."""
-
-    def __init__(self, count: int) -> None:
-        access = make_hall(1).access("a")
-        self._workers = [
-            _worker(number, access.link(life(number)))
-            for number in range(count)
-        ]
-
-    def workers(self) -> Iterator[Worker]:
-        """Yields the workers."""
-        yield from self._workers
-
-
-class _Orders:
-    """Keeps what is to be started."""
-
-    def __init__(self) -> None:
-        self.started: list[Placement] = []
-
-    def start(self, placements: Sequence[Placement], batch: Batch) -> None:
-        """Takes what is to be started."""
-        self.started.extend(placements)
-
-    def stop(self, worker: Worker, task: Task, run: Run, reason: str) -> None:
-        """Leaves what runs as it is."""
-
-    def pace(self, worker: Worker, task: Task, run: Run, percent: int) -> None:
-        """Leaves what runs as it is."""
-
-
 class _Counter:
     """Counts calls of functions in the package."""
 
@@ -86,29 +46,17 @@
             self.calls += 1
 
 
-def _worker(number: int, link: object) -> Worker:
+def _worker(number: int) -> Worker:
+    """Returns a worker on which two tasks of an image serve."""
     listed = life(number, rack=f"r{number // 20}")
-    worker = Worker(
-        listed._replace(capacity=_CAPACITY),
-        number,
-        link,  # type: ignore[arg-type]
-    )
-    worker.adopted = True
+    worker = make_worker(listed._replace(capacity=_CAPACITY), number)
     spec = _SERVING._replace(
         width=2, image=f"serve{number % 2}", size=Size(6_000, 9_000, 0)
     )
-    for task in _step(f"old{number}", spec).tasks:
-        run = Run(1, number)
-        run.state, run.percent, run.figure = RunState.RUNNING, 100, 20
-        task.add_run(run)
-        worker.add(task, run)
+    put_to_work(worker, make_step(f"old{number}", spec))
     return worker
 
 
-def _step(name: str, spec: StepSpec) -> Step:
-    return Job(name, QUEUE, JobSpec("", (spec,)), 0.0).occurrences[0].steps[0]
-
-
 def _submit(book: JobBook, parts: int) -> int:
     """Brings forty tasks a part; returns how many in all."""
     tasks = 0
@@ -125,31 +73,26 @@
 
 async def _pass_over(workers: int, parts: int) -> int:
     """Has what waits placed; returns how many calls it took."""
-    ledger = Ledger(StoreStandin().client("a"), "jobs", "owner", 1)
-    book = JobBook(ledger, 150.0)
-    learned = Learned()
+    cell = PassCell(map(_worker, range(workers)))
     # All pairs are known: else few tasks fill before the first readings.
     for _ in range(9):
         for n in range(4):
-            image = f"serve{n % 2}"
-            learned.disturbance.learn(image, {f"fill{n // 2}": 0.9}, 0.45, 0.0)
-    roster = cast(Roster, _Roster(workers))
-    dispatcher = Dispatcher(book, roster, learned, lambda: CONFIG, None)
-    orders = _Orders()
-    tasks = _submit(book, parts)
+            image, loads = f"serve{n % 2}", {f"fill{n // 2}": 0.9}
+            cell.learned.disturbance.learn(image, loads, 0.45, 0.0)
+    tasks = _submit(cell.book, parts)
     counter = _Counter()
     with trio.move_on_after(1.0):
         sys.setprofile(counter.note)
         try:
-            await dispatcher.run(cast(Orders, orders))
+            await cell.run()
         finally:
             sys.setprofile(None)
-    assert len(orders.started) == tasks, len(orders.started)
+    assert len(cell.kept.started) == tasks, len(cell.kept.started)
     return counter.calls
 
 
 async def _pass_while_looks_are_counted(workers: int, parts: int) -> None:
-    with mock.patch.object(hosts, "fit", wraps=hosts.fit) as fit:
+    with mock.patch.object(field, "fit", wraps=hosts.fit) as fit:
         await _pass_over(workers, parts)
     most = _KINDS * workers + 4 * 40 * parts
     assert fit.call_count <= most, (fit.call_count, most)
