Age what is known of pairs once a pass, keep sums of a worker

Estimates were aged at each look; they are the same until time is noted again or the pair is read. What is free and what fills on a worker change with its runs alone.

--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -10,7 +10,7 @@
 from pimentocross.contracts.worker_link import WorkerLife, WorkerLink
 from pimentocross.owner.clock import WorkerClock
 from pimentocross.placement.pacing import Reading
-from pimentocross.work.spec import Size
+from pimentocross.work.spec import NO_SIZE, Size
 from pimentocross.work.state import Run, RunState, Step, Task
 
 RunKey = tuple[Task, int]
@@ -63,7 +63,7 @@
         self.link = link
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
-        self.committed = Size(0, 0, 0)
+        self.committed = NO_SIZE
         self.lease_end: float | None = None
         self.blind_until = 0.0
         self.heard_at = float("-inf")
@@ -81,11 +81,22 @@
         self._over_since: dict[str, float] = {}
         self._serving: Counter[str] = Counter()
         self._filling: Counter[str] = Counter()
+        self._filled = 0
+        self._free = NO_SIZE
+        # Of which capacity and commitments that is.
+        self._free_of = (NO_SIZE, NO_SIZE)
 
     @property
     def free(self) -> Size:
         """What is not committed."""
-        return self.life.capacity.minus(self.committed)
+        capacity, committed = self._free_of
+        if (
+            capacity is not self.life.capacity
+            or committed is not self.committed
+        ):
+            self._free_of = (self.life.capacity, self.committed)
+            self._free = self.life.capacity.minus(self.committed)
+        return self._free
 
     @property
     def usable(self) -> bool:
@@ -141,7 +152,7 @@
     @property
     def filled(self) -> int:
         """Processor time that tasks that fill ask for, thousandths."""
-        return self._filling.total()
+        return self._filled
 
     @property
     def serving(self) -> Mapping[str, int]:
@@ -157,6 +168,7 @@
         spec = task.step.spec
         if spec.fills:
             counter = self._filling
+            self._filled += sign * spec.size.cpu
         elif spec.target_tail:
             counter = self._serving
         else:
--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -81,47 +81,51 @@
         self._levels: dict[tuple[int, str], Estimate] = {}
         self._levels_swept_at = 0.0
         self._now = 0.0
+        # Estimates as they are now: a pass asks for each many times, and ages
+        # it once.
+        self._present: dict[tuple[str, str], Estimate] = {}
 
     def pairs(self) -> list[Pair]:
         """Returns all that was learned, as far as it holds now."""
         return [
             Pair(serving, image, known.mean, known.variance)
             for serving, image in self._estimates
-            for known in [self._aged(serving, image, self._now)]
+            for known in [self._known(serving, image)]
         ]
 
     def restore(self, pairs: Sequence[Pair], now: float) -> None:
         """Takes what a former owner had learned."""
-        self._now = now
+        self.advance(now)
         for pair in pairs:
             estimate = Estimate(pair.mean, pair.variance, now)
-            self._estimates[(pair.serving, pair.filling)] = estimate
+            self._note((pair.serving, pair.filling), estimate)
 
     def advance(self, now: float) -> None:
         """Notes the time, as what is known ages."""
         self._now = now
+        self._present.clear()
 
     def coefficient(self, serving: str, filling: str) -> float:
         """Returns how much a share of 1 adds to the logarithm.
 
         It is 0 for pairs whose effect can't be told from that of the load.
         """
-        known = self._aged(serving, filling, self._now)
+        known = self._known(serving, filling)
         return known.mean if known.mean > _NOISE else 0.0
 
     def is_bad(self, serving: str, filling: str) -> bool:
         """True if a pair surely disturbs, whatever the load."""
-        known = self._aged(serving, filling, self._now)
+        known = self._known(serving, filling)
         return known.mean > _SURELY
 
     def is_doubtful(self, serving: str, filling: str) -> bool:
         """True if a pair seems to disturb, on little evidence."""
-        known = self._aged(serving, filling, self._now)
+        known = self._known(serving, filling)
         return known.mean > _SURELY and known.variance > _DOUBTFUL
 
     def is_untried(self, serving: str, filling: str) -> bool:
         """True if hardly anything was seen of a pair."""
-        known = self._aged(serving, filling, self._now)
+        known = self._known(serving, filling)
         return known.variance > _TRIED
 
     def added(self, serving: str, loads: Mapping[str, float]) -> float:
@@ -166,9 +170,8 @@
         surprise = math.log(seen) - expected
         surprise = min(max(surprise, -_SURPRISE_MOST), _SURPRISE_MOST)
         for image, weight in weights.items():
-            self._estimates[(serving, image)] = _updated(
-                known[image], weight, surprise, spread, now
-            )
+            updated = _updated(known[image], weight, surprise, spread, now)
+            self._note((serving, image), updated)
         self._levels[(worker, serving)] = _updated(
             level, 1.0, surprise, spread, now
         )
@@ -193,6 +196,18 @@
             if now - known.at < _LEVEL_DROPPED
         }
 
+    def _note(self, pair: tuple[str, str], estimate: Estimate) -> None:
+        self._estimates[pair] = estimate
+        self._present.pop(pair, None)
+
+    def _known(self, serving: str, image: str) -> Estimate:
+        """Returns an estimate as it is now."""
+        found = self._present.get((serving, image))
+        if found is None:
+            found = self._aged(serving, image, self._now)
+            self._present[(serving, image)] = found
+        return found
+
     def _aged(self, serving: str, image: str, now: float) -> Estimate:
         prior = _PAIR if image else _BASE
         drift = _PAIR_DRIFT if image else _BASE_DRIFT
