--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -18,8 +18,8 @@
 from pimentocross.work.state import Task
 
 # Penalties outweigh the fit, which is at most 3.
-_NOT_NEAR: Final = 10.0
-_FAILED_THERE: Final = 50.0
+NOT_NEAR: Final = 10.0
+FAILED_THERE: Final = 50.0
 # A task fills beside serving ones only if what fills there is expected to
 # raise the logarithm of their tail by no more: from the usual 0.45 of the
 # target to 0.67.
@@ -78,24 +78,24 @@
     for host in hosts:
         if not allows(host, task.step):
             continue
-        cost = _fit(task.step.spec, host, view)
+        cost = fit(task.step.spec, host, view)
         if cost < least:
-            cost += _penalties(task, host, rack)
+            cost += penalties(task, host, rack)
         if cost < least:
             best, least = host, cost
     return best
 
 
-def _fit(spec: StepSpec, host: Host, view: View) -> float:
+def fit(spec: StepSpec, host: Host, view: View) -> float:
     """Returns how badly a task fits, infinite if it should not be there."""
     if spec.fills:
         return _fit_of_filler(spec, host, view)
-    fit = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
+    cost = (host.free.cpu - spec.size.cpu) / max(host.life.capacity.cpu, 1)
     if spec.target_tail:
-        fit += _strangeness(spec.image, host)
-        fit += view.disturbance.added(spec.image, _loads(host))
-        fit += _closing(spec, host, view.outlook)
-    return fit
+        cost += _strangeness(spec.image, host)
+        cost += view.disturbance.added(spec.image, _loads(host))
+        cost += _closing(spec, host, view.outlook)
+    return cost
 
 
 def _closing(spec: StepSpec, host: Host, outlook: Outlook) -> float:
@@ -126,9 +126,10 @@
         return math.inf
     wanted = view.outlook.wanted_by_others(host, spec.image)
     fit = 1.0 - left / capacity + _TAKEN_FROM_OTHERS * wanted
-    if not host.serving:
+    serving = host.serving
+    if not serving:
         return fit
-    if not bears(host.serving, spec.image, disturbance):
+    if not bears(serving, spec.image, disturbance):
         scarcity = view.outlook.scarcity(spec.image)
         if view.probes.may_retry(spec.image, host, scarcity):
             return fit + _RETRY
@@ -137,7 +138,7 @@
         return math.inf
     loads = _loads(host)
     loads[spec.image] = loads.get(spec.image, 0.0) + spec.size.cpu / capacity
-    harm = max(disturbance.added(image, loads) for image in host.serving)
+    harm = max(disturbance.added(image, loads) for image in serving)
     return fit + 1.0 + harm if harm <= HARM_MOST else math.inf
 
 
@@ -146,15 +147,26 @@
     return {image: cpu / capacity for image, cpu in host.filling.items()}
 
 
-def _penalties(task: Task, host: Host, rack: str) -> float:
+def penalties(task: Task, host: Host, rack: str) -> float:
+    """Returns what speaks against a worker for one task of a step."""
     spec = task.step.spec
-    penalties = 0.0
+    cost = 0.0
     if host.number in task.failed_on:
-        penalties += _FAILED_THERE
-    wanted_rack = spec.rack or (rack if spec.same_rack else "")
-    if wanted_rack and host.life.rack != wanted_rack:
-        penalties += _NOT_NEAR
-    return penalties
+        cost += FAILED_THERE
+    wanted = wanted_rack(spec, rack)
+    if wanted and host.life.rack != wanted:
+        cost += NOT_NEAR
+    return cost
+
+
+def wanted_rack(spec: StepSpec, rack: str) -> str:
+    """Returns the rack that a task should be on, or "".
+
+    Args:
+        spec: The task's step.
+        rack: Rack that the step's other tasks are on, or "".
+    """
+    return spec.rack or (rack if spec.same_rack else "")
 
 
 def common_rack(tasks: Iterable[Task], rack_of: Mapping[int, str]) -> str:
