Test that a take-over that takes long is let finish

A new owner that reads and adopts for longer than the 1.0 s of silence and the 0.7 s of watching is replaced while it works, by one that begins from nothing.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,10 +17,12 @@
 from tempfile import TemporaryDirectory
 
 import msgspec
+import trio
 
 from pimentocross.contracts.store import Record
 from pimentocross.gateway import const
 from pimentocross.gateway.cluster import Cluster
+from pimentocross.observe import decisions
 from pimentocross.platform.settings import read_settings
 from tests.gateway_fixtures import STRONG, UNKNOWN, WEAK, Vm, VmCell, processors
 from tests.owner_fixtures import wait_until
@@ -96,6 +98,59 @@
     assert await _time_to_claim("gone", weak) < _FOLLOWED_WITHIN
 
 
+async def test_a_new_owner_that_reads_for_long_is_let_to() -> None:
+    cell = VmCell()
+    cell.reading_takes = 2.9
+    async with cell.running():
+        for number in range(5):
+            cell.start(f"vm{number}", UNKNOWN)
+            # Each is too busy to answer a heartbeat: only the store tells.
+            cell.deaf.add(f"vm{number}")
+        await trio.sleep(20)
+        assert len(cell.claims()) == 1, cell.claims()
+        assert len(cell.owners()) == 1
+
+
+async def test_a_new_owner_says_that_it_is_at_work() -> None:
+    cell = VmCell()
+    cell.reading_takes = 2.9
+    async with cell.running():
+        for number in range(5):
+            cell.start(f"vm{number}", UNKNOWN)
+        cell.kill(await _owner_of(cell))
+        await cell.next_claim(1)
+        before = decisions.counts()["suspect"]
+        await _owner_of(cell)
+        await trio.sleep(5)
+        assert decisions.counts()["suspect"] == before
+
+
+async def test_silent_take_overs_do_not_follow_one_another_for_ever() -> None:
+    cell = VmCell()
+    # Longer than a first successor is let to be silent.
+    cell.silent_for = 4.0
+    async with cell.running():
+        for number in range(5):
+            cell.start(f"vm{number}", UNKNOWN)
+        await trio.sleep(30)
+        assert len(cell.claims()) <= 3, cell.claims()
+        assert len(cell.owners()) == 1
+
+
+async def test_a_new_owner_that_dies_is_followed_in_bounded_time() -> None:
+    cell = VmCell()
+    took: list[float] = []
+    async with cell.running():
+        for number in range(8):
+            cell.start(f"vm{number}", UNKNOWN)
+        for _ in range(6):
+            await cell.next_claim(len(took))
+            cell.kill(cell.vms[cell.claims()[-1]])
+            took.append(await cell.next_claim(len(took) + 1))
+    assert took[0] < _FOLLOWED_WITHIN, took
+    assert max(took) < _FOLLOWED_AT_MOST, took
+
+
 def _processor_of(lines: list[str]) -> object:
     """Returns what a process learns of its processor from its settings."""
     with TemporaryDirectory() as folder:
