Test that own lateness is not taken for the silence of others

An owner gave the cell back after 2.0 s without hearing a peer: its own event loop had been late, and peers had asked meanwhile. Observers whose loop was late suspected an owner in the same way.

Fail on the code as it is (python -m tests test_takeover): - test_an_owner_that_was_late_itself_is_not_alone: owner_alone after a stall of 3 s of the whole process. - test_an_observer_that_was_late_itself_suspects_nobody: suspects after a stall of 1.5 s.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,6 +18,7 @@
 
 import msgspec
 import trio
+from trio.testing import MockClock
 
 from pimentocross.contracts.store import Record
 from pimentocross.gateway import const
@@ -34,6 +35,13 @@
 _FOLLOWED_AT_MOST = 10.0
 
 
+def _jump(seconds: float) -> None:
+    """Lets time pass in which nothing of any process runs."""
+    clock = trio.lowlevel.current_clock()
+    assert isinstance(clock, MockClock)
+    clock.jump(seconds)
+
+
 async def _start_all(cell: VmCell) -> None:
     """Starts a grown deployment's VMs, which were there before."""
     for name, cores in processors().items():
@@ -151,6 +159,37 @@
     assert max(took) < _FOLLOWED_AT_MOST, took
 
 
+async def test_an_owner_that_was_late_itself_is_not_alone() -> None:
+    cell = VmCell()
+    before = decisions.counts()["owner_alone"]
+    async with cell.running():
+        for number in range(5):
+            cell.start(f"vm{number}", UNKNOWN)
+        await _owner_of(cell)
+        for number in range(6):
+            await trio.sleep(4.0 + 0.11 * number)
+            _jump(3.0)
+        await trio.sleep(4.0)
+    assert decisions.counts()["owner_alone"] == before
+    assert len(cell.claims()) == 1, cell.claims()
+
+
+async def test_an_observer_that_was_late_itself_suspects_nobody() -> None:
+    cell = VmCell()
+    async with cell.running():
+        for number in range(5):
+            cell.start(f"vm{number}", UNKNOWN)
+        await _owner_of(cell)
+        await trio.sleep(5.0)
+        before = decisions.counts()["suspect"]
+        for number in range(6):
+            await trio.sleep(4.0 + 0.11 * number)
+            _jump(1.5)
+        await trio.sleep(4.0)
+        assert decisions.counts()["suspect"] == before
+        assert len(cell.claims()) == 1, cell.claims()
+
+
 def _processor_of(lines: list[str]) -> object:
     """Returns what a process learns of its processor from its settings."""
     with TemporaryDirectory() as folder:
