Test that few observers read the store for a suspicion

Fails on the code as it is (python -m tests test_takeover): - test_few_observers_read_to_confirm_a_suspicion: 33 confirm that one owner was killed.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -190,6 +190,21 @@
         assert len(cell.claims()) == 1, cell.claims()
 
 
+async def test_few_observers_read_to_confirm_a_suspicion() -> None:
+    cell = VmCell()
+    async with cell.running():
+        await _start_all(cell)
+        owner = await _owner_of(cell)
+        await trio.sleep(11.0)
+        before = decisions.counts()["suspect"]
+        cell.kill(owner)
+        took = await cell.next_claim(len(cell.claims()))
+        await trio.sleep(3.0)
+        suspects = decisions.counts()["suspect"] - before
+    assert 1 <= suspects <= 6, suspects
+    assert took < 2.2, took
+
+
 def _processor_of(lines: list[str]) -> object:
     """Returns what a process learns of its processor from its settings."""
     with TemporaryDirectory() as folder:
