Don't take an own stall for the silence of others

Cause: an owner that had been late itself for 2 s gave the cell back as alone, though peers had asked meanwhile; observers suspected in the same way, and a stalled owner told peers that it can't write, though the store had answered.

Silence is counted in own time: of the time between two ticks of 0.1 s at most 0.2 s count, the rest is a stall of this process's own loop. So each judgement after a stall comes after a fresh exchange, whichever task runs first. It needs no measure of lateness from elsewhere; a subtraction of the worst lateness of the last second was weighed, and would forget a stall of 3 s that began before.

An owner whose loop is late all the time counts at least a fifth of a second for each tick that comes.

--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -36,6 +36,10 @@
 LATE_TURNS_AFTER: Final = 0.8
 LATE_TURNS_SPAN: Final = 0.6
 ELECTION_TICK: Final = 0.1
+# Of the time between two ticks as much counts as silence of others; what is
+# beyond is a stall of this process's own loop. Timers that fire 0.1 s late are
+# usual on a VM that is busy.
+STALL: Final = 2 * ELECTION_TICK
 CLAIM_TIMEOUT: Final = 1.5
 READ_TIMEOUT: Final = 1.0
 
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -25,6 +25,8 @@
     claim_record,
     release_record,
 )
+from pimentocross.gateway.messages import Standing
+from pimentocross.gateway.own_time import OwnAge, OwnTime
 from pimentocross.gateway.owner_link import OwnerLink
 from pimentocross.gateway.turns import Turn, find_turn
 from pimentocross.links.greeting import PeerIdentity
@@ -65,6 +67,9 @@
         self._platform = platform
         self._config = config
         self._heard_peer_at = heard_peer_at
+        self._time = OwnTime()
+        # Time since the owner here has written, if there is one.
+        self._written = OwnAge(self._time, lambda: 0.0)
         self._served_epoch = 0
         self._leaving = False
         self._not_before = 0.0
@@ -85,6 +90,17 @@
             self._unowned_since = trio.current_time()
         return trio.current_time() - self._unowned_since
 
+    def standing(self) -> Standing:
+        """Returns how this process stands."""
+        owner = self.owner
+        if owner is None:
+            return Standing(0, False, 0.0)
+        # What was acknowledged while this process was late isn't read yet:
+        # such an owner is no worse at writing.
+        age = min(owner.ledger.age(), self._written.seconds())
+        ready = owner.ready.is_set()
+        return Standing(owner.epoch, ready, age if ready else 0.0)
+
     def leave(self) -> None:
         """Gives the cell back if it is owned here; claims no more."""
         self._leaving = True
@@ -93,6 +109,11 @@
 
     async def run(self) -> None:
         """Follows the claims for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._time.run)
+            nursery.start_soon(self._follow_claims)
+
+    async def _follow_claims(self) -> None:
         while True:
             claim = self._cluster.claim
             if claim is not None and claim.process == self._mine.process:
@@ -119,6 +140,7 @@
             self._config_or_wait,
         )
         self.owner = owner
+        self._written = OwnAge(self._time, lambda: owner.ledger.stored_at)
         reason = "released"
         try:
             async with trio.open_nursery() as nursery:
@@ -144,14 +166,17 @@
 
     async def _watch_standing(self, owner: Owner, claim: OwnerClaim) -> None:
         """Gives the cell up once it is claimed by another, or nobody hears."""
-        began = trio.current_time()
+        heard = OwnAge(self._time, self._heard_peer_at)
         while True:
             await trio.sleep(const.ELECTION_TICK)
+            self.standing()
             newest = self._cluster.claim
             if newest is not None and newest.epoch > claim.epoch:
                 note("owner_superseded", epoch=claim.epoch, by=newest.epoch)
                 raise FencedError
-            alone = trio.current_time() - max(self._heard_peer_at(), began)
+            # Peers were heard as late as this process came to listen: counted
+            # in its own time, a stall of 3 s made no owner give the cell back.
+            alone = heard.seconds()
             if alone > const.ALONE_AFTER and len(self._cluster.members) > 1:
                 if trio.current_time() < self._not_before:
                     continue
@@ -199,7 +224,7 @@
 
     @asynccontextmanager
     async def _linked(self, claim: OwnerClaim) -> AsyncIterator[OwnerLink]:
-        link = OwnerLink(claim, self._mine)
+        link = OwnerLink(claim, self._mine, self._time)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run)
             self.link = link
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -20,7 +20,6 @@
     JobAnswer,
     NotOwner,
     PendingAnswer,
-    Standing,
     SubmitJob,
 )
 from pimentocross.gateway.owner_link import CREDENTIALS
@@ -148,7 +147,7 @@
             "config_version": config.version if config is not None else 0,
             "owner_absent_seconds": self.owner_absent(),
             "owned_epoch": owner.epoch if owner is not None else 0,
-            "store_age_seconds": _standing(owner).store_age,
+            "store_age_seconds": self._election.standing().store_age,
         }
 
     async def _serve_metrics(self, handler: Handler) -> None:
@@ -227,20 +226,12 @@
         self._peer_heard_at = trio.current_time()
         owner = self._election.owner
         if isinstance(message, Heartbeat):
-            return _standing(owner)
+            return self._election.standing()
         if owner is None or not owner.ready.is_set():
             return NotOwner("the cell is not owned here")
         return await _answer_here(owner, message)
 
 
-def _standing(owner: Owner | None) -> Standing:
-    if owner is None:
-        return Standing(0, False, 0.0)
-    ready = owner.ready.is_set()
-    age = min(owner.ledger.age(), 1e6) if ready else 0.0
-    return Standing(owner.epoch, ready, age)
-
-
 async def _answer_here(owner: Owner, message: GatewayMessage) -> GatewayMessage:
     match message:
         case SubmitJob(job, queue, spec):
--- a/pimentocross/gateway/owner_link.py
+++ b/pimentocross/gateway/owner_link.py
@@ -10,6 +10,7 @@
     Heartbeat,
     Standing,
 )
+from pimentocross.gateway.own_time import OwnTime
 from pimentocross.links.greeting import Credentials, PeerIdentity
 from pimentocross.links.peer import PeerLink, PeerUnreachableError
 
@@ -22,14 +23,17 @@
     Attributes:
         claim: The claim that made it the owner.
         standing: Its newest answer, or None.
-        heard_at: When that came, or when the link was made.
+        heard_at: When that came, or when the link was made, in own time.
     """
 
-    def __init__(self, claim: OwnerClaim, mine: PeerIdentity) -> None:
-        """Takes the claim and who this process is."""
+    def __init__(
+        self, claim: OwnerClaim, mine: PeerIdentity, time: OwnTime
+    ) -> None:
+        """Takes the claim, who this process is, and its own time."""
         self.claim = claim
         self.standing: Standing | None = None
-        self.heard_at = trio.current_time()
+        self.heard_at = time.now()
+        self._time = time
         self.replaced = False
         self._link: PeerLink[GatewayMessage] = PeerLink(
             claim.address, mine, CREDENTIALS, GATEWAY_MESSAGES
@@ -47,8 +51,8 @@
         )
 
     def silence(self) -> float:
-        """Seconds since it was heard."""
-        return trio.current_time() - self.heard_at
+        """Seconds of own time since it was heard."""
+        return self._time.now() - self.heard_at
 
     async def run(self) -> None:
         """Keeps the link up for ever."""
@@ -79,5 +83,5 @@
                 raise trio.TooSlowError from error
             if isinstance(answer, Standing):
                 self.standing = answer
-                self.heard_at = trio.current_time()
+                self.heard_at = self._time.now()
             await trio.sleep(const.HEARTBEAT_INTERVAL)
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -10,7 +10,7 @@
 from trio.testing import memory_stream_pair
 
 from pimentocross.contracts.store import Page, ProducerMark, Record
-from pimentocross.gateway import const, node
+from pimentocross.gateway import const
 from pimentocross.gateway.cluster import ClaimRecord, Cluster
 from pimentocross.gateway.election import Election
 from pimentocross.gateway.messages import (
@@ -155,7 +155,7 @@
         await trio.sleep(_NETWORK_DELAY)
         self._heard_at = trio.current_time()
         assert isinstance(message, Heartbeat)
-        return node._standing(self.election.owner)
+        return self.election.standing()
 
 
 class VmCell:
