--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -10,7 +10,6 @@
 from contextlib import asynccontextmanager
 
 import trio
-import xxhash
 
 from pimentocross.contracts.store import (
     ConditionFailedError,
@@ -26,7 +25,10 @@
     claim_record,
     release_record,
 )
+from pimentocross.gateway.messages import Standing
+from pimentocross.gateway.own_time import OwnAge, OwnTime
 from pimentocross.gateway.owner_link import OwnerLink
+from pimentocross.gateway.turns import Turn, find_turn
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
@@ -65,6 +67,9 @@
         self._platform = platform
         self._config = config
         self._heard_peer_at = heard_peer_at
+        self._time = OwnTime()
+        # Time since the owner here has written, if there is one.
+        self._written = OwnAge(self._time, lambda: 0.0)
         self._served_epoch = 0
         self._leaving = False
         self._not_before = 0.0
@@ -85,6 +90,17 @@
             self._unowned_since = trio.current_time()
         return trio.current_time() - self._unowned_since
 
+    def standing(self) -> Standing:
+        """Returns how this process stands."""
+        owner = self.owner
+        if owner is None:
+            return Standing(0, False, 0.0)
+        # What was acknowledged while this process was late isn't read yet:
+        # such an owner is no worse at writing.
+        age = min(owner.ledger.age(), self._written.seconds())
+        ready = owner.ready.is_set()
+        return Standing(owner.epoch, ready, age if ready else 0.0)
+
     def leave(self) -> None:
         """Gives the cell back if it is owned here; claims no more."""
         self._leaving = True
@@ -93,6 +109,11 @@
 
     async def run(self) -> None:
         """Follows the claims for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._time.run)
+            nursery.start_soon(self._follow_claims)
+
+    async def _follow_claims(self) -> None:
         while True:
             claim = self._cluster.claim
             if claim is not None and claim.process == self._mine.process:
@@ -119,6 +140,7 @@
             self._config_or_wait,
         )
         self.owner = owner
+        self._written = OwnAge(self._time, lambda: owner.ledger.stored_at)
         reason = "released"
         try:
             async with trio.open_nursery() as nursery:
@@ -128,7 +150,7 @@
         except* (FencedError, WorkerFencedError):
             reason = "another owner has taken over"
         except* StoreUnavailableError as errors:
-            reason = f"its state can't be read: {errors.exceptions[0]}"
+            reason = f"its state can't be read: {_innermost(errors)}"
         finally:
             self.owner = None
         note("owner_ends", epoch=claim.epoch, reason=reason)
@@ -144,14 +166,17 @@
 
     async def _watch_standing(self, owner: Owner, claim: OwnerClaim) -> None:
         """Gives the cell up once it is claimed by another, or nobody hears."""
-        began = trio.current_time()
+        heard = OwnAge(self._time, self._heard_peer_at)
         while True:
             await trio.sleep(const.ELECTION_TICK)
+            self.standing()
             newest = self._cluster.claim
             if newest is not None and newest.epoch > claim.epoch:
                 note("owner_superseded", epoch=claim.epoch, by=newest.epoch)
                 raise FencedError
-            alone = trio.current_time() - max(self._heard_peer_at(), began)
+            # Peers were heard as late as this process came to listen: counted
+            # in its own time, a stall of 3 s made no owner give the cell back.
+            alone = heard.seconds()
             if alone > const.ALONE_AFTER and len(self._cluster.members) > 1:
                 if trio.current_time() < self._not_before:
                     continue
@@ -188,12 +213,18 @@
                 reason = self._suspicion(claim, link)
                 if not reason or self._leaving:
                     continue
+                # Waiting comes first: whoever's turn is late reads nothing
+                # if the suspect is replaced or heard meanwhile.
+                await self._wait_unchanged(claim, self._turn(claim).delay)
+                reason = self._suspicion(claim, link)
+                if not reason or self._cluster.claim is not claim:
+                    continue
                 if await self._confirmed(claim, link, reason):
-                    await self._consider(claim, reason)
+                    await self._claim(claim, reason)
 
     @asynccontextmanager
     async def _linked(self, claim: OwnerClaim) -> AsyncIterator[OwnerLink]:
-        link = OwnerLink(claim, self._mine)
+        link = OwnerLink(claim, self._mine, self._time)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run)
             self.link = link
@@ -233,7 +264,9 @@
             began = trio.current_time()
             first = await self._jobs_end()
             took = trio.current_time() - began
-            await trio.sleep(const.OBSERVE + 3 * took)
+            await self._wait_unchanged(claim, const.OBSERVE + 3 * took)
+            if self._cluster.claim is not claim:
+                return False
             second = await self._jobs_end()
         except StoreUnavailableError as error:
             note("suspect_unconfirmed", reason=reason, store=str(error))
@@ -250,10 +283,13 @@
         return page.end
 
     async def _consider(self, claim: OwnerClaim | None, reason: str) -> None:
-        """Claims, after those who are better placed have had their chance."""
-        if claim is None or claim.released:
-            self._former_quiet = claim is None or claim.quiet
-        await trio.sleep(self._rank(claim) * const.RANK_DELAY)
+        """Claims a cell that nobody owns, once it is this member's turn."""
+        self._former_quiet = claim is None or claim.quiet
+        await self._wait_unchanged(claim, self._turn(claim).delay)
+        await self._claim(claim, reason)
+
+    async def _claim(self, claim: OwnerClaim | None, reason: str) -> None:
+        """Claims, unless something speaks against it."""
         now = trio.current_time()
         if (
             self._leaving
@@ -275,18 +311,19 @@
             note("claim_unanswered", reason=str(error))
         await self._refresh()
 
-    def _rank(self, claim: OwnerClaim | None) -> int:
-        """Returns how many members have their turn before this one."""
+    def _turn(self, claim: OwnerClaim | None) -> Turn:
         epoch = claim.epoch if claim is not None else 0
         suspect = claim.vm if claim is not None else ""
+        members = self._cluster.members
+        return find_turn(self._mine.name, members, epoch, suspect)
 
-        def weight(vm: str) -> int:
-            return xxhash.xxh64_intdigest(f"{vm} {epoch}".encode())
-
-        mine = weight(self._mine.name)
-        return sum(
-            weight(vm) < mine for vm in self._cluster.members if vm != suspect
-        )
+    async def _wait_unchanged(
+        self, claim: OwnerClaim | None, seconds: float
+    ) -> None:
+        """Waits, but no longer than a claim is the newest."""
+        with trio.move_on_after(seconds):
+            while self._cluster.claim is claim:
+                await self._cluster.changed.wait()
 
     async def _refresh(self) -> None:
         try:
@@ -296,3 +333,10 @@
 
     async def _pause(self) -> None:
         await trio.sleep(const.ELECTION_TICK)
+
+
+def _innermost(error: BaseException) -> BaseException:
+    """Returns the first error that isn't a group."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
