--- /dev/null
+++ b/tests/test_log_shares.py
@@ -0,0 +1,173 @@
+"""What the decision log writes when there is more than it may write.
+
+The owner of a cell of 246 workers decided on four hundred runs a second and
+saw as many end. Lines about those took all that a process may write: 27,213 of
+34,612 `run_ended` lines were dropped, and with them nearly all that tell why
+runs were lost, `worker_silent` and `start_unanswered` above all. Each line was
+encoded before it was dropped, on a VM that was out of processor time, and the
+counter of dropped lines began anew each time it was written to the log.
+"""
+
+from collections import Counter
+import time
+
+from pimentocross.observe.decisions import DecisionLog
+from tests.log_fixtures import ALLOWED, Console
+
+_SECONDS = 20
+# Runs in a tenth of a second, five times what the large cell had.
+_FLOOD = 200
+
+
+def _flood(console: Console) -> None:
+    console.note_runs("run_decided", _FLOOD, free=[200, 49_440, 0])
+    console.note_runs("run_ended", _FLOOD, how="done", failures=0)
+
+
+def test_rare_lines_are_written_beside_a_flood() -> None:
+    console = Console()
+    for tick in range(_SECONDS * 10):
+        _flood(console)
+        if tick % 10 == 0:
+            console.note("worker_unsound", worker="w1", sick=True, slow=False)
+        for _ in range(2):
+            reason = "worker-hold: no answer in time"
+            console.note("worker_silent", worker="i-74b00fadcf", reason=reason)
+        console.tick()
+    counts = console.counts()
+    assert counts["worker_unsound"] == _SECONDS, counts
+    assert counts["worker_silent"] == 2 * 10 * _SECONDS, counts
+
+
+def test_a_burst_of_a_rare_kind_is_written_beside_a_flood() -> None:
+    console = Console()
+    for tick in range(_SECONDS * 10):
+        _flood(console)
+        if tick % 60 == 59:
+            # As many workers as there are fall silent at once.
+            for number in range(246):
+                console.note("worker_silent", worker=f"w{number}", reason="x")
+        console.tick()
+    counts = console.counts()
+    assert counts["worker_silent"] == 3 * 246, counts
+
+
+def test_a_flood_takes_what_others_leave_and_no_more() -> None:
+    console = Console()
+    for _ in range(_SECONDS * 10):
+        _flood(console)
+        console.tick()
+    assert console.size <= ALLOWED * (_SECONDS + 2), console.size
+    assert console.size > 0.9 * ALLOWED * _SECONDS, console.size
+    counts = console.counts()
+    # Neither of two kinds that ask for as much crowds the other out.
+    assert counts["run_ended"] > 0.5 * counts["run_decided"], counts
+    assert counts["run_decided"] > 0.5 * counts["run_ended"], counts
+
+
+def test_one_kind_alone_may_use_all() -> None:
+    console = Console()
+    for _ in range(_SECONDS * 10):
+        console.note_runs("run_decided", _FLOOD)
+        console.tick()
+    assert console.size > 0.9 * ALLOWED * _SECONDS
+
+
+def test_ends_that_explain_a_lost_run_go_before_ordinary_ones() -> None:
+    console = Console()
+    for _ in range(_SECONDS * 10):
+        _flood(console)
+        console.note_runs("run_ended", 1, how="lapsed", failures=0)
+        console.note_runs("run_ended", 2, how="failed", failures=1)
+        console.tick()
+    ends = Counter(line.fields.get("how") for line in console.lines())
+    assert ends["lapsed"] == 10 * _SECONDS, ends
+    assert ends["failed"] == 20 * _SECONDS, ends
+
+
+def test_rare_lines_wait_beside_a_flood_while_nobody_reads() -> None:
+    console = Console()
+    console.stuck = True
+    for tick in range(_SECONDS * 10):
+        _flood(console)
+        if tick % 10 == 0:
+            console.note("claim", reason="silent", at=tick)
+        console.tick()
+    console.stuck = False
+    console.tick()
+    assert console.counts()["claim"] == _SECONDS, console.counts()
+    # Four thousand lines of about 200 bytes, and one burst.
+    assert console.size < 4_000 * 200 + 2 * ALLOWED, console.size
+
+
+def test_runs_of_a_large_cell_fit_into_what_may_be_written() -> None:
+    console = Console()
+    for _ in range(_SECONDS * 10):
+        console.note_runs("run_decided", 42, free=[200, 49_440, 0])
+        console.note_runs("run_ended", 42, how="done", failures=0)
+        console.tick()
+    counts = console.counts()
+    assert counts["run_decided"] == 420 * _SECONDS, counts
+    assert counts["run_ended"] == 420 * _SECONDS, counts
+
+
+def test_lines_are_read_as_they_were_noted() -> None:
+    console = Console()
+    console.note("claim", reason="silent", at=7)
+    for number in range(30):
+        console.now += 0.003
+        console.note(
+            "run_ended", task=["j", 0, 0, number], run=1, how="done", worker="w"
+        )
+    console.now += 0.003
+    console.note("job_ended", job="j", state="completed", took=1.5)
+    console.tick()
+    lines = sorted(console.lines(), key=lambda line: line.at)
+    kinds = [line.kind for line in lines]
+    assert kinds == ["claim", *["run_ended"] * 30, "job_ended"]
+    for number, line in enumerate(lines[1:31]):
+        assert line.vm == "edge-dune-hall-2"
+        assert abs(line.at - 1_000.003 - 0.003 * number) < 0.0011, line
+        assert line.fields["task"] == ["j", 0, 0, number]
+        assert line.fields["run"] == 1
+        assert (line.fields["how"], line.fields["worker"]) == ("done", "w")
+        assert line.concerns("j")
+    assert all(len(line) < 4_096 for line in console.log.recent().splitlines())
+
+
+def test_what_was_dropped_is_told_and_its_counter_never_falls() -> None:
+    console = Console()
+    told = before = 0
+    for tick in range(_SECONDS * 10):
+        if tick % 50 < 20:
+            _flood(console)
+        console.tick()
+        dropped = console.log.dropped["run_ended"]
+        assert dropped >= before, (tick, before, dropped)
+        before = dropped
+    for line in console.lines():
+        if line.kind == "lines_dropped":
+            told += line.fields["by_kind"].get("run_ended", 0)
+    assert told == before > 5_000
+
+
+def test_a_line_that_is_dropped_is_not_encoded() -> None:
+    short, long = _cost_of_dropping("x"), _cost_of_dropping("x" * 100_000)
+    # To encode the long one takes twenty times as long as all the rest.
+    assert long < 4 * short, (short, long)
+
+
+def _cost_of_dropping(text: str) -> float:
+    """Returns the least processor seconds of a hundred dropped lines."""
+    log = DecisionLog()
+    fields: dict[str, object] = {"text": text}
+    while not log.dropped["load"]:
+        log.note("load", {"text": "x" * 1_000})
+    return min(_time_of_hundred(log, fields) for _ in range(20))
+
+
+def _time_of_hundred(log: DecisionLog, fields: dict[str, object]) -> float:
+    began = time.thread_time()
+    for _ in range(100):
+        log.note("load", fields)
+    return time.thread_time() - began
