--- /dev/null
+++ b/tests/test_sight.py
@@ -0,0 +1,171 @@
+"""What an owner shows of its loop, its passes and its take-over.
+
+The owner of a cell of 246 workers was out of processor time for 84 s, and
+successors were replaced while they took over. No log or metric told how late
+the event loop was, what passes took of it, how many calls it gave up, or how
+far a take-over had come: `owner_begins` and `owner_ready` were all there was.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+import tempfile
+import time
+from unittest import mock
+
+import trio
+
+from pimentocross.cli.story import LogLine, read_lines
+from pimentocross.observe import decisions
+from pimentocross.observe.decisions import DecisionLog
+from pimentocross.observe.histograms import Histograms
+from pimentocross.observe.metrics import render
+from pimentocross.platform.__main__ import build
+from pimentocross.platform.settings import read_settings
+from pimentocross.standins.store import StoreStandin
+from tests.owner_fixtures import (
+    QUEUE,
+    chain,
+    make_hall,
+    make_owner,
+    running,
+    wait_until,
+)
+from tests.platform_fixtures import loopback_platform, write_settings
+from tests.slow_vm import (
+    ChargingClock,
+    filling_job,
+    make_large_hall,
+    plan_of,
+    run_on_slow_vm,
+)
+from tests.test_http import real_time
+
+_WORKERS = 4
+
+
+@contextmanager
+def _logged() -> Iterator[DecisionLog]:
+    """Turns a log on for the block."""
+    log = DecisionLog()
+    log.enabled = True
+    with mock.patch.object(decisions, "_log", log):
+        yield log
+
+
+def _lines(log: DecisionLog, kind: str) -> list[LogLine]:
+    lines = read_lines(log.recent().decode())
+    return [line for line in lines if line.kind == kind]
+
+
+def _metrics() -> dict[str, float]:
+    """Returns the values of the metrics page by name and labels."""
+    page = render(Histograms(), {}).decode().splitlines()
+    rows = [line.rsplit(" ", 1) for line in page if line[0] != "#"]
+    return {name: float(value) for name, value in rows}
+
+
+def _rise(before: dict[str, float], name: str) -> float:
+    now = _metrics()
+    assert name in now, sorted(now)
+    return now[name] - before.get(name, 0.0)
+
+
+async def test_a_take_over_tells_each_of_its_phases() -> None:
+    store, hall = StoreStandin(), make_hall(_WORKERS)
+    async with running(make_owner(store, hall, 1)) as owner:
+        await owner.desk.submit("j1", QUEUE, chain(2, 3))
+        await wait_until(lambda: bool(hall.journal))
+        await trio.sleep(0.1)
+    with _logged() as log:
+        async with running(make_owner(store, hall, 2)):
+            await trio.sleep(8.0)
+    (read,) = _lines(log, "owner_read")
+    assert (read.fields["epoch"], read.fields["jobs"]) == (2, 1)
+    assert read.fields["seconds"] >= 0.0
+    adopted = _lines(log, "owner_adopts")
+    assert adopted[-1].fields["workers"] == _WORKERS
+    assert adopted[-1].fields["of"] == _WORKERS
+    (started,) = _lines(log, "owner_starts")
+    assert started.fields["epoch"] == 2
+    assert started.fields["seconds"] > 0.0
+
+
+async def test_a_take_over_that_lacks_workers_says_how_many() -> None:
+    store, hall = StoreStandin(), make_hall(_WORKERS)
+    hall.cut["a"] = {"w1-0"}
+    with _logged() as log:
+        async with running(make_owner(store, hall, 1)):
+            await trio.sleep(30.0)
+            hall.cut["a"].clear()
+            await trio.sleep(3.0)
+    told = [line.fields["workers"] for line in _lines(log, "owner_adopts")]
+    # Said when it changes, not each second.
+    assert told == [_WORKERS - 1, _WORKERS], told
+
+
+async def test_calls_that_workers_leave_unanswered_are_counted() -> None:
+    before = _metrics()
+    store, hall = StoreStandin(), make_hall(_WORKERS)
+    async with running(make_owner(store, hall, 1)):
+        await trio.sleep(2.0)
+        hall.cut["a"].update({"w0-0", "w1-0"})
+        await trio.sleep(5.0)
+    unanswered = 'pimentocross_calls_unanswered_total{call="hold"}'
+    assert _rise(before, unanswered) >= 4
+    assert _rise(before, "pimentocross_holds_total") >= 4 * 5
+
+
+def test_passes_and_what_they_take_are_counted() -> None:
+    before = _metrics()
+    seconds = run_cell_on_slow_vm()
+    passes = _rise(before, "pimentocross_passes_total")
+    took = _rise(before, "pimentocross_pass_seconds_total")
+    assert passes > 5
+    assert 0.01 < took < seconds, (passes, took)
+    assert _rise(before, "pimentocross_processor_seconds_total") > 0.0
+
+
+def run_cell_on_slow_vm() -> float:
+    """Runs a cell with work for a while; returns for how long."""
+    took = 0.0
+
+    async def run(clock: ChargingClock) -> None:
+        nonlocal took
+        hall = make_large_hall(clock, 20, plan_of)
+        began = trio.current_time()
+        async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+            for number in range(6):
+                job = f"fill{number}"
+                await owner.desk.submit(job, QUEUE, filling_job(number))
+            await trio.sleep(3.0)
+        took = trio.current_time() - began
+
+    run_on_slow_vm(2.0, run)
+    return took
+
+
+@real_time
+async def test_a_loop_that_is_late_tells_so_at_most_once_a_second() -> None:
+    before = _metrics()
+    with _logged() as log:
+        async with loopback_platform() as platform:
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "settings"
+                write_settings(path, "vm1", platform.store_address)
+                node, surfaces = build(read_settings(path))
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(node.run, surfaces)
+                    await trio.sleep(0.5)
+                    for _ in range(4):
+                        time.sleep(0.4)  # noqa: ASYNC251
+                        await trio.sleep(0.1)
+                    gauges = node.gauges()
+                    nursery.cancel_scope.cancel()
+    late = [line for line in _lines(log, "late") if line.fields["late"] >= 0.3]
+    assert 1 <= len(late) <= 3, late
+    # Nothing else ran, and the processor was not used either.
+    assert late[0].fields["passes"] < 0.2, late
+    assert late[0].fields["processor"] < 0.3, late
+    assert _rise(before, "pimentocross_loop_late_seconds_total") > 1.0
+    assert gauges["loop_late_most_seconds"] >= 0.3, gauges
