Show how late the loop is, what passes take, and each step of a take-over

Cause of the blindness: decisions were logged, but not what decides when they come.

- totals on the metrics page: passes, seconds in passes, holds, calls given up by kind, seconds of lateness, processor seconds; a gauge of the most that the loop was late in 15 s
- `late` from 0.25 s on, at most once a second, with the seconds in passes and of processor time since the loop last ran
- `owner_read`, `owner_adopts` (each second that the count changed, for 60 s) and `owner_starts`, with the seconds since the take-over began

`take` is open to any other measurement.

--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -29,6 +29,7 @@
 from pimentocross.links.listener import Handler, HttpListener, ListenerLimits
 from pimentocross.links.peer import PeerListener, PeerUnreachableError
 from pimentocross.observe.decisions import note, write_lines
+from pimentocross.observe.late_log import LateLog
 from pimentocross.owner.owner import CellPlatform, Owner
 from pimentocross.work.queue import WorkConfig
 
@@ -78,6 +79,7 @@
         self._configs = configs
         self._config: WorkConfig | None = None
         self._peer_heard_at = float("-inf")
+        self._late_log = LateLog()
         self._cluster = Cluster(platform.store)
         self._election = Election(
             self._mine,
@@ -109,7 +111,7 @@
         settings = self._settings
         note("start", process=self._mine.process, zone=settings.zone)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(write_lines)
+            nursery.start_soon(write_lines, self._late_log.take)
             await nursery.start(ready.serve, settings.ready_address)
             await nursery.start(callers.serve, settings.caller_address)
             nursery.start_soon(self._serve_metrics, surfaces.metrics)
@@ -148,6 +150,7 @@
             "owner_absent_seconds": self.owner_absent(),
             "owned_epoch": owner.epoch if owner is not None else 0,
             "store_age_seconds": _standing(owner).store_age,
+            "loop_late_most_seconds": self._late_log.most,
         }
 
     async def _serve_metrics(self, handler: Handler) -> None:
--- a/pimentocross/observe/decisions.py
+++ b/pimentocross/observe/decisions.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 import itertools
 import os
 import time
@@ -245,11 +245,18 @@
     return _log.recent()
 
 
-async def write_lines() -> None:
-    """Writes lines for ever."""
+async def write_lines(on_woken: Callable[[float], None]) -> None:
+    """Writes lines for ever.
+
+    Args:
+        on_woken: Is told each time how many seconds late the timer fired: one
+            of its own would cost as much processor time again.
+    """
     try:
         while True:
+            began = trio.current_time()
             await trio.sleep(_FLUSH_INTERVAL)
+            on_woken(trio.current_time() - began - _FLUSH_INTERVAL)
             _log.flush()
     finally:
         _log.flush()
--- a/pimentocross/observe/metrics.py
+++ b/pimentocross/observe/metrics.py
@@ -1,5 +1,8 @@
 """Counters and latency histograms in the text form that scrapers read."""
 
+from collections.abc import Iterator
+
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import counts, dropped
 from pimentocross.observe.histograms import Histograms
 
@@ -21,6 +24,7 @@
         lines.append(
             f'pimentocross_log_lines_dropped_total{{is="{kind}"}} {count}'
         )
+    lines.extend(_totals())
     for name, value in sorted(gauges.items()):
         lines.append(f"# TYPE pimentocross_{name} gauge")
         lines.append(f"pimentocross_{name} {value:g}")
@@ -37,3 +41,14 @@
             f"pimentocross_latency_ms_count{{{label}}} {summary.total}"
         )
     return "\n".join(lines).encode() + b"\n"
+
+
+def _totals() -> Iterator[str]:
+    """Yields the lines of what only grows."""
+    typed = ""
+    for name, value in sorted(meters.totals().items()):
+        family = name.partition("{")[0]
+        if family != typed:
+            yield f"# TYPE pimentocross_{family} counter"
+            typed = family
+        yield f"pimentocross_{name} {value:.10g}"
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -9,6 +9,7 @@
 
 from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.worker_link import StartVerdict
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const, wall
 from pimentocross.owner.advice import AdviceDesk
@@ -103,11 +104,13 @@
                 await self._wake.wait()
             await trio.sleep(const.PASS_PAUSE)
             self._wake = trio.Event()
+            began = trio.current_time()
             self._apply_config()
             self._learned.disturbance.advance(trio.current_time())
             self._care.pass_over(orders)
             self._start_waiting(orders)
             self._log_load()
+            meters.add_pass(trio.current_time() - began)
 
     def on_refused(
         self, worker: Worker, task: Task, verdict: StartVerdict
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -12,6 +12,7 @@
     WorkerReplacedError,
     WorkerUnreachableError,
 )
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.endings import apply_ending, drop_run
@@ -76,6 +77,7 @@
         worker = self._worker
         while not worker.gone:
             sent_at = trio.current_time()
+            meters.add(meters.HOLDS)
             try:
                 reply = await self._hold(sent_at)
             except WorkerUnreachableError as error:
@@ -128,6 +130,7 @@
 
     def _on_silence(self, reason: str) -> None:
         worker = self._worker
+        meters.add_unanswered("hold")
         if worker.reached:
             note("worker_silent", worker=worker.life.id, reason=reason)
             worker.reached = False
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -12,6 +12,7 @@
     WorkerReplacedError,
     WorkerUnreachableError,
 )
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.endings import drop_run
@@ -35,7 +36,11 @@
 
 
 class Orders:
-    """Starts, stops and paces runs."""
+    """Starts, stops and paces runs.
+
+    Attributes:
+        started: Set once a run has begun.
+    """
 
     def __init__(
         self,
@@ -47,6 +52,7 @@
         self._nursery = nursery
         self._parts = parts
         self._on_refused = on_refused
+        self.started = trio.Event()
         self._stopping: set[tuple[str, TaskName, int]] = set()
 
     def start(self, placements: Sequence[Placement], batch: Batch) -> None:
@@ -120,6 +126,7 @@
         return self._parts.ledger.age() < const.RENEWALS_WITHOUT_STORE
 
     def _on_unanswered(self, task: Task, run: Run, reason: str) -> None:
+        meters.add_unanswered("start")
         note("start_unanswered", task=task.name, run=run.number, reason=reason)
         if run.state is RunState.SENT:
             run.enter(RunState.UNSURE, trio.current_time())
@@ -130,6 +137,7 @@
         if reply.clock is not None:
             worker.clock.note(reply.clock, now)
         if reply.verdict is StartVerdict.STARTED:
+            self.started.set()
             if run.state is RunState.SENT:
                 run.enter(RunState.RUNNING, now)
             return
@@ -172,6 +180,7 @@
                         )
                     break
                 except WorkerUnreachableError as error:
+                    meters.add_unanswered("stop")
                     note("stop_unanswered", task=name, reason=str(error))
                 except WorkerReplacedError:
                     return
@@ -199,6 +208,7 @@
                     const.CALL_TIMEOUT,
                 )
         except (WorkerUnreachableError, WorkerReplacedError) as error:
+            meters.add_unanswered("pace")
             note("pace_unanswered", task=task.name, reason=str(error))
             return
         run.pace = percent
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -21,6 +21,7 @@
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.roster import Roster
+from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.work import records
 from pimentocross.work.queue import WorkConfig
@@ -105,8 +106,10 @@
             WorkerFencedError: The same, as a worker knows.
             StoreUnavailableError: The cell's state can't be read.
         """
+        log = TakeOverLog(self.epoch)
         await self._ledger.open()
         await self._load()
+        log.note_read(len(self._book))
         async with trio.open_nursery() as nursery:
             parts = CellParts(
                 self.epoch,
@@ -127,6 +130,8 @@
             nursery.start_soon(self._dispatcher.run, orders)
             nursery.start_soon(self._dispatcher.advice.run)
             nursery.start_soon(self._sweep)
+            nursery.start_soon(log.follow_adoption, self._roster.workers)
+            nursery.start_soon(log.note_start, orders.started)
             await self._release.wait()
             await self._ledger.barrier().stored.wait()
             nursery.cancel_scope.cancel()
