Test the story of a job of which lines were dropped

Four tests that fail on the code as it is; a fifth passes and has to stay so:

- test_runs_of_a_completed_job_whose_ends_were_dropped_are_no_loss: its runs are told as lost, with "no word of its end"
- test_tasks_of_a_completed_job_without_a_line_did_not_wait: a task that has no line is told as waiting until the job's end
- test_a_run_lost_under_an_owner_that_was_late_is_told_so and test_a_story_tells_that_the_owner_was_late: `late` is not looked at

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -55,6 +55,13 @@
         assert missing.exit_code == 1
 
 
+def test_a_story_tells_that_the_owner_was_late() -> None:
+    late = '{"t":10.5,"vm":"a","is":"late","late":1.4,"passes":1.3}\n'
+    read = '{"t":10.6,"vm":"a","is":"owner_read","epoch":8,"jobs":1}\n'
+    kinds = [line.kind for line in tell(read_lines(_LOG + late + read), "j1")]
+    assert {"late", "owner_read"} <= set(kinds), kinds
+
+
 def test_the_newest_lines_are_kept_within_a_bound() -> None:
     console = Console()
     for number in range(40_000):
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -182,3 +182,62 @@
         _line(11.0, "job_ended", job="j", state="cancelled", took=1.0),
     )
     assert cancelled.cause == "cancelled by its caller"
+
+
+# An owner of 246 workers had four fifths of its `run_ended` lines dropped, and
+# each of those runs was told as lost, though its job had completed.
+
+
+def test_runs_of_a_completed_job_whose_ends_were_dropped_are_no_loss() -> None:
+    told = _told(
+        _accepted(StepSpec(1, _SIZE), StepSpec(1, _SIZE, after=(0,))),
+        *_run(10.0, None),
+        *_run(12.0, None, task=(1, 0), worker="w2"),
+        _line(13.0, "job_ended", job="j", state="completed", took=3.0),
+        *_loads(15),
+    )
+    assert [(part.span, part.seconds) for part in told.parts] == [
+        (Span.WORKED, 2.0),
+        (Span.WORKED, 1.0),
+    ]
+    assert told.parts[0].detail == "on w1, its end was not logged"
+    assert told.cause == "3.0 of 3.0 s worked"
+
+
+def test_tasks_of_a_completed_job_without_a_line_did_not_wait() -> None:
+    some = _told(
+        _accepted(StepSpec(2, _SIZE)),
+        *_run(10.0, 12.5),
+        _line(13.0, "job_ended", job="j", state="completed", took=3.0),
+        *_loads(15),
+    )
+    assert [part.span for part in some.parts] == [Span.WORKED]
+    none = _told(
+        _accepted(StepSpec(1, _SIZE), StepSpec(1, _SIZE, after=(0,))),
+        *_run(12.0, 13.0, task=(1, 0)),
+        _line(13.0, "job_ended", job="j", state="completed", took=3.0),
+        *_loads(15),
+    )
+    assert none.parts[0][:2] == (10.0, 12.0)
+    assert none.parts[0].detail == "no line tells of its runs"
+
+
+def test_a_run_without_an_end_of_a_job_that_goes_on_is_still_told() -> None:
+    told = _told(_accepted(StepSpec(1, _SIZE)), *_run(10.0, None), *_loads(15))
+    assert told.parts[0].span is Span.LOST
+    assert told.parts[0].detail == "no word of its end, on w1"
+
+
+def test_a_run_lost_under_an_owner_that_was_late_is_told_so() -> None:
+    lost = [
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(10.1, None),
+        _line(15.0, "runs_lost", worker="w1", count=1, reason="lapsed"),
+        *_run(15.2, 16.0, run=2, worker="w2"),
+        _line(16.0, "job_ended", job="j", state="completed", took=6.0),
+        *_loads(18),
+    ]
+    late = _line(12.0, "late", late=1.4, passes=1.3, processor=1.4)
+    assert "owner late" in _told(*lost, late).cause
+    other = msgspec.json.decode(late) | {"vm": "b"}
+    assert "late" not in _told(*lost, msgspec.json.encode(other).decode()).cause
