Tell a job's story also where ordinary ends were dropped

Cause: a run without a `run_ended` line was told as lost, and a task without any line as waiting until the job's end, also of a job that had completed.

Of a completed job the newest run of a task counts as the one that worked, up to the first run that had to wait for its step, and is told as not logged. A loss on a worker in trouble is told with "owner late" if the process that owned then said so. Lines and runs of the story have modules of their own.

--- a/pimentocross/cli/explain.py
+++ b/pimentocross/cli/explain.py
@@ -7,8 +7,9 @@
 
 from pimentocross.cli.client import ask_text
 from pimentocross.cli.const import ExitCode
+from pimentocross.cli.log_lines import LogLine, read_lines
 from pimentocross.cli.output import fail
-from pimentocross.cli.story import LogLine, diagnose, read_lines
+from pimentocross.cli.story import diagnose
 from pimentocross.observe.decisions import DECISIONS_PATH
 
 # Kinds that change who answers or what can run, told beside a job's own lines.
@@ -17,7 +18,11 @@
         "append_failed",
         "append_stored",
         "claim",
+        "late",
+        "owner_adopts",
+        "owner_read",
         "owner_ready",
+        "owner_starts",
         "owner_ends",
         "suspect",
         "runs_lost",
--- a/pimentocross/cli/story.py
+++ b/pimentocross/cli/story.py
@@ -13,11 +13,10 @@
 
 import msgspec
 
-from pimentocross.observe.tables import unpack
+from pimentocross.cli.log_lines import LogLine
+from pimentocross.cli.told_runs import Run, Work, read_runs
 from pimentocross.work.spec import StepSpec, TaskName
 
-# What may stand before a line's JSON: a collector's time and host.
-_LINE: Final = re.compile(r"^[^{]*(\{.*\})\s*$")
 # The owner logs its load once a second: with less than that nobody owned.
 _OWNER_GAP: Final = 1.7
 # A wait shorter than this, in seconds, is the usual record and call.
@@ -25,6 +24,8 @@
 _REFUSALS: Final = frozenset(
     {"job_refused", "submit_refused", "submit_unanswered"}
 )
+_COMPLETED: Final = "completed"
+_NO_RUNS: Final = "no line tells of its runs"
 _OTHER_FORM: Final = "the log holds the job's steps in another form"
 # From this share of its time on, what a job did not work is its cause.
 _HINDERED: Final = 0.2
@@ -32,39 +33,6 @@
 _FULL: Final = 0.9
 
 
-class LogLine(NamedTuple):
-    """One line of a decision log."""
-
-    at: float
-    vm: str
-    kind: str
-    fields: dict[str, Any]
-
-    def concerns(self, job: str) -> bool:
-        """True if it is about a job or one of its tasks."""
-        task = self.fields.get("task") or self.fields.get("step") or [""]
-        return self.fields.get("job") == job or task[0] == job
-
-
-def read_lines(text: str) -> list[LogLine]:
-    """Returns the decisions of a log; other lines are left out."""
-    lines: list[LogLine] = []
-    for raw in text.splitlines():
-        match = _LINE.match(raw)
-        if match is None:
-            continue
-        try:
-            decoded = msgspec.json.decode(match.group(1))
-            found = [
-                LogLine(fields["t"], fields["vm"], fields["is"], fields)
-                for fields in unpack(decoded)
-            ]
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-            continue
-        lines.extend(found)
-    return lines
-
-
 class Span(StrEnum):
     """What a job's time was spent on.
 
@@ -99,31 +67,6 @@
     cause: str
 
 
-class _Run:
-    """A run as the log tells it."""
-
-    def __init__(self, number: int, worker: str, decided: float) -> None:
-        self.number = number
-        self.worker = worker
-        self.decided = decided
-        self.ended: float | None = None
-        self.how = ""
-        self.reason = ""
-
-    @property
-    def done(self) -> bool:
-        return self.how == "done"
-
-
-class _Work(NamedTuple):
-    """A job's steps and runs."""
-
-    accepted: float
-    steps: list[StepSpec]
-    runs: dict[TaskName, list[_Run]]
-    until: float
-
-
 def diagnose(lines: Sequence[LogLine], job: str) -> Diagnosis:
     """Returns where a job's time went.
 
@@ -143,9 +86,11 @@
         steps = msgspec.convert(accepted[0].fields.get("steps"), list[StepSpec])
     except msgspec.ValidationError:
         return Diagnosis("unknown", (), _OTHER_FORM)
-    work = _Work(accepted[0].at, steps, _read_runs(own), until)
-    parts = _Walk(work, ordered).parts()
     outcome = str(last[0].fields.get("state", "")) if last else "not ended"
+    completed = outcome == _COMPLETED
+    work = Work(accepted[0].at, steps, read_runs(own), until, completed)
+    work.settle_unlogged()
+    parts = _Walk(work, ordered).parts()
     return Diagnosis(outcome, tuple(parts), _find_cause(outcome, parts, work))
 
 
@@ -159,40 +104,13 @@
     return Diagnosis("unknown", (), "no line tells")
 
 
-def _read_runs(own: Iterable[LogLine]) -> dict[TaskName, list[_Run]]:
-    runs: dict[TaskName, list[_Run]] = {}
-    for line in own:
-        if "task" not in line.fields or "run" not in line.fields:
-            continue
-        known = runs.setdefault(TaskName(*line.fields["task"]), [])
-        number = line.fields["run"]
-        run = next((r for r in known if r.number == number), None)
-        if run is None:
-            worker = str(line.fields.get("worker", ""))
-            run = _Run(number, worker, line.at)
-            known.append(run)
-        _take(run, line)
-    return runs
-
-
-def _take(run: _Run, line: LogLine) -> None:
-    if line.kind == "run_stop":
-        run.reason = str(line.fields["reason"])
-    elif line.kind == "run_ended" and run.ended is None:
-        run.ended, run.how = line.at, str(line.fields["how"])
-    elif line.kind == "start_refused" and run.ended is None:
-        run.ended, run.how = line.at, "refused"
-        run.reason = str(line.fields["verdict"])
-    elif line.kind == "start_unanswered":
-        run.reason = "its start was not answered"
-
-
 class _Walk:
     """Walks the path that ended last."""
 
-    def __init__(self, work: _Work, lines: Sequence[LogLine]) -> None:
+    def __init__(self, work: Work, lines: Sequence[LogLine]) -> None:
         self._work = work
         self._loads = [line for line in lines if line.kind == "load"]
+        self._lates = [line for line in lines if line.kind == "late"]
         self._troubles = [
             line
             for line in lines
@@ -223,9 +141,15 @@
     def _end(self, occurrence: int, step: int) -> float:
         return max(
             (self._task_end(t) for t in self._tasks(occurrence, step)),
-            default=self._work.until,
+            default=self._end_unlogged(occurrence, step),
         )
 
+    def _end_unlogged(self, occurrence: int, step: int) -> float:
+        """Returns when a step ended of whose tasks no line tells."""
+        if self._work.completed:
+            return self._work.begun_after(occurrence, step)
+        return self._work.until
+
     def _tasks(self, occurrence: int, step: int) -> list[TaskName]:
         return [
             task
@@ -240,8 +164,12 @@
     def _parts_of(self, occurrence: int, step: int, began: float) -> list[Part]:
         tasks = self._tasks(occurrence, step)
         if len(tasks) < self._work.steps[step].width:
-            # Some task was never decided on.
-            return self._wait(step, began, self._work.until)
+            if not self._work.completed:
+                # Some task was never decided on.
+                return self._wait(step, began, self._work.until)
+            if not tasks:
+                ended = self._end(occurrence, step)
+                return [Part(began, ended, Span.WAITED, _NO_RUNS)]
         task = max(tasks, key=self._task_end)
         parts: list[Part] = []
         now = began
@@ -259,12 +187,13 @@
         return parts
 
     def _run_part(
-        self, run: _Run, began: float, ended: float, saves: bool
+        self, run: Run, began: float, ended: float, saves: bool
     ) -> Part:
         trouble = self._trouble(run.worker, began, ended)
         where = f"on {run.worker}{trouble}"
         if run.done:
-            return Part(began, ended, Span.WORKED, where)
+            how = ", its end was not logged" if run.unlogged else ""
+            return Part(began, ended, Span.WORKED, where + how)
         why = run.reason or "no word of its end"
         if run.how in ("failed", "lapsed", "broken", "alone"):
             why = f"it {run.how}" if run.how != "alone" else "its gang was late"
@@ -279,8 +208,21 @@
             if line.fields.get("worker") == worker
             and began <= line.at <= ended + 1
         }
+        # An owner that comes late to read a worker's answer takes it for
+        # silent, and what ran there is lost though nothing failed.
+        if kinds and self._owner_was_late(began, ended):
+            kinds.add("owner late")
         return f" ({', '.join(sorted(kinds))})" if kinds else ""
 
+    def _owner_was_late(self, began: float, ended: float) -> bool:
+        owners = {
+            load.vm for load in self._loads if began - 1 <= load.at <= ended + 1
+        }
+        return any(
+            line.vm in owners and began <= line.at <= ended + 1
+            for line in self._lates
+        )
+
     def _wait(self, step: int, began: float, ended: float) -> list[Part]:
         if ended - began < _USUAL:
             return []
@@ -337,7 +279,7 @@
     return f"{what}, {waiting} filling tasks waited"
 
 
-def _find_cause(outcome: str, parts: Sequence[Part], work: _Work) -> str:
+def _find_cause(outcome: str, parts: Sequence[Part], work: Work) -> str:
     if outcome == "cancelled":
         return "cancelled by its caller"
     if outcome == "failed":
--- a/tests/log_fixtures.py
+++ b/tests/log_fixtures.py
@@ -7,7 +7,7 @@
 import time
 from unittest import mock
 
-from pimentocross.cli.story import LogLine, read_lines
+from pimentocross.cli.log_lines import LogLine, read_lines
 from pimentocross.observe.decisions import DecisionLog
 
 # What a process may write, as the pages for operators say, bytes a second.
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,8 +10,8 @@
 
 from pimentocross.cli import explain
 from pimentocross.cli.explain import tell
+from pimentocross.cli.log_lines import read_lines
 from pimentocross.cli.main import app
-from pimentocross.cli.story import read_lines
 from pimentocross.observe import decisions
 from pimentocross.observe.decisions import DecisionLog
 from pimentocross.observe.histograms import Histograms, Label
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -7,7 +7,7 @@
 from bench.rounds import causes
 from bench.rounds.compare import difference
 from bench.rounds.plays import Play, play_day, read_figures
-from pimentocross.cli.story import read_lines
+from pimentocross.cli.log_lines import read_lines
 
 _REPORT = {
     "G": 0.71,
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from pimentocross.cli.story import LogLine, read_lines
+from pimentocross.cli.log_lines import LogLine, read_lines
 from pimentocross.observe import decisions
 from pimentocross.observe.decisions import DecisionLog
 from pimentocross.observe.histograms import Histograms
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from pimentocross.cli.story import Diagnosis, Span, diagnose, read_lines
+from pimentocross.cli.log_lines import read_lines
+from pimentocross.cli.story import Diagnosis, Span, diagnose
 from pimentocross.work.spec import Size, StepSpec
 
 _SIZE = Size(1500, 1000, 0)
