Tell an owner that was late from one that was missing

Cause: the owner's line of its load, once a second, comes late as well when its loop is late, and a gap of 1.7 s between two was told as no owner. If the process that owned says `late` in the time, that is what is told.

--- a/pimentocross/cli/story.py
+++ b/pimentocross/cli/story.py
@@ -232,7 +232,10 @@
     def _why_waiting(self, spec: StepSpec, began: float, ended: float) -> str:
         gap = self._owner_gap(began, ended)
         if gap > (ended - began) / 2:
-            return f"no owner for {gap:.1f} s"
+            # Its line of the load comes late as well.
+            late = self._owner_was_late(began, ended)
+            who = "the owner was late" if late else "no owner"
+            return f"{who} for {gap:.1f} s"
         loads = [
             load.fields
             for load in self._loads
