--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -23,6 +23,7 @@
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.roster import Roster
+from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.work import records
 from pimentocross.work.queue import WorkConfig
@@ -118,6 +119,7 @@
             StoreUnavailableError: The cell's state can't be read.
             ExceptionGroup: Of these.
         """
+        log = TakeOverLog(self.epoch)
         await self._ledger.open()
         async with trio.open_nursery() as nursery:
             # Beats from the first moment on: who suspects a new owner that
@@ -125,6 +127,7 @@
             nursery.start_soon(self._ledger.run)
             with uncollected():
                 await self._load()
+            log.note_read(len(self._book))
             parts = CellParts(
                 self.epoch,
                 self._platform.terms.lease,
@@ -147,6 +150,8 @@
             nursery.start_soon(self._roster.follow, nursery, parts, orders)
             nursery.start_soon(self._dispatcher.advice.run)
             nursery.start_soon(self._sweep)
+            nursery.start_soon(log.follow_adoption, self._roster.workers)
+            nursery.start_soon(log.note_start, orders.started)
             await self._release.wait()
             await self._ledger.barrier().stored.wait()
             nursery.cancel_scope.cancel()
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,12 +10,13 @@
 
 from pimentocross.cli import explain
 from pimentocross.cli.explain import tell
+from pimentocross.cli.log_lines import read_lines
 from pimentocross.cli.main import app
-from pimentocross.cli.story import read_lines
 from pimentocross.observe import decisions
 from pimentocross.observe.decisions import DecisionLog
 from pimentocross.observe.histograms import Histograms, Label
 from pimentocross.observe.metrics import render
+from tests.log_fixtures import Console
 
 _LOG = """\
  -1.2 edge-1 {"t":10.0,"vm":"a","is":"job_accepted","job":"j1","queue":"q"}
@@ -54,15 +55,24 @@
         assert missing.exit_code == 1
 
 
+def test_a_story_tells_that_the_owner_was_late() -> None:
+    late = '{"t":10.5,"vm":"a","is":"late","late":1.4,"passes":1.3}\n'
+    read = '{"t":10.6,"vm":"a","is":"owner_read","epoch":8,"jobs":1}\n'
+    kinds = [line.kind for line in tell(read_lines(_LOG + late + read), "j1")]
+    assert {"late", "owner_read"} <= set(kinds), kinds
+
+
 def test_the_newest_lines_are_kept_within_a_bound() -> None:
-    log = DecisionLog()
+    console = Console()
     for number in range(40_000):
-        log.note("load", {"number": number, "text": "x" * 100})
-        log._allowance = 1e9
-        log._waiting.clear()
-    kept = read_lines(log.recent().decode())
+        text = f"{number}" + "x" * 100
+        console.note("load", number=number, text=text)
+        if number % 40 == 39:
+            console.tick()
+    recent = console.log.recent()
+    kept = read_lines(recent.decode())
     assert kept[-1].fields["number"] == 39_999
-    assert 2_900_000 < len(log.recent()) <= 3_000_000
+    assert 2_900_000 < len(recent) <= 3_000_000
 
 
 def test_the_command_asks_live_vms() -> None:
