Test lines that are longer than their kind was thought

Both pass on the code as it is: lines of 3.8 kB keep the bound of bytes and crowd out no rare kind, and lines too long for a pipe bar no later ones. What test_sight's owners log no longer goes to the tests' own output.

--- a/tests/test_log_shares.py
+++ b/tests/test_log_shares.py
@@ -73,6 +73,29 @@
     assert console.size > 0.9 * ALLOWED * _SECONDS
 
 
+def test_lines_longer_than_their_kind_was_thought_keep_the_bound() -> None:
+    console = Console()
+    for number in range(_SECONDS * 10):
+        for _ in range(50):
+            console.note("job_accepted", text=f"{number}" + "x" * 3_800)
+        console.note("claim", reason="silent", at=number)
+        console.tick()
+    assert console.size <= ALLOWED * (_SECONDS + 2), console.size
+    assert console.counts()["claim"] == 10 * _SECONDS, console.counts()
+
+
+def test_lines_too_long_for_a_pipe_bar_no_shorter_ones_for_good() -> None:
+    console = Console()
+    for _ in range(50):
+        console.note_runs("job_accepted", 20, text="x" * 50_000)
+        console.tick()
+    assert not console.counts()["job_accepted"]
+    for _ in range(50):
+        console.note("job_accepted", text="x")
+        console.tick()
+    assert console.counts()["job_accepted"] > 40, console.counts()
+
+
 def test_ends_that_explain_a_lost_run_go_before_ordinary_ones() -> None:
     console = Console()
     for _ in range(_SECONDS * 10):
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -49,7 +49,11 @@
     """Turns a log on for the block."""
     log = DecisionLog()
     log.enabled = True
-    with mock.patch.object(decisions, "_log", log):
+    with (
+        mock.patch.object(decisions, "_log", log),
+        # Else lines go to the tests' own output.
+        mock.patch.object(log, "flush"),
+    ):
         yield log
 
 
