--- a/pimentocross/observe/decisions.py
+++ b/pimentocross/observe/decisions.py
@@ -33,6 +33,9 @@
 DECISIONS_PATH: Final = "/decisions"
 _STDOUT: Final = 1
 _PIPE_CHUNK: Final = 4_096
+# A run's row takes about 60 bytes, so that as many fit into a chunk; more
+# would be encoded in vain.
+_ROWS_MOST: Final = 60
 # Kinds, and ends told apart; beyond this many the ends of a kind share.
 _SHARES_MOST: Final = 500
 # By this field ends of runs differ. Ordinary ones are bulk, and those that
@@ -172,10 +175,11 @@
             for at, fields in noted:
                 yield self._line(kind, at, fields), 1
             return
-        line = self._line(kind, noted[0][0], pack(noted))
-        if len(line) <= _PIPE_CHUNK:
-            yield line, len(noted)
-            return
+        if len(noted) <= _ROWS_MOST:
+            line = self._line(kind, noted[0][0], pack(noted))
+            if len(line) <= _PIPE_CHUNK:
+                yield line, len(noted)
+                return
         half = len(noted) // 2
         yield from self._lines(kind, noted[:half])
         yield from self._lines(kind, noted[half:])
