Have passes of decisions leave half of the thread to others

Cause: passes followed each other 10 ms apart whatever they cost, and each went through all that waits in one go. A pass now places for 40 ms, or as long as it took to get ready if that is more, then rests as long as it took, 0.25 s at most. The next one goes on: nothing is kept over the rest but which steps have been looked at, so that workers, steps, their order and the room to spare are read anew, what is urgent and new comes first, and what has no room isn't looked at again until all else was. Giving way (Reclaimer) waits until all was looked at, since it forgets what it isn't told of. A step counts as new again if more of its tasks wait than when it was looked at.

Ruled out: yielding inside of a pass, as all that was read before would have to be checked after it; ending passes without a memory, as what has no room at the head of the order would then hide what has.

--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -56,6 +56,12 @@
 # Changes gathered into one pass of decisions.
 PASS_PAUSE: Final = 0.01
 PASS_INTERVAL: Final = 0.25
+# A pass places for this long before it gives the thread up: a twentieth of
+# what callers of a listing or a heartbeat wait for an answer.
+PASS_SLICE: Final = 0.04
+# A pass rests as long as it took, and no longer than this, so that something
+# is placed several times a second.
+PASS_REST_MOST: Final = 0.25
 ROSTER_INTERVAL: Final = 0.5
 ROSTER_TIMEOUT: Final = 1.5
 NEWEST_TIMEOUT: Final = 3.0
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -1,6 +1,5 @@
 """Passes over what waits: decides what starts where."""
 
-from collections import Counter
 from collections.abc import Callable, Sequence
 import math
 from typing import Final, NamedTuple
@@ -19,6 +18,7 @@
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.load_log import LoadLog
 from pimentocross.owner.orders import Orders, Placement
+from pimentocross.owner.pass_share import PassShare, Round
 from pimentocross.owner.placer import Placer
 from pimentocross.owner.reclaimer import Reclaimer
 from pimentocross.owner.room import RoomKeeper, is_short
@@ -89,6 +89,8 @@
         self._reclaimer = Reclaimer()
         self._room = RoomKeeper()
         self._load_log = LoadLog()
+        self._share = PassShare()
+        self._round = Round()
         self._applied_version = -1
         self._wake = trio.Event()
 
@@ -101,13 +103,22 @@
         while True:
             with trio.move_on_after(const.PASS_INTERVAL):
                 await self._wake.wait()
-            await trio.sleep(const.PASS_PAUSE)
+            await self._share.rest()
             self._wake = trio.Event()
-            self._apply_config()
-            self._learned.disturbance.advance(trio.current_time())
-            self._care.pass_over(orders)
-            self._start_waiting(orders)
-            self._log_load()
+            with self._share.measured():
+                self._pass_over(orders)
+            if self._round.cut:
+                self.wake()
+
+    def _pass_over(self, orders: Orders) -> None:
+        self._apply_config()
+        self._learned.disturbance.advance(trio.current_time())
+        self._care.pass_over(orders)
+        if not self._round.cut:
+            self._round = Round()
+        self._round.cut = False
+        self._start_waiting(orders)
+        self._log_load()
 
     def on_refused(
         self, worker: Worker, task: Task, verdict: StartVerdict
@@ -145,16 +156,20 @@
         placer = Placer(sound, self._learned, self._arranger, self.advice, now)
         spare = self._room.spare(sound, steps, now)
         placements: list[Placement] = []
-        misses: Counter[_Kind] = Counter()
-        missed_short: list[Step] = []
+        misses, missed_short = self._round.misses, self._round.missed_short
+        self._share.begin_placing()
         for rank, _, step in ranked:
             kind = _kind_of(step)
-            if misses[kind] >= kind.misses_most:
+            if misses[kind] >= kind.misses_most or not self._round.is_new(step):
                 continue
             if spare <= 0 and self._room.is_held_back(step, now):
                 continue
             if self._reclaimer.has_to_wait(step, now):
                 continue
+            # Else renewals and heartbeats wait until all was looked at.
+            if self._share.is_spent:
+                self._round.cut = True
+                break
             placed = placer.place(step)
             if not placed and self._room.needs_any_worker(step, now):
                 placed = placer.place(step, usable)
@@ -163,10 +178,13 @@
                 self._room.forget(step)
             spare -= sum(p.task.step.spec.committed.cpu for p in placed)
             misses[kind] += not placed
+            self._round.note(step)
             if step.waiting_count and is_short(step) and _is_in_time(rank):
-                missed_short.append(step)
+                missed_short.add(step)
         self._send(placements, orders)
-        self._reclaimer.pass_over(missed_short, sound, orders, now)
+        if not self._round.cut:
+            missed = [step for _, _, step in ranked if step in missed_short]
+            self._reclaimer.pass_over(missed, sound, orders, now)
 
     def _ranked(
         self, steps: Sequence[Step], now: float, today: float
