Test that an owner's lateness isn't taken for a worker's silence

An owner of 12 stand-in workers on the clock that charges processor time, while something keeps the thread busy for up to 0.3, 0.6 and 0.9 s with 10 ms between, and for up to 1.6 s every four seconds.

--- /dev/null
+++ b/tests/test_owner_lateness.py
@@ -0,0 +1,142 @@
+"""The owner's own lateness is no worker's silence.
+
+On a day with 246 workers the owner's thread was busy for most of each second.
+It came late to read answers that were there, gave the calls up, noted 121
+workers as silent within six seconds, and a worker that is taken for silent has
+its lease left to lapse: tasks were lost under a living owner, of workers that
+had answered all along. Here something keeps the thread busy at regular times,
+whatever decisions cost.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+import random
+from typing import NamedTuple
+
+import trio
+
+from pimentocross.observe import decisions
+from pimentocross.owner import const
+from pimentocross.owner.owner import CellPlatform, Claim, Owner
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import RunEvent
+from tests.owner_fixtures import CONFIG, QUEUE, count, find_twice, running
+from tests.slow_vm import (
+    ChargingClock,
+    LargeHall,
+    lasting_job,
+    make_large_hall,
+    plan_of,
+    run_on_slow_vm,
+)
+
+_WORKERS = 12
+_JOBS = 2
+_SECONDS = 15.0
+_WARM_UP = 3.0
+
+
+class _Stalls(NamedTuple):
+    """Seconds for which the thread is busy at most, and for which it isn't."""
+
+    busy: float
+    free: float
+
+
+# As passes of decisions followed each other, and as something large comes now
+# and then.
+_STALLS = (
+    _Stalls(0.3, 0.01),
+    _Stalls(0.6, 0.01),
+    _Stalls(0.9, 0.01),
+    _Stalls(1.6, 3.7),
+)
+# From the cut on: a lease may be asked for once more while it isn't clear who
+# was late, within three seconds of the last listing.
+_LAPSE_MOST = const.LEASE + 4.0
+# A decision, its record and a start, each of which waits for the thread.
+_START_MOST = 6.0
+
+
+def test_a_late_owner_takes_no_worker_for_silent() -> None:
+    for stalls in _STALLS:
+        run_on_slow_vm(1.0, _playing(stalls, _keep_leases))
+
+
+def test_a_worker_that_is_cut_off_lapses_under_a_late_owner() -> None:
+    for stalls in _STALLS:
+        run_on_slow_vm(1.0, _playing(stalls, _lose_one))
+
+
+async def _keep_leases(hall: LargeHall) -> None:
+    before = Counter(decisions.counts())
+    await trio.sleep(_SECONDS)
+    _list_all(hall)
+    silent = decisions.counts()["worker_silent"] - before["worker_silent"]
+    lapsed = count(hall.journal, "lapsed")
+    assert (silent, lapsed) == (0, 0), (silent, lapsed)
+
+
+async def _lose_one(hall: LargeHall) -> None:
+    await trio.sleep(_WARM_UP)
+    starts = count(hall.journal, "start")
+    lost = decisions.counts()["runs_lost"]
+    victim = hall.journal[0].worker
+    on_it = len({e.task for e in hall.journal if e.worker == victim})
+    hall.cut["a"].add(victim)
+    with trio.fail_after(_LAPSE_MOST):
+        while decisions.counts()["runs_lost"] == lost:
+            await trio.sleep(0.05)
+    with trio.fail_after(_START_MOST):
+        while count(hall.journal, "start") < starts + on_it:
+            await trio.sleep(0.05)
+    _list_all(hall)
+    assert not find_twice(sorted(hall.journal, key=_when))
+
+
+def _when(event: RunEvent) -> tuple[float, bool]:
+    return event.at, event.what == "start"
+
+
+def _list_all(hall: LargeHall) -> None:
+    """Has workers say what has lapsed: they do so only when asked."""
+    for worker in hall.workers.values():
+        worker.listing()
+
+
+def _playing(
+    stalls: _Stalls, play: Callable[[LargeHall], Awaitable[None]]
+) -> Callable[[ChargingClock], Awaitable[None]]:
+    async def run(clock: ChargingClock) -> None:
+        async with _stalled_cell(clock, stalls) as hall:
+            await play(hall)
+
+    return run
+
+
+@asynccontextmanager
+async def _stalled_cell(
+    clock: ChargingClock, stalls: _Stalls
+) -> AsyncIterator[LargeHall]:
+    """Runs an owner of lasting tasks whose thread is busy again and again."""
+    hall = make_large_hall(clock, _WORKERS, plan_of)
+    access = hall.access("a")
+    platform = CellPlatform(StoreStandin().client("a"), access, access)
+    owner = Owner(Claim("jobs", 1, True), platform, lambda: CONFIG)
+    async with running(owner), trio.open_nursery() as nursery:
+        for number in range(_JOBS):
+            await owner.desk.submit(f"last{number}", QUEUE, lasting_job(number))
+        with trio.fail_after(10.0):
+            while count(hall.journal, "start") < 14 * _JOBS:
+                await trio.sleep(0.1)
+        nursery.start_soon(_keep_busy, clock, stalls)
+        yield hall
+        nursery.cancel_scope.cancel()
+
+
+async def _keep_busy(clock: ChargingClock, stalls: _Stalls) -> None:
+    draw = random.Random(1)
+    while True:
+        clock.charge(draw.uniform(0.5, 1.0) * stalls.busy / clock.factor)
+        await trio.sleep(stalls.free)
