--- a/tests/test_owner_lateness.py
+++ b/tests/test_owner_lateness.py
@@ -17,6 +17,7 @@
 import trio
 
 from pimentocross.observe import decisions
+from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.standins.store import StoreStandin
@@ -69,6 +70,33 @@
         run_on_slow_vm(1.0, _playing(stalls, _lose_one))
 
 
+def test_lateness_is_read_and_noted_once_a_second() -> None:
+    run_on_slow_vm(1.0, _read_lateness)
+
+
+async def _read_lateness(clock: ChargingClock) -> None:
+    lateness = LoopLateness()
+    noted = decisions.counts()["loop_late"]
+    began = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lateness.run)
+        await trio.sleep(1.0)
+        assert lateness.recent < 0.1
+        clock.charge(0.5 / clock.factor)
+        # Known at once, also before the timer's own turn has come.
+        assert 0.4 < lateness.recent < 0.7
+        for _ in range(2):
+            await trio.sleep(0.1)
+            clock.charge(0.3 / clock.factor)
+        assert 0.4 < lateness.recent < 0.7
+        await trio.sleep(1.5)
+        assert lateness.recent < 0.1
+        assert 0.4 < lateness.since(began) < 0.7
+        nursery.cancel_scope.cancel()
+    # All within a second.
+    assert decisions.counts()["loop_late"] - noted == 1
+
+
 async def _keep_leases(hall: LargeHall) -> None:
     before = Counter(decisions.counts())
     await trio.sleep(_SECONDS)
