Don't take the owner's own lateness for a worker's silence

Cause: a call that wasn't answered within its 0.8 s by the caller's clock counted as the worker's silence, also if it was the caller that had come late to send it or to read the answer; and what is silent has no lease asked for.

- Timeouts of calls to workers grow by three times the worst lateness of the last 5 s (a call waits for the thread three times), listings by no more than leaves a second of the lease that they ask for, orders by no more than a start is valid.
- A listing that was spoilt by a stall that wasn't foreseen so is asked for again at once with the lease, if the worker was heard within 3 s.
One that was refused or broken off isn't.
- What ran on a silent worker is given up as soon as its lease surely has ended, however long calls are waited for.

A lease counts as before: from the latest deadline ever sent, by the worker's clock. A worker that is really cut off just as its owner has a sudden stall may have one more lease asked for, so that its tasks start elsewhere up to 3 s later than before; with steady lateness, or none, nothing is later.

The lease itself stays 5 s, though both sites' workers grant 6 and 10 s: tasks of a crashed worker that has no new life wait for it, 5.4 s with drift and margin, and 6.4 s would be beyond the 6 s from which users count a lasting task as lost.

--- a/pimentocross/owner/clock.py
+++ b/pimentocross/owner/clock.py
@@ -1,5 +1,7 @@
 """A worker's steady clock, as bounded by its answers."""
 
+import math
+
 from pimentocross.owner import const
 
 
@@ -27,9 +29,9 @@
         assert self._reading is not None
         return self._reading + (now - self._read_at) + seconds
 
-    def surely_past(self, reading: float, now: float) -> bool:
-        """True once the clock must have passed a reading, however slow."""
+    def past_at(self, reading: float) -> float:
+        """Returns when the clock must have passed a reading, however slow."""
         if self._reading is None:
-            return False
-        slowest = (now - self._read_at) * (1 - const.CLOCK_DRIFT)
-        return self._reading + slowest > reading + const.LAPSE_MARGIN
+            return math.inf
+        left = reading + const.LAPSE_MARGIN - self._reading
+        return self._read_at + left / (1 - const.CLOCK_DRIFT)
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -17,6 +17,7 @@
 from pimentocross.owner.endings import apply_ending, drop_run
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Batch, Ledger
+from pimentocross.owner.patience import Patience
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import TaskName
 from pimentocross.work.state import Job, Run, RunState, Task
@@ -40,6 +41,7 @@
     Attributes:
         token: The owner's fencing token.
         lease: Seconds for which what runs is let run on.
+        patience: How long calls to workers are waited for.
         book: The jobs.
         ledger: Where changes are recorded.
         wake: Has decisions made anew.
@@ -49,6 +51,7 @@
 
     token: int
     lease: float
+    patience: Patience
     book: JobBook
     ledger: Ledger
     wake: Callable[[], None]
@@ -66,6 +69,8 @@
         self._stops = stops
         self._applied = 0
         self._unrecorded = False
+        # Whether the last call failed and that was our own lateness.
+        self._excused = False
 
     async def run(self) -> None:
         """Holds until the life has ended.
@@ -76,9 +81,16 @@
         worker = self._worker
         while not worker.gone:
             sent_at = trio.current_time()
+            wait = self._wait()
+            timeout = self._timeout(wait, sent_at)
             try:
-                reply = await self._hold(sent_at)
+                reply = await self._hold(sent_at, wait, timeout)
             except WorkerUnreachableError as error:
+                self._excused = self._is_excused(sent_at, wait, timeout)
+                if self._excused:
+                    # Its lease goes on: it is asked again at once.
+                    note("listing_late", worker=worker.life.id)
+                    continue
                 self._on_silence(str(error))
                 await trio.sleep(const.HOLD_RETRY_PAUSE)
                 continue
@@ -94,20 +106,32 @@
         worker.gone = True
         self._drop_all(reason)
 
-    async def _hold(self, now: float) -> HoldReply:
+    async def _hold(self, now: float, wait: float, timeout: float) -> HoldReply:
         worker = self._worker
         deadline = self._next_deadline(now)
         if deadline is not None:
             worker.lease_end = max(worker.lease_end or 0.0, deadline)
-        wait = self._wait()
         return await worker.link.hold(
-            self._parts.token,
-            worker.seen,
-            deadline,
-            wait,
-            wait + const.HOLD_SLACK,
+            self._parts.token, worker.seen, deadline, wait, timeout
         )
 
+    def _timeout(self, wait: float, now: float) -> float:
+        """Returns the timeout of a listing."""
+        timeout = self._parts.patience.for_hold(wait)
+        left = self._worker.lapses_at - now
+        if self._worker.reached or left <= 0:
+            return timeout
+        # What ran on a silent worker is given up as soon as it may be.
+        return min(timeout, max(left, wait + const.HOLD_SLACK))
+
+    def _is_excused(self, sent_at: float, wait: float, timeout: float) -> bool:
+        """True if a call of a worker in use failed by our own lateness."""
+        worker = self._worker
+        if not worker.reached or not worker.adopted:
+            return False
+        patience = self._parts.patience
+        return patience.excuses(sent_at, wait, timeout, worker.heard_at)
+
     def _next_deadline(self, now: float) -> float | None:
         """Returns to when the lease is extended, or None to let it be."""
         worker = self._worker
@@ -120,7 +144,9 @@
 
     def _wait(self) -> float:
         worker = self._worker
-        if not worker.adopted or not worker.reached or self._unrecorded:
+        if not worker.adopted or not worker.reached:
+            return 0.0
+        if self._unrecorded or self._excused:
             return 0.0
         if worker.serves and worker.filled:
             return const.HOLD_WAIT_SERVING
@@ -142,6 +168,7 @@
         now = trio.current_time()
         worker.clock.note(reply.clock, now)
         worker.heard_at = now
+        self._excused = False
         if not worker.reached:
             note("worker_heard", worker=worker.life.id)
             worker.reached = True
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -108,7 +108,9 @@
             )
             run.enter(RunState.SENT, now)
             try:
-                reply = await worker.link.start(order, const.CALL_TIMEOUT)
+                reply = await worker.link.start(
+                    order, self._parts.patience.for_call()
+                )
             except (WorkerUnreachableError, WorkerReplacedError) as error:
                 self._on_unanswered(task, run, str(error))
                 return
@@ -168,7 +170,10 @@
                 try:
                     async with worker.calls:
                         await worker.link.stop(
-                            name, number, token, const.CALL_TIMEOUT
+                            name,
+                            number,
+                            token,
+                            self._parts.patience.for_call(),
                         )
                     break
                 except WorkerUnreachableError as error:
@@ -196,7 +201,7 @@
                     run.number,
                     percent,
                     self._parts.token,
-                    const.CALL_TIMEOUT,
+                    self._parts.patience.for_call(),
                 )
         except (WorkerUnreachableError, WorkerReplacedError) as error:
             note("pace_unanswered", task=task.name, reason=str(error))
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -12,6 +12,7 @@
     WorkerDirectory,
 )
 from pimentocross.observe.decisions import note
+from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
 from pimentocross.owner.desk import Desk
 from pimentocross.owner.dispatcher import Dispatcher
@@ -20,6 +21,7 @@
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.orders import Orders
+from pimentocross.owner.patience import Patience
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.work import records
@@ -61,6 +63,7 @@
         epoch: Its claim's.
         desk: Answers callers.
         ready: Set once it has taken the cell's state over.
+        lateness: How late its thread is while it runs.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         """Puts the parts together; `run` starts them."""
         self.epoch = claim.epoch
         self.ready = trio.Event()
+        self.lateness = LoopLateness()
         self._claim = claim
         self._platform = platform
         self._ledger = Ledger(
@@ -108,9 +112,12 @@
         await self._ledger.open()
         await self._load()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.lateness.run)
+            lease = self._platform.terms.lease
             parts = CellParts(
                 self.epoch,
-                self._platform.terms.lease,
+                lease,
+                Patience(self.lateness, lease),
                 self._book,
                 self._ledger,
                 self._dispatcher.wake,
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -129,9 +129,14 @@
 
     def lapsed(self, now: float) -> bool:
         """True once every lease must have ended, and none can be renewed."""
+        return now > self.lapses_at
+
+    @property
+    def lapses_at(self) -> float:
+        """When every lease must have ended if none is renewed, monotonic."""
         if self.lease_end is None:
-            return now > self.blind_until
-        return self.clock.surely_past(self.lease_end, now)
+            return self.blind_until
+        return self.clock.past_at(self.lease_end)
 
     @property
     def serves(self) -> bool:
