--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -41,6 +41,9 @@
 HOLD_WAIT: Final = 1.0
 # Where tasks serve beside tasks that fill, figures are read this often.
 HOLD_WAIT_SERVING: Final = 0.5
+# ... or this often where listings cost much of the thread: two readings still
+# come within what a task may be over its target.
+HOLD_WAIT_SERVING_MOST: Final = 0.75
 HOLD_SLACK: Final = 0.8
 HOLD_RETRY_PAUSE: Final = 0.2
 # Endings wait at most this long for their record before the lease is renewed
@@ -56,6 +59,12 @@
 # Changes gathered into one pass of decisions.
 PASS_PAUSE: Final = 0.01
 PASS_INTERVAL: Final = 0.25
+# A pass places for this long before it gives the thread up: a twentieth of
+# what callers of a listing or a heartbeat wait for an answer.
+PASS_SLICE: Final = 0.04
+# A pass rests as long as it took, and no longer than this, so that something
+# is placed several times a second.
+PASS_REST_MOST: Final = 0.25
 ROSTER_INTERVAL: Final = 0.5
 ROSTER_TIMEOUT: Final = 1.5
 NEWEST_TIMEOUT: Final = 3.0
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -114,7 +114,9 @@
             )
             run.enter(RunState.SENT, now)
             try:
-                reply = await worker.link.start(order, const.CALL_TIMEOUT)
+                reply = await worker.link.start(
+                    order, self._parts.patience.for_call()
+                )
             except (WorkerUnreachableError, WorkerReplacedError) as error:
                 self._on_unanswered(task, run, str(error))
                 return
@@ -176,7 +178,10 @@
                 try:
                     async with worker.calls:
                         await worker.link.stop(
-                            name, number, token, const.CALL_TIMEOUT
+                            name,
+                            number,
+                            token,
+                            self._parts.patience.for_call(),
                         )
                     break
                 except WorkerUnreachableError as error:
@@ -205,7 +210,7 @@
                     run.number,
                     percent,
                     self._parts.token,
-                    const.CALL_TIMEOUT,
+                    self._parts.patience.for_call(),
                 )
         except (WorkerUnreachableError, WorkerReplacedError) as error:
             meters.add_unanswered("pace")
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -12,6 +12,7 @@
     WorkerDirectory,
 )
 from pimentocross.observe.decisions import note
+from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
 from pimentocross.owner.breather import Breather
 from pimentocross.owner.collector import uncollected
@@ -21,7 +22,9 @@
 from pimentocross.owner.keeper import CellParts
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger, PlainRecord
+from pimentocross.owner.listing_pace import ListingPace
 from pimentocross.owner.orders import Orders
+from pimentocross.owner.patience import Patience
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
@@ -65,6 +68,7 @@
         desk: Answers callers.
         ready: Set once it has taken the cell's state over.
         settled: Set once it has heard what runs on the workers, too.
+        lateness: How late its thread is while it runs.
     """
 
     def __init__(
@@ -77,7 +81,8 @@
         self.epoch = claim.epoch
         self.ready = trio.Event()
         self.settled = trio.Event()
-        self._began_at = trio.current_time()
+        self.lateness = LoopLateness()
+        self._log = TakeOverLog(self.epoch)
         self._claim = claim
         self._platform = platform
         self._ledger = Ledger(
@@ -108,7 +113,7 @@
         """For how many seconds it has been taking over; 0 once it has."""
         if self.settled.is_set():
             return 0.0
-        return trio.current_time() - self._began_at
+        return self._log.age
 
     async def run(self) -> None:
         """Owns the cell until `release`.
@@ -119,18 +124,20 @@
             StoreUnavailableError: The cell's state can't be read.
             ExceptionGroup: Of these.
         """
-        log = TakeOverLog(self.epoch)
         await self._ledger.open()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.lateness.run)
             # Beats from the first moment on: who suspects a new owner that
             # reads a large state sees that it lives.
             nursery.start_soon(self._ledger.run)
             with uncollected():
                 await self._load()
-            log.note_read(len(self._book))
+            lease = self._platform.terms.lease
             parts = CellParts(
                 self.epoch,
-                self._platform.terms.lease,
+                lease,
+                Patience(self.lateness, lease),
+                ListingPace(self.lateness, lease, self._roster.__len__),
                 self._book,
                 self._ledger,
                 self._dispatcher.wake,
@@ -143,15 +150,15 @@
             # Keepers begin afterwards: none may hear of a run before.
             self._roster.adopt(runs)
             self.ready.set()
-            self._note_step("owner_ready", jobs=len(self._book))
+            self._log.note("owner_ready", jobs=len(self._book))
             nursery.start_soon(self._dispatcher.run, orders)
             await self._roster.start_keepers(nursery)
             nursery.start_soon(self._settle)
             nursery.start_soon(self._roster.follow, nursery, parts, orders)
             nursery.start_soon(self._dispatcher.advice.run)
             nursery.start_soon(self._sweep)
-            nursery.start_soon(log.follow_adoption, self._roster.workers)
-            nursery.start_soon(log.note_start, orders.started)
+            nursery.start_soon(self._log.follow_adoption, self._roster.workers)
+            nursery.start_soon(self._log.note_start, orders.started)
             await self._release.wait()
             await self._ledger.barrier().stored.wait()
             nursery.cancel_scope.cancel()
@@ -160,17 +167,13 @@
         """Has `run` return once all changes so far are stored."""
         self._release.set()
 
-    def _note_step(self, kind: str, **fields: object) -> None:
-        took = round(trio.current_time() - self._began_at, 3)
-        note(kind, epoch=self.epoch, took=took, **fields)
-
     async def _settle(self) -> None:
         """Notes when all workers have listed what runs."""
         with trio.move_on_after(const.SETTLE_MOST):
             while not all(w.adopted for w in self._roster.workers()):
                 await trio.sleep(const.SETTLE_LOOK)
         self.settled.set()
-        self._note_step("owner_settled")
+        self._log.note("owner_settled")
 
     async def _load(self) -> None:
         page = await self._platform.store.newest(
@@ -195,7 +198,9 @@
             await breather.breathe()
             self._load_progress(job, progress.get(job.id))
             self._book.restore(job)
-        self._note_step("owner_read", records=len(page.records))
+        self._log.note(
+            "owner_read", records=len(page.records), jobs=len(self._book)
+        )
 
     async def _collect_runs(self) -> list[tuple[Task, Run]]:
         """Returns the runs that were recorded."""
--- a/pimentocross/owner/take_over_log.py
+++ b/pimentocross/owner/take_over_log.py
@@ -22,9 +22,10 @@
         self._epoch = epoch
         self._began = trio.current_time()
 
-    def note_read(self, jobs: int) -> None:
-        """Tells that the cell's state was read."""
-        self._note("owner_read", jobs=jobs)
+    @property
+    def age(self) -> float:
+        """Seconds since the take-over began."""
+        return trio.current_time() - self._began
 
     async def follow_adoption(
         self, workers: Callable[[], Iterable[Worker]]
@@ -36,14 +37,15 @@
             adopted = [worker.adopted for worker in workers()]
             count = sum(adopted)
             if count != told:
-                self._note("owner_adopts", workers=count, of=len(adopted))
+                self.note("owner_adopts", workers=count, of=len(adopted))
                 told = count
 
     async def note_start(self, started: trio.Event) -> None:
         """Tells of the first run that began under this owner."""
         await started.wait()
-        self._note("owner_starts")
+        self.note("owner_starts")
 
-    def _note(self, kind: str, **fields: object) -> None:
+    def note(self, kind: str, **fields: object) -> None:
+        """Tells of a phase that has ended."""
         seconds = round(trio.current_time() - self._began, 3)
         note(kind, epoch=self._epoch, seconds=seconds, **fields)
