Leave out at once what keeps an image out; choose moves with fewer sums

Moves are chosen by one mover a pass; a step is asked once whether a task of it may leave, not once for each of its tasks; what a change of a worker gains is kept by image and size.

--- a/pimentocross/owner/arranger.py
+++ b/pimentocross/owner/arranger.py
@@ -100,18 +100,20 @@
         self._moving = [m for m in self._moving if now < m.until]
         serving = sum(sum(worker.serving.values()) for worker in workers)
         most = int(_MOVING_MOST * serving) - sum(m.cpu for m in self._moving)
+        mover = Mover(workers, outlook)
         while most > 0 or not self._moving:
             busy = {n for m in self._moving for n in m.workers}
-            free = [worker for worker in workers if worker.number not in busy]
+            # Each step is looked at once, not for each of its tasks.
+            steps = {seat.task.step for seat in seats}
+            may_leave = {step for step in steps if may_take_away(step)}
             seats = [
                 seat
                 for seat in seats
-                if seat.host.number not in busy
-                and may_take_away(seat.task.step)
+                if seat.host.number not in busy and seat.task.step in may_leave
             ]
             # In a small cell one exchange is more than that share.
             bound = most if self._moving else serving
-            move = Mover(free, outlook).best(seats, bound)
+            move = mover.best(seats, bound, busy)
             if move is None:
                 return
             until = now + _PLACE_WAIT
--- a/pimentocross/placement/field.py
+++ b/pimentocross/placement/field.py
@@ -19,9 +19,10 @@
     View,
     choose,
     fit,
+    shut_out,
     wanted_rack,
 )
-from pimentocross.work.spec import Size
+from pimentocross.work.spec import Size, StepSpec
 from pimentocross.work.state import Step, Task
 
 
@@ -207,7 +208,7 @@
         found = self._shortlists.get(kind)
         if found is None:
             found = self._shortlists[kind] = _Shortlist(step, self._near(rack))
-            changed: Iterable[int] = found.places
+            changed = self._open_to(step.spec, found.places)
         else:
             changed = found.places.intersection(self._changes[found.seen :])
         found.seen = len(self._changes)
@@ -224,6 +225,20 @@
             if not rack or host.life.rack == rack
         ]
 
+    def _open_to(self, spec: StepSpec, places: Iterable[int]) -> Iterable[int]:
+        """Leaves out workers that serve what shuts an image out.
+
+        Where images that fill wait for their first readings, that is most of
+        the cell.
+        """
+        if not spec.fills:
+            return places
+        images = {image for host in self._hosts for image in host.serving}
+        known = shut_out(spec, images, self._view)
+        return [
+            place for place in places if not known.shuts(self._hosts[place])
+        ]
+
     def _look(self, shortlist: _Shortlist, place: int) -> _Entry | None:
         """Returns how badly a worker fits, or None if it may not be taken."""
         host = self._hosts[place]
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -142,6 +142,52 @@
     return fit + 1.0 + harm if harm <= HARM_MOST else math.inf
 
 
+class ShutOut(NamedTuple):
+    """Serving images by which a filling image is kept out, whatever else fills.
+
+    Attributes:
+        bad: Those that surely suffer by it.
+        surely: Those of them beside which it isn't tried again either.
+        on_trial: Those beside which it is being tried on enough workers.
+    """
+
+    bad: frozenset[str]
+    surely: frozenset[str]
+    on_trial: frozenset[str]
+
+    def shuts(self, host: Host) -> bool:
+        """True if `fit` is infinite there."""
+        serving = host.serving
+        if not self.surely.isdisjoint(serving):
+            return True
+        # Beside a pair that is tried again, one on trial is no hindrance.
+        return not self.on_trial.isdisjoint(serving) and self.bad.isdisjoint(
+            serving
+        )
+
+
+def shut_out(spec: StepSpec, images: Iterable[str], view: View) -> ShutOut:
+    """Returns by what a task that fills is kept out.
+
+    Args:
+        spec: The task's step.
+        images: Serving images to look at.
+        view: What is known of pairs.
+    """
+    known, filling = view.disturbance, spec.image
+    retries = view.probes.retries(filling, view.outlook.scarcity(filling))
+    bad = frozenset(image for image in images if known.is_bad(image, filling))
+    surely = frozenset(
+        image
+        for image in bad
+        if not (retries and known.is_doubtful(image, filling))
+    )
+    on_trial = frozenset(
+        image for image in images if view.probes.is_on_trial(image, filling)
+    )
+    return ShutOut(bad, surely, on_trial)
+
+
 def _loads(host: Host) -> dict[str, float]:
     capacity = max(host.life.capacity.cpu, 1)
     return {image: cpu / capacity for image, cpu in host.filling.items()}
--- a/pimentocross/placement/moves.py
+++ b/pimentocross/placement/moves.py
@@ -5,8 +5,9 @@
 becomes worth more by it; the best comes first.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 import heapq
+import itertools
 from typing import Final, NamedTuple
 
 from pimentocross.placement.host import (
@@ -96,31 +97,50 @@
     worth: float
 
 
+class _Change(NamedTuple):
+    """A worker, and image and size of what leaves it and of what joins it."""
+
+    worker: int
+    leaves: tuple[str, int] | None
+    joins: tuple[str, int] | None
+
+
 class Mover:
     """Finds the move that opens most room."""
 
     def __init__(self, hosts: Sequence[Host], outlook: Outlook) -> None:
         """Takes the workers and what their room is worth."""
         self._outlook = outlook
-        self._hosts = heapq.nlargest(_HOSTS_MOST, hosts, key=left_to_fill)
+        # The roomiest first.
+        self._hosts = sorted(hosts, key=left_to_fill, reverse=True)
         self._sketches = {h.number: self._sketch(h) for h in hosts}
-
-    def best(self, seats: Sequence[Seat], most: int) -> Move | None:
+        # Many seats on a worker are of one image: what `_gain` returned.
+        self._gains: dict[_Change, float] = {}
+
+    def best(
+        self,
+        seats: Sequence[Seat],
+        most: int,
+        busy: Collection[int] = frozenset(),
+    ) -> Move | None:
         """Returns the move that gains most, or None if none is worth it.
 
         Args:
             seats: Tasks that may move.
             most: Processor time that may be moved, thousandths.
+            busy: Numbers of workers that are left as they are, with no seats.
         """
         if self._outlook.is_plain:
             return None
         leaving = heapq.nlargest(_LEAVING_MOST, seats, key=self._freed)
-        numbers = {host.number for host in self._hosts}
+        free = (host for host in self._hosts if host.number not in busy)
+        hosts = list(itertools.islice(free, _HOSTS_MOST))
+        numbers = {host.number for host in hosts}
         partners = [seat for seat in seats if seat.host.number in numbers]
         moves = (
             move
             for seat in leaving
-            for move in self._moves(seat, partners)
+            for move in self._moves(seat, hosts, partners)
             if move.cpu <= most
         )
         return max(moves, key=lambda move: move.gain, default=None)
@@ -135,9 +155,11 @@
     def _freed(self, seat: Seat) -> float:
         return self._gain(seat.host, leaves=seat, joins=None)
 
-    def _moves(self, seat: Seat, partners: Sequence[Seat]) -> Iterable[Move]:
+    def _moves(
+        self, seat: Seat, hosts: Sequence[Host], partners: Sequence[Seat]
+    ) -> Iterable[Move]:
         freed = self._freed(seat)
-        for host in self._hosts:
+        for host in hosts:
             if host is not seat.host and _has_room(host, seat, seat.size):
                 gain = freed + self._gain(host, leaves=None, joins=seat)
                 yield from _worthwhile(seat, host, None, gain)
@@ -157,6 +179,19 @@
         self, host: Host, *, leaves: Seat | None, joins: Seat | None
     ) -> float:
         """Returns what a worker's room gains in worth by a change."""
+        change = _Change(
+            host.number,
+            leaves and (leaves.image, leaves.size.cpu),
+            joins and (joins.image, joins.size.cpu),
+        )
+        found = self._gains.get(change)
+        if found is None:
+            found = self._gains[change] = self._work_out(host, leaves, joins)
+        return found
+
+    def _work_out(
+        self, host: Host, leaves: Seat | None, joins: Seat | None
+    ) -> float:
         sketch = self._sketches[host.number]
         closing = list(sketch.closing)
         room = float(sketch.room)
--- a/pimentocross/placement/probes.py
+++ b/pimentocross/placement/probes.py
@@ -66,6 +66,21 @@
                 return False
         return True
 
+    def is_on_trial(self, serving: str, filling: str) -> bool:
+        """True if a pair is being tried on as many workers as it may be."""
+        return self._workers[
+            (serving, filling)
+        ] >= WORKERS_MOST and self._disturbance.is_untried(serving, filling)
+
+    def retries(self, filling: str, scarcity: float) -> bool:
+        """True if a doubtful pair of an image may be tried again now.
+
+        Args:
+            filling: The image.
+            scarcity: How scarce room is for it, 0 to 1.
+        """
+        return scarcity >= RETRY_FROM and filling not in self._retried
+
     def may_retry(self, filling: str, host: Host, scarcity: float) -> bool:
         """True if all that speaks against a worker is doubtful.
 
@@ -74,7 +89,7 @@
             host: The worker.
             scarcity: How scarce room is for the image, 0 to 1.
         """
-        if scarcity < RETRY_FROM or filling in self._retried:
+        if not self.retries(filling, scarcity):
             return False
         if host.filling:
             # What is read has to speak of this pair alone.
