Leave full workers out at once, and those that trials have shut

What is left over on each worker is summed once a pass; once the best of a list is kept out by a trial, all that the same trial shuts go with it.

--- a/pimentocross/placement/field.py
+++ b/pimentocross/placement/field.py
@@ -11,7 +11,7 @@
 import heapq
 from typing import Generic, NamedTuple, Protocol
 
-from pimentocross.placement.host import may_run
+from pimentocross.placement.host import left_over, may_run
 from pimentocross.placement.hosts import (
     FAILED_THERE,
     NOT_NEAR,
@@ -136,6 +136,9 @@
         self._versions = [0] * len(self._hosts)
         self._changes: list[int] = []
         self._closed: set[int] = set()
+        # What is left over on each, and all images that serve; see `_open_to`.
+        self._left: list[int] = []
+        self._images: set[str] = set()
         self._shortlists: dict[_Kind, _Shortlist] = {}
 
     @property
@@ -159,6 +162,9 @@
         place = self._places.get(host.number)
         if place is not None:
             self._versions[place] += 1
+            if self._left:
+                self._left[place] = left_over(host)
+                self._images.update(host.serving)
             self._changes.append(place)
 
     def close(self, host: HostT) -> None:
@@ -209,6 +215,8 @@
         if found is None:
             found = self._shortlists[kind] = _Shortlist(step, self._near(rack))
             changed = self._open_to(step.spec, found.places)
+        elif found.seen == len(self._changes):
+            return found
         else:
             changed = found.places.intersection(self._changes[found.seen :])
         found.seen = len(self._changes)
@@ -226,17 +234,22 @@
         ]
 
     def _open_to(self, spec: StepSpec, places: Iterable[int]) -> Iterable[int]:
-        """Leaves out workers that serve what shuts an image out.
+        """Leaves out workers that are full or serve what shuts an image out.
 
-        Where images that fill wait for their first readings, that is most of
-        the cell.
+        Where images that fill wait for room or for their first readings, that
+        is most of the cell: a look at each of them cost half of a pass.
         """
         if not spec.fills:
             return places
-        images = {image for host in self._hosts for image in host.serving}
-        known = shut_out(spec, images, self._view)
+        if not self._left:
+            self._left = [left_over(host) for host in self._hosts]
+            self._images.update(*(host.serving for host in self._hosts))
+        known = shut_out(spec, self._images, self._view)
         return [
-            place for place in places if not known.shuts(self._hosts[place])
+            place
+            for place in places
+            if self._left[place] >= spec.size.cpu
+            and not known.shuts(self._hosts[place])
         ]
 
     def _look(self, shortlist: _Shortlist, place: int) -> _Entry | None:
@@ -267,9 +280,25 @@
                 if now is not None:
                     heapq.heapreplace(entries, now)
                     continue
+                self._weed(shortlist)
             heapq.heappop(entries)
         return None
 
+    def _weed(self, shortlist: _Shortlist) -> None:
+        """Drops all but the first that are kept out by what kept it out.
+
+        Two trials of a pair shut hundreds of workers at once.
+        """
+        entries = shortlist.entries
+        known = shut_out(shortlist.step.spec, self._images, self._view)
+        entries[1:] = [
+            entry
+            for entry in entries[1:]
+            if entry.version == self._versions[entry.place]
+            and not known.shuts(self._hosts[entry.place])
+        ]
+        heapq.heapify(entries)
+
 
 def _kind_of(step: Step, rack: str) -> _Kind:
     spec = step.spec
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -143,16 +143,20 @@
 
 
 class ShutOut(NamedTuple):
-    """Serving images by which a filling image is kept out, whatever else fills.
+    """Serving images by which a filling image is kept out.
 
     Attributes:
+        filling: The image that is kept out.
         bad: Those that surely suffer by it.
         surely: Those of them beside which it isn't tried again either.
+        untried: Those beside which hardly anything was seen of it yet.
         on_trial: Those beside which it is being tried on enough workers.
     """
 
+    filling: str
     bad: frozenset[str]
     surely: frozenset[str]
+    untried: frozenset[str]
     on_trial: frozenset[str]
 
     def shuts(self, host: Host) -> bool:
@@ -160,8 +164,11 @@
         serving = host.serving
         if not self.surely.isdisjoint(serving):
             return True
+        hindering = self.on_trial
+        if self.filling in host.filling:
+            hindering = self.untried
         # Beside a pair that is tried again, one on trial is no hindrance.
-        return not self.on_trial.isdisjoint(serving) and self.bad.isdisjoint(
+        return not hindering.isdisjoint(serving) and self.bad.isdisjoint(
             serving
         )
 
@@ -182,10 +189,13 @@
         for image in bad
         if not (retries and known.is_doubtful(image, filling))
     )
+    untried = frozenset(
+        image for image in images if known.is_untried(image, filling)
+    )
     on_trial = frozenset(
-        image for image in images if view.probes.is_on_trial(image, filling)
+        image for image in untried if view.probes.is_on_trial(image, filling)
     )
-    return ShutOut(bad, surely, on_trial)
+    return ShutOut(filling, bad, surely, untried, on_trial)
 
 
 def _loads(host: Host) -> dict[str, float]:
