Show that every pass cares for every worker

In 200 passes within 2 s over 50 workers on which nothing changes paces are worked out 3,350 times; an idle cell does that 450 times. (Paces that were just changed settle for 0.9 s, so it isn't 10,000.) Fails on the code as it is:

tests.test_pass_cost.test_workers_on_which_nothing_changed_are_not_paced_in_each_pass

--- a/tests/test_pass_cost.py
+++ b/tests/test_pass_cost.py
@@ -13,9 +13,11 @@
 
 import trio
 
+from pimentocross.owner import care, const
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.worker import Worker
 from pimentocross.placement import field, hosts
+from pimentocross.placement.pacing import next_paces
 from pimentocross.work.spec import JobSpec, Size, StepSpec
 from tests import run_virtual
 from tests.owner_fixtures import QUEUE, life
@@ -32,6 +34,8 @@
 _QUICK = StepSpec(10, Size(1_000, 2_000, 0), 1.0)
 # Two images that fill, two that serve, and what is short.
 _KINDS = 5
+# Seconds.
+_PACED_FOR = 2.0
 
 
 class _Counter:
@@ -110,3 +114,31 @@
 
 def test_a_pass_over_a_cell_four_times_as_large_costs_four_times() -> None:
     run_virtual(_compare)
+
+
+async def _pace_in_short_passes() -> None:
+    workers = list(map(_worker, range(50)))
+    cell = PassCell(workers)
+    for worker in workers:
+        spec = _FILLING._replace(width=2, image="fill0")
+        filling = make_step(f"fill{worker.number}", spec)
+        put_to_work(worker, filling, figure=1_000)
+    passes = 0
+    with mock.patch.object(care, "next_paces", wraps=next_paces) as paces:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cell.run)
+            while trio.current_time() < _PACED_FOR:
+                cell.dispatcher.wake()
+                passes += 1
+                await trio.sleep(const.PASS_PAUSE)
+            nursery.cancel_scope.cancel()
+    # As often as a cell in which nothing happens passes over its workers.
+    most = 50 * (_PACED_FOR / const.PASS_INTERVAL + 1)
+    assert paces.call_count <= most, (paces.call_count, passes)
+    assert paces.call_count >= most / 3, paces.call_count
+
+
+def test_workers_on_which_nothing_changed_are_not_paced_in_each_pass() -> None:
+    # Care for what runs took 12 ms of each pass over 246 workers, and each
+    # listing of one worker asks for a pass over all.
+    run_virtual(_pace_in_short_passes)
