Count trials, brief runs and shares of room without doing so twice

Workers that serve the same share room out among the same images; a worker counts its runs that neither last nor fill, so that room for short work isn't summed over all runs.

--- a/pimentocross/owner/room.py
+++ b/pimentocross/owner/room.py
@@ -33,10 +33,10 @@
             now: Present time.
         """
         taken = sum(
-            task.step.spec.size.cpu
+            count * step.spec.size.cpu
             for worker in workers
-            for task, _ in worker.runs
-            if is_short(task.step)
+            for step, count in worker.brief().items()
+            if is_short(step)
         )
         waiting = sum(
             step.waiting_count * step.spec.size.cpu
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -81,6 +81,7 @@
         self.unsound_until = float("-inf")
         self._left: deque[Departure] = deque()
         self._step_counts: dict[Step, int] = {}
+        self._brief_counts: dict[Step, int] = {}
         self._over_since: dict[str, float] = {}
         self._serving: Counter[str] = Counter()
         self._filling: Counter[str] = Counter()
@@ -121,8 +122,7 @@
         self.version += 1
         self.runs[(task, run.number)] = run
         self.committed = self.committed.plus(task.step.spec.committed)
-        counts = self._step_counts
-        counts[task.step] = counts.get(task.step, 0) + 1
+        self._count_step(task.step, 1)
         self._count_image(task, 1)
 
     def remove(self, task: Task, number: int) -> None:
@@ -137,11 +137,7 @@
             self._left.append(Departure(now, image, run.figure))
         self.committed = self.committed.minus(task.step.spec.committed)
         self._count_image(task, -1)
-        left = self._step_counts[task.step] - 1
-        if left:
-            self._step_counts[task.step] = left
-        else:
-            del self._step_counts[task.step]
+        self._count_step(task.step, -1)
 
     def lapsed(self, now: float) -> bool:
         """True once every lease must have ended, and none can be renewed."""
@@ -169,6 +165,18 @@
         """The same of tasks that fill."""
         return self._filling
 
+    def brief(self) -> Mapping[Step, int]:
+        """Returns runs by step of what neither lasts nor fills."""
+        return self._brief_counts
+
+    def _count_step(self, step: Step, sign: int) -> None:
+        brief = not (step.spec.lasting or step.spec.fills)
+        counted = (self._step_counts, self._brief_counts)
+        for counts in counted if brief else counted[:1]:
+            counts[step] = counts.get(step, 0) + sign
+            if not counts[step]:
+                del counts[step]
+
     def _count_image(self, task: Task, sign: int) -> None:
         spec = task.step.spec
         if spec.fills:
--- a/pimentocross/placement/layout.py
+++ b/pimentocross/placement/layout.py
@@ -98,20 +98,31 @@
         hosts: Workers in use.
         compatibility: Which images go together.
     """
-    rooms = [
-        (room, compatibility.open_to(host.serving))
-        for host in hosts
-        if (room := left_to_fill(host)) > 0
-    ]
+    open_to: dict[tuple[str, ...], tuple[str, ...]] = {}
+    rooms: list[tuple[int, tuple[str, ...]]] = []
+    for host in hosts:
+        room = left_to_fill(host)
+        if room > 0:
+            serving = tuple(host.serving)
+            images = open_to.get(serving)
+            if images is None:
+                images = tuple(compatibility.open_to(serving))
+                open_to[serving] = images
+            rooms.append((room, images))
     weights = {image: float(wanted) for image, wanted in demand.items()}
     lacking = dict.fromkeys(demand, 1.0)
     found: dict[str, float] = {}
     for _ in range(_ROUNDS):
         found = dict.fromkeys(demand, 1.0)
+        # Workers that serve the same share out among the same images.
+        wholes = {
+            images: max(sum(weights[image] for image in images), 1.0)
+            for images in open_to.values()
+        }
         for room, images in rooms:
-            whole = sum(weights[image] for image in images)
+            whole = wholes[images]
             for image in images:
-                found[image] += room * weights[image] / max(whole, 1.0)
+                found[image] += room * weights[image] / whole
         lacking = {i: wanted / found[i] for i, wanted in demand.items()}
         weights = {
             i: max(weight * min(lacking[i], 2.0), 1.0)
--- a/pimentocross/placement/probes.py
+++ b/pimentocross/placement/probes.py
@@ -51,7 +51,7 @@
         self._workers: Counter[tuple[str, str]] = Counter()
         for host in hosts:
             for filling in host.filling:
-                self._workers.update(self._untried(filling, host))
+                self._count(filling, host)
 
     def allows(self, filling: str, host: Host) -> bool:
         """True if one more task may fill on a worker, as far as is known."""
@@ -102,15 +102,14 @@
 
     def note(self, filling: str, host: Host) -> bool:
         """Notes a task that is about to fill; True if it is a new trial."""
-        self._workers.update(self._untried(filling, host))
+        self._count(filling, host)
         if any(self._disturbance.is_bad(i, filling) for i in host.serving):
             self._retried.add(filling)
             return True
         return False
 
-    def _untried(self, filling: str, host: Host) -> list[tuple[str, str]]:
-        return [
-            (serving, filling)
-            for serving in host.serving
-            if self._disturbance.is_untried(serving, filling)
-        ]
+    def _count(self, filling: str, host: Host) -> None:
+        """Counts a worker for each untried pair of an image on it."""
+        for serving in host.serving:
+            if self._disturbance.is_untried(serving, filling):
+                self._workers[(serving, filling)] += 1
