--- a/pimentocross/placement/field.py
+++ b/pimentocross/placement/field.py
@@ -245,11 +245,15 @@
             self._left = [left_over(host) for host in self._hosts]
             self._images.update(*(host.serving for host in self._hosts))
         known = shut_out(spec, self._images, self._view)
+        hosts, left, least = self._hosts, self._left, spec.size.cpu
+        # Most are left out by what is quickly asked.
+        is_free = known.alone.isdisjoint
         return [
             place
             for place in places
-            if self._left[place] >= spec.size.cpu
-            and not known.shuts(self._hosts[place])
+            if left[place] >= least
+            and is_free(hosts[place].serving)
+            and not known.shuts(hosts[place])
         ]
 
     def _look(self, shortlist: _Shortlist, place: int) -> _Entry | None:
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -159,6 +159,13 @@
     untried: frozenset[str]
     on_trial: frozenset[str]
 
+    @property
+    def alone(self) -> frozenset[str]:
+        """Those of which one is enough, whatever else is on a worker."""
+        if self.bad == self.surely:
+            return self.surely | self.on_trial
+        return self.surely
+
     def shuts(self, host: Host) -> bool:
         """True if `fit` is infinite there."""
         serving = host.serving
