--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -238,6 +238,32 @@
     assert Mover(hosts, outlook).best(seats, 3999) is None
 
 
+def test_a_mover_that_is_kept_finds_what_a_new_one_finds() -> None:
+    # Looking for moves anew for each of several took 0.15 s of a pass over 246
+    # workers; now one mover is asked again, without workers that are busy.
+    random_ = random.Random(5)
+    disturbance = _known({"x": "abcd", "y": "e", "z": "ace"})
+    found = 0
+    for _ in range(20):
+        hosts = [
+            _Host(number, random_.choices("abcde", k=random_.choice((3, 4))))
+            for number in range(60)
+        ]
+        demand = {"x": 90_000, "y": 20_000, "z": 60_000}
+        outlook = _outlook(demand, hosts, disturbance)
+        kept = Mover(hosts, outlook)
+        for count in (0, 2, 12):
+            busy = set(random_.sample(range(60), count))
+            free = [host for host in hosts if host.number not in busy]
+            seats = [
+                seat_of(task, host) for host in free for task in host.tasks
+            ]
+            move = kept.best(seats, 1_000_000, busy)
+            assert move == Mover(free, outlook).best(seats, 1_000_000)
+            found += move is not None
+    assert found > 30, found
+
+
 def _plan(task: TaskName) -> TaskPlan:
     if task.job.startswith("fill"):
         return TaskPlan(1.0, Size(0, 500, 0))
