--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -142,6 +142,69 @@
     return fit + 1.0 + harm if harm <= HARM_MOST else math.inf
 
 
+class ShutOut(NamedTuple):
+    """Serving images by which a filling image is kept out.
+
+    Attributes:
+        filling: The image that is kept out.
+        bad: Those that surely suffer by it.
+        surely: Those of them beside which it isn't tried again either.
+        untried: Those beside which hardly anything was seen of it yet.
+        on_trial: Those beside which it is being tried on enough workers.
+    """
+
+    filling: str
+    bad: frozenset[str]
+    surely: frozenset[str]
+    untried: frozenset[str]
+    on_trial: frozenset[str]
+
+    @property
+    def alone(self) -> frozenset[str]:
+        """Those of which one is enough, whatever else is on a worker."""
+        if self.bad == self.surely:
+            return self.surely | self.on_trial
+        return self.surely
+
+    def shuts(self, host: Host) -> bool:
+        """True if `fit` is infinite there."""
+        serving = host.serving
+        if not self.surely.isdisjoint(serving):
+            return True
+        hindering = self.on_trial
+        if self.filling in host.filling:
+            hindering = self.untried
+        # Beside a pair that is tried again, one on trial is no hindrance.
+        return not hindering.isdisjoint(serving) and self.bad.isdisjoint(
+            serving
+        )
+
+
+def shut_out(spec: StepSpec, images: Iterable[str], view: View) -> ShutOut:
+    """Returns by what a task that fills is kept out.
+
+    Args:
+        spec: The task's step.
+        images: Serving images to look at.
+        view: What is known of pairs.
+    """
+    known, filling = view.disturbance, spec.image
+    retries = view.probes.retries(filling, view.outlook.scarcity(filling))
+    bad = frozenset(image for image in images if known.is_bad(image, filling))
+    surely = frozenset(
+        image
+        for image in bad
+        if not (retries and known.is_doubtful(image, filling))
+    )
+    untried = frozenset(
+        image for image in images if known.is_untried(image, filling)
+    )
+    on_trial = frozenset(
+        image for image in untried if view.probes.is_on_trial(image, filling)
+    )
+    return ShutOut(filling, bad, surely, untried, on_trial)
+
+
 def _loads(host: Host) -> dict[str, float]:
     capacity = max(host.life.capacity.cpu, 1)
     return {image: cpu / capacity for image, cpu in host.filling.items()}
--- a/pimentocross/placement/probes.py
+++ b/pimentocross/placement/probes.py
@@ -51,7 +51,7 @@
         self._workers: Counter[tuple[str, str]] = Counter()
         for host in hosts:
             for filling in host.filling:
-                self._workers.update(self._untried(filling, host))
+                self._count(filling, host)
 
     def allows(self, filling: str, host: Host) -> bool:
         """True if one more task may fill on a worker, as far as is known."""
@@ -66,6 +66,21 @@
                 return False
         return True
 
+    def is_on_trial(self, serving: str, filling: str) -> bool:
+        """True if a pair is being tried on as many workers as it may be."""
+        return self._workers[
+            (serving, filling)
+        ] >= WORKERS_MOST and self._disturbance.is_untried(serving, filling)
+
+    def retries(self, filling: str, scarcity: float) -> bool:
+        """True if a doubtful pair of an image may be tried again now.
+
+        Args:
+            filling: The image.
+            scarcity: How scarce room is for it, 0 to 1.
+        """
+        return scarcity >= RETRY_FROM and filling not in self._retried
+
     def may_retry(self, filling: str, host: Host, scarcity: float) -> bool:
         """True if all that speaks against a worker is doubtful.
 
@@ -74,7 +89,7 @@
             host: The worker.
             scarcity: How scarce room is for the image, 0 to 1.
         """
-        if scarcity < RETRY_FROM or filling in self._retried:
+        if not self.retries(filling, scarcity):
             return False
         if host.filling:
             # What is read has to speak of this pair alone.
@@ -87,15 +102,14 @@
 
     def note(self, filling: str, host: Host) -> bool:
         """Notes a task that is about to fill; True if it is a new trial."""
-        self._workers.update(self._untried(filling, host))
+        self._count(filling, host)
         if any(self._disturbance.is_bad(i, filling) for i in host.serving):
             self._retried.add(filling)
             return True
         return False
 
-    def _untried(self, filling: str, host: Host) -> list[tuple[str, str]]:
-        return [
-            (serving, filling)
-            for serving in host.serving
-            if self._disturbance.is_untried(serving, filling)
-        ]
+    def _count(self, filling: str, host: Host) -> None:
+        """Counts a worker for each untried pair of an image on it."""
+        for serving in host.serving:
+            if self._disturbance.is_untried(serving, filling):
+                self._workers[(serving, filling)] += 1
