Bound what calls, listings and ends cost an owner: four tests that fail

Counted are calls of functions, as measured on the code as it is:

test_a_call_to_a_worker_takes_few_steps: 535 for one exchange (bound 80); most are h11's, which builds and checks each header anew. test_a_listing_is_decoded_in_few_steps: 250 for 30 runs (bound 120); each row is converted field by field, and each task's name split anew. test_a_listing_of_unchanged_runs_is_taken_in_in_few_steps: 809 for 30 runs (bound 450); the time is asked for each entry, and all that is learned is looked up twice. test_an_end_costs_the_same_however_large_the_job_is: 245 in a job of two occurrences, 1,493 in one of fifty (bound: 100 more); an end has all tasks of its job looked at, for its state and for its record.

--- /dev/null
+++ b/tests/test_wire_cost.py
@@ -0,0 +1,181 @@
+"""What an owner's input and output cost, in calls of functions.
+
+With 246 workers that had 25 runs each and 400 starts and ends a second, the
+owner's VM was at all of its processor time. Besides decisions, each run cost it
+2.4 ms: 0.3 ms for each call over HTTP, up to 0.5 ms to decode and take in a
+listing of 30 runs of which nothing had changed, and more to learn from it; an
+end cost as much as its job was large, up to 4 ms. Counted are the functions
+that are called, since seconds depend on the machine and on what else it does.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+import sys
+from types import FrameType
+
+import trio
+
+from bench.large_jobs import QUEUE, filling_job
+from bench.wire_parts import body_of, make_listed
+from pimentocross.contracts.worker_link import HoldReply
+from pimentocross.links.asgi import HttpRequest
+from pimentocross.links.target_connection import TargetConnection
+from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.keeper import CellParts, Keeper
+from pimentocross.owner.learned import Learned
+from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.worker import Worker
+from pimentocross.platform.wire import read_hold
+from pimentocross.standins.store import StoreStandin
+from pimentocross.work import records
+from pimentocross.work.spec import JobSpec
+from pimentocross.work.state import Job, Run
+
+_RUNS = 30
+_BODY = b'{"clock_ms":1000000,"running":[],"completions":[]}'
+
+
+class _Count:
+    """Calls of functions, those of the language's own included."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def note(self, _: FrameType, event: str, __: object) -> None:
+        """Counts a call."""
+        self.calls += event in ("call", "c_call")
+
+
+@contextmanager
+def _counting() -> Iterator[_Count]:
+    count = _Count()
+    sys.setprofile(count.note)
+    try:
+        yield count
+    finally:
+        sys.setprofile(None)
+
+
+class _Stream:
+    """Takes whatever is sent and gives one answer, in one piece."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.sent = b""
+        self._answer = answer
+
+    async def send_all(self, data: bytes) -> None:
+        """Takes a request."""
+        self.sent += data
+
+    async def receive_some(self, _: int) -> bytes:
+        """Gives the answer."""
+        return self._answer
+
+
+class _ListsAgain:
+    """Lists the same for some rounds, then nothing any more."""
+
+    def __init__(self, reply: HoldReply, rounds: int) -> None:
+        self.done = trio.Event()
+        self._reply = reply
+        self._left = rounds
+
+    async def hold(self, *_: object) -> HoldReply:
+        """Lists the same."""
+        if not self._left:
+            self.done.set()
+            await trio.sleep_forever()
+        self._left -= 1
+        return self._reply
+
+
+class _NoStops:
+    """Stops nothing, as nothing has to be stopped."""
+
+    def stop(self, *_: object) -> None:
+        """Fails the test."""
+        raise AssertionError
+
+    def stop_unknown(self, *_: object) -> None:
+        """Fails the test."""
+        raise AssertionError
+
+
+def _ledger() -> Ledger:
+    return Ledger(StoreStandin().client("a"), "jobs", "owner", 1)
+
+
+async def test_a_call_to_a_worker_takes_few_steps() -> None:
+    head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+    length = b"content-length: %d\r\n\r\n" % len(_BODY)
+    stream = _Stream(head + length + _BODY)
+    connection = TargetConnection(stream, "10.0.0.1:80")  # type: ignore[arg-type]
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"x-expected-instance", b"i-5c0e7a21"),
+    ]
+    request = HttpRequest(
+        "POST", "/pimentocross/hold", b"", headers, b'{"fencing_token":7}'
+    )
+    with _counting() as count:
+        reply = await connection.exchange(request, [])
+    assert reply.status == 200
+    assert reply.body == _BODY
+    assert connection.reusable
+    assert count.calls <= 80, count.calls
+
+
+async def test_a_listing_is_decoded_in_few_steps() -> None:
+    _, tasks = make_listed(JobBook(_ledger(), 150.0), _RUNS)
+    body = body_of(tasks)
+    read_hold(body)
+    with _counting() as count:
+        reply = read_hold(body)
+    assert len(reply.running) == _RUNS
+    assert count.calls <= 4 * _RUNS, count.calls
+
+
+async def test_a_listing_of_unchanged_runs_is_taken_in_in_few_steps() -> None:
+    ledger = _ledger()
+    book = JobBook(ledger, 150.0)
+    life, tasks = make_listed(book, _RUNS)
+    learned = Learned()
+    parts = CellParts(
+        1, 5.0, book, ledger, lambda: None, learned.judge, learned.on_listed
+    )
+    taken = []
+    for rounds in (10, 20):
+        link = _ListsAgain(read_hold(body_of(tasks)), rounds)
+        worker = Worker(life, 0, link)  # type: ignore[arg-type]
+        for task, run in tasks:
+            worker.add(task, run)
+        async with trio.open_nursery() as nursery:
+            keeper = Keeper(worker, parts, _NoStops())
+            with _counting() as count:
+                nursery.start_soon(keeper.run)
+                await link.done.wait()
+            nursery.cancel_scope.cancel()
+        taken.append(count.calls)
+    # What a round takes, without what starts and ends the keeper.
+    calls = (taken[1] - taken[0]) / 10
+    assert calls <= 15 * _RUNS, calls
+
+
+async def test_an_end_costs_the_same_however_large_the_job_is() -> None:
+    step = filling_job(0).steps[0]
+    calls = []
+    for repeats in (2, 50):
+        book = JobBook(_ledger(), 150.0)
+        job = Job("j", QUEUE, JobSpec("", (step,), repeats, 0.0, 1.0), 0.0)
+        book.restore(job)
+        first, *others = job.tasks()
+        for task in others[: step.width]:
+            task.add_run(Run(1, 0))
+        first.add_run(Run(1, 0))
+        first.drop_run(1)
+        first.finish()
+        with _counting() as count:
+            book.changed(job)
+            records.encode_progress(job)
+        calls.append(count.calls)
+    assert calls[1] <= calls[0] + 2 * 50, calls
