Take in and learn from a listing without looking twice

Cause: for each listing the readings were made twice; what fillers explain was looked up for each pair of images, though it only excuses what is sick; a default estimate was built whether needed or not; each worker's speed was compared with the median of all others, also where it was fine; the time was asked for each entry, and an unchanged entry was written anew.

The decisions are the same: a speed of at least SLOW_BELOW is never slow, as the usual one counts for 1 at most; what fillers explain is never below 0. The time of learning is when the listing was heard, in place of a moment later. `Job.find_task` had one caller and went there.

--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -92,8 +92,8 @@
         tasks += itertools.islice(job.tasks(), count)
     found = []
     for task in tasks:
-        run = Run(1, 0, trio.current_time() - 0.3)
-        run.enter(RunState.RUNNING, trio.current_time() - 0.3)
+        run = Run(1, 0, trio.current_time() - 1.5)
+        run.enter(RunState.RUNNING, trio.current_time() - 1.5)
         task.add_run(run)
         found.append((task, run))
     return wire_workers.lives(1, "127.0.0.1:9")[0], found
@@ -109,7 +109,7 @@
                     write_task(task.name),
                     run.number,
                     "",
-                    100 if task.step.spec.lasting else 37,
+                    100 if task.step.spec.lasting else 80,
                     23,
                 ]
                 for task, run in tasks
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -63,7 +63,13 @@
     def find_task(self, name: TaskName) -> Task | None:
         """Returns a task, or None."""
         job = self._jobs.get(name.job)
-        return job.find_task(name) if job is not None else None
+        if job is None:
+            return None
+        try:
+            step = job.occurrences[name.occurrence].steps[name.step]
+            return step.tasks[name.position]
+        except IndexError:
+            return None
 
     def accept(self, job_id: str, queue: Queue, spec: JobSpec) -> Batch:
         """Takes a job in; returns the batch of its first record."""
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -19,7 +19,7 @@
 from pimentocross.owner.ledger import Batch, Ledger
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import TaskName
-from pimentocross.work.state import Job, Run, RunState, Task
+from pimentocross.work.state import TERMINAL, Job, Run, RunState, Task
 
 
 class Stops(Protocol):
@@ -170,21 +170,31 @@
     def _take_running(
         self, listed: list[Listed], changed: dict[Job, None]
     ) -> set[tuple[Task, int]]:
+        now = self._worker.heard_at
+        runs = self._worker.runs
+        find_task = self._parts.book.find_task
         found = set()
         for entry in listed:
-            task = self._parts.book.find_task(entry.task)
+            task = find_task(entry.task)
             if task is None:
                 self._stops.stop_unknown(self._worker, entry.task, entry.run)
                 continue
-            run = self._worker.runs.get((task, entry.run))
+            key = (task, entry.run)
+            run = runs.get(key)
             if run is None:
                 run = self._take_unexpected(task, entry.run)
                 changed[task.step.job] = None
-            found.add((task, entry.run))
-            _update(run, entry)
+            found.add(key)
+            if (
+                entry.figure != run.figure
+                or entry.percent != run.percent
+                or run.state is not RunState.RUNNING
+                or not run.began_at
+            ):
+                _update(run, entry, now)
             if entry.checkpoint and entry.run == task.last_run:
                 task.checkpoint = entry.checkpoint
-            if task.done or task.step.job.ended:
+            if task.done or task.step.job.state in TERMINAL:
                 self._stops.stop(self._worker, task, run, "not needed")
         return found
 
@@ -273,9 +283,8 @@
         self._parts.wake()
 
 
-def _update(run: Run, entry: Listed) -> None:
-    now = trio.current_time()
-    if run.state in (RunState.SENT, RunState.UNSURE):
+def _update(run: Run, entry: Listed, now: float) -> None:
+    if run.state is RunState.SENT or run.state is RunState.UNSURE:
         run.enter(RunState.RUNNING, now)
     if not run.began_at:
         run.began_at = now
--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -1,6 +1,6 @@
 """What an owner learns from endings and listings, for all its decisions."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
 import trio
@@ -10,10 +10,16 @@
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.durations import Durations
+from pimentocross.placement.pacing import Reading
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
-from pimentocross.placement.soundness import Progress, Speeds, is_sick
+from pimentocross.placement.soundness import (
+    MEASURED_AFTER,
+    Progress,
+    Speeds,
+    is_sick,
+)
 from pimentocross.work.records import LearnedRecord, encode_learned
-from pimentocross.work.state import Run, Task
+from pimentocross.work.state import Run, RunState, Step, Task
 
 # Two jobs that fail in a row speak against a worker: ordinary tasks fail one
 # time in twenty, two of different jobs in a row one time in 400.
@@ -82,14 +88,15 @@
             note("worker_suspect", worker=worker.life.id, reason=reason)
 
     def on_listed(self, worker: Worker) -> None:
-        """Learns from the figures of a new listing."""
-        now = trio.current_time()
+        """Learns from the figures of a listing that was just heard."""
+        now = worker.heard_at
         loads = worker.filler_loads()
-        self._check_soundness(worker, loads, now)
+        readings = worker.readings(now)
+        self._check_soundness(worker, readings, loads, now)
         if not worker.serves or worker.unsound_until > now:
             # What a worker in trouble shows says nothing of pairs.
             return
-        for reading in worker.readings(now):
+        for reading in readings:
             if loads or reading.ratio < _SOUND_ALONE:
                 self.disturbance.learn(
                     reading.image,
@@ -101,33 +108,58 @@
 
     def progress(self, worker: Worker) -> list[Measured]:
         """Returns how far the runs are that end and were never slowed."""
+        return [Measured(*found) for found in self._progress(worker, 0.0)]
+
+    def _progress(
+        self, worker: Worker, least: float
+    ) -> list[tuple[Run, Progress]]:
+        """Returns the same of runs that took at least some seconds."""
         found = []
-        for task, run in worker.running():
+        # A worker often has several tasks of one step.
+        expected: dict[Step, float] = {}
+        for (task, _), run in worker.runs.items():
             elapsed = run.percent_at - run.state_at
-            if task.step.spec.lasting or run.paced_at or elapsed <= 0:
+            if elapsed <= 0 or elapsed < least:
+                continue
+            if run.state is not RunState.RUNNING:
                 continue
-            if not run.decided_at:
+            step = task.step
+            if step.spec.lasting or run.paced_at or not run.decided_at:
                 # Adopted: how long and how fast it worked isn't known.
                 continue
-            job = task.step.job
-            expected = self.durations.task(job.queue.name, task.step.spec)
-            progress = Progress(job.id, expected, run.percent, elapsed)
-            found.append(Measured(run, progress))
+            if step not in expected:
+                queue = step.job.queue.name
+                expected[step] = self.durations.task(queue, step.spec)
+            progress = Progress(
+                step.job.id, expected[step], run.percent, elapsed
+            )
+            found.append((run, progress))
         return found
 
     def _check_soundness(
-        self, worker: Worker, loads: Mapping[str, float], now: float
+        self,
+        worker: Worker,
+        readings: Sequence[Reading],
+        loads: Mapping[str, float],
+        now: float,
     ) -> None:
         """Marks a worker that is in trouble, for as long as it is seen."""
-        explained = max(
-            (self.disturbance.added(s, loads) for s in worker.serving),
-            default=0.0,
+        # What fillers explain only excuses: it is looked up, for each pair of
+        # images, only where there is something to excuse.
+        sick = is_sick(readings, 0.0) and is_sick(
+            readings, self._explained(worker, loads)
         )
-        sick = is_sick(worker.readings(now), explained)
-        runs = [measured.progress for measured in self.progress(worker)]
+        runs = [found for _, found in self._progress(worker, MEASURED_AFTER)]
         slow = self._speeds.is_slow(worker.number, runs, now)
         if not sick and not slow:
             return
         if now > worker.unsound_until:
             note("worker_unsound", worker=worker.life.id, sick=sick, slow=slow)
         worker.unsound_until = now + UNSOUND_FOR
+
+    def _explained(self, worker: Worker, loads: Mapping[str, float]) -> float:
+        """Returns what fillers add to the logarithm of the worst tail."""
+        return max(
+            (self.disturbance.added(s, loads) for s in worker.serving),
+            default=0.0,
+        )
--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -196,7 +196,9 @@
     def _aged(self, serving: str, image: str, now: float) -> Estimate:
         prior = _PAIR if image else _BASE
         drift = _PAIR_DRIFT if image else _BASE_DRIFT
-        known = self._estimates.get((serving, image), prior._replace(at=now))
+        known = self._estimates.get((serving, image))
+        if known is None:
+            return Estimate(prior.mean, prior.variance, now)
         age = max(now - known.at, 0.0)
         kept = math.exp(-age / _FORGETTING)
         mean = prior.mean + (known.mean - prior.mean) * kept
--- a/pimentocross/placement/soundness.py
+++ b/pimentocross/placement/soundness.py
@@ -83,8 +83,12 @@
         measured = [run for run in runs if run.elapsed >= MEASURED_AFTER]
         if len({run.job for run in measured}) < SLOW_JOBS:
             return False
-        speed = statistics.median(run.speed for run in measured)
+        speed = statistics.median([run.speed for run in measured])
         self._speeds[worker] = _Speed(speed, now)
+        if speed >= SLOW_BELOW:
+            # Others are taken for no faster than expected: they needn't be
+            # looked at, all of them for each listing.
+            return False
         others = [
             known.speed
             for number, known in self._speeds.items()
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -260,14 +260,6 @@
             for step in occurrence.steps:
                 yield from step.tasks
 
-    def find_task(self, name: TaskName) -> Task | None:
-        """Returns the task of a name, or None."""
-        try:
-            step = self.occurrences[name.occurrence].steps[name.step]
-            return step.tasks[name.position]
-        except IndexError:
-            return None
-
     def advance(self, now: float) -> None:
         """Moves to running or to a final state, as its tasks say.
 
