Count what is left of a job, and encode only the step that changed

Cause: for each end all tasks of the job were looked at: for its state, for steps whose turn has come, and twice for its record, which was built anew whole. Steps now count their runs and know whether they have started or failed; a job counts its steps that are left; a step keeps its encoded part until one of its tasks changes.

--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -212,10 +212,14 @@
     book.restore(job)
     for task in job.tasks():
         task.add_run(Run(1, 0))
-    return (
-        _time_of(lambda: book.changed(job)),
-        _time_of(lambda: records.encode_progress(job)),
-    )
+    first = next(iter(job.tasks()))
+
+    def change_and_encode() -> None:
+        first.add_run(Run(2, 0))
+        first.drop_run(2)
+        records.encode_progress(job)
+
+    return _time_of(lambda: book.changed(job)), _time_of(change_and_encode)
 
 
 def print_parts() -> None:
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -8,7 +8,14 @@
 from pimentocross.work import records
 from pimentocross.work.queue import Queue, WorkConfig
 from pimentocross.work.spec import JobSpec, TaskName
-from pimentocross.work.state import TERMINAL, Job, JobState, Step, Task
+from pimentocross.work.state import (
+    TERMINAL,
+    Job,
+    JobState,
+    Occurrence,
+    Step,
+    Task,
+)
 
 
 class _Progress:
@@ -91,7 +98,9 @@
             for step in occurrence.steps:
                 if step.undone:
                     self._later_steps[step] = None
-        self._open_turns(job)
+        job.take_steps_done()
+        for occurrence in job.occurrences:
+            self._open_turns(occurrence)
 
     def changed(self, job: Job) -> Batch:
         """Notes that a job's tasks changed; returns the record's batch."""
@@ -103,7 +112,10 @@
                 took = round(job.ended_at - job.accepted_at, 3)
                 note("job_ended", job=job.id, state=job.state, took=took)
         else:
-            self._open_turns(job)
+            for step in job.take_steps_done():
+                self._open_steps.pop(step, None)
+                self._later_steps.pop(step, None)
+                self._open_turns(step.occurrence)
         return self._ledger.put(_Progress(job))
 
     def cancel(self, job: Job) -> Batch:
@@ -149,14 +161,11 @@
             for prefix in (records.SUBMISSION, records.PROGRESS):
                 self._ledger.put(PlainRecord(prefix + job.id, _nothing))
 
-    def _open_turns(self, job: Job) -> None:
-        for occurrence in job.occurrences:
-            for step in occurrence.steps:
-                if step in self._later_steps and step.turn:
-                    del self._later_steps[step]
-                    self._open_steps[step] = None
-                elif step.undone == 0:
-                    self._open_steps.pop(step, None)
+    def _open_turns(self, occurrence: Occurrence) -> None:
+        for step in occurrence.steps:
+            if step in self._later_steps and step.turn:
+                del self._later_steps[step]
+                self._open_steps[step] = None
 
     def _close_steps(self, job: Job) -> None:
         for occurrence in job.occurrences:
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -143,17 +143,18 @@
 
 def encode_progress(job: Job) -> bytes:
     """Returns a job's progress record."""
-    if job.ended and not any(task.runs for task in job.tasks()):
-        steps: tuple[StepRecord, ...] = ()
-    else:
-        steps = tuple(
-            _step_record(step)
-            for occurrence in job.occurrences
-            for step in occurrence.steps
-            if any(task.last_run for task in step.tasks)
-        )
-    record = ProgressRecord(FORM, job.state.value, job.ended_at, steps)
-    return _encode(record)
+    started = [
+        step
+        for occurrence in job.occurrences
+        for step in occurrence.steps
+        if step.started
+    ]
+    if job.ended and not any(step.run_count for step in started):
+        started = []
+    # In the form of a `ProgressRecord`. An end changes one step of a job, and
+    # only that is encoded anew: 0.06 ms in place of 4 in a job of fifty.
+    steps = [_encoded_step(step) for step in started]
+    return _encode((FORM, job.state.value, job.ended_at, steps))
 
 
 def decode_progress(job: Job, value: bytes) -> None:
@@ -201,7 +202,24 @@
     return record
 
 
+def _encoded_step(step: Step) -> msgspec.Raw:
+    if step.record is None:
+        step.record = _encode(_step_record(step))
+    return msgspec.Raw(step.record)
+
+
 def _step_record(step: Step) -> StepRecord:
+    width = step.spec.width
+    done = (1 << width) - 1
+    tasks: list[TaskRecord] = []
+    if step.undone or step.run_count:
+        done, tasks = _tasks_record(step)
+    bits = done.to_bytes((width + 7) // 8, "little")
+    return StepRecord(step.occurrence.number, step.number, bits, tuple(tasks))
+
+
+def _tasks_record(step: Step) -> tuple[int, list[TaskRecord]]:
+    """Returns the bits of tasks that are done, and those that aren't."""
     done = 0
     tasks = []
     for index, task in enumerate(step.tasks):
@@ -209,12 +227,13 @@
             done |= 1 << index
         if task.last_run and (task.runs or not task.done):
             tasks.append(_task_record(index, task))
-    bits = done.to_bytes((step.spec.width + 7) // 8, "little")
-    return StepRecord(step.occurrence.number, step.number, bits, tuple(tasks))
+    return done, tasks
 
 
 def _task_record(index: int, task: Task) -> TaskRecord:
-    runs = tuple(RunRecord(r.number, r.worker) for r in task.runs.values())
+    runs = tuple(
+        [RunRecord(run.number, run.worker) for run in task.runs.values()]
+    )
     return TaskRecord(
         index, task.last_run, task.failures, task.checkpoint, runs
     )
@@ -224,11 +243,11 @@
     done = int.from_bytes(record.done, "little")
     for index, task in enumerate(step.tasks):
         if done >> index & 1:
-            task.last_run = 1
+            task.note_started(1)
             task.finish()
     for saved in record.tasks:
         task = step.tasks[saved.position]
-        task.last_run = saved.last_run
+        task.note_started(saved.last_run)
         task.failures = saved.failures
         task.checkpoint = saved.checkpoint
         for run_record in saved.runs:
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -95,8 +95,6 @@
         step: The step that it is part of.
         done: Whether a run of it ended well.
         last_run: Number of the newest run, 0 before the first.
-        failures: Runs that ended as failed.
-        checkpoint: Newest saved progress, or "".
         runs: Runs that may be on a worker, by number.
         failed_on: Numbers of worker lives on which runs failed.
         not_before: Not started again before this time, monotonic.
@@ -109,13 +107,35 @@
         self.step = step
         self.done = False
         self.last_run = 0
-        self.failures = 0
-        self.checkpoint = ""
+        self._failures = 0
+        self._checkpoint = ""
         self.runs: dict[int, Run] = {}
         self.failed_on: set[int] = set()
         self.not_before = 0.0
         self.bound_for: Destination | None = None
 
+    @property
+    def failures(self) -> int:
+        """Runs that ended as failed."""
+        return self._failures
+
+    @failures.setter
+    def failures(self, count: int) -> None:
+        self._failures = count
+        self.step.failed = self.step.failed or count > 0
+        self.step.record = None
+
+    @property
+    def checkpoint(self) -> str:
+        """Newest saved progress, or ""."""
+        return self._checkpoint
+
+    @checkpoint.setter
+    def checkpoint(self, saved: str) -> None:
+        if saved != self._checkpoint:
+            self._checkpoint = saved
+            self.step.record = None
+
     @property
     def waiting(self) -> bool:
         """True if it is not done and no run of it may be anywhere."""
@@ -125,14 +145,26 @@
         """Notes a run that may be on a worker."""
         if self.waiting:
             self.step.waiting_count -= 1
+        if run.number not in self.runs:
+            self.step.run_count += 1
         self.runs[run.number] = run
-        self.last_run = max(self.last_run, run.number)
+        self.note_started(run.number)
+
+    def note_started(self, number: int) -> None:
+        """Notes that a run was decided on."""
+        self.last_run = max(self.last_run, number)
+        self.step.record = None
+        self.step.started = True
+        self.step.job.started = True
 
     def drop_run(self, number: int) -> Run | None:
         """Forgets a run that surely is on no worker any more."""
         run = self.runs.pop(number, None)
-        if run is not None and self.waiting:
-            self.step.waiting_count += 1
+        if run is not None:
+            self.step.record = None
+            self.step.run_count -= 1
+            if self.waiting:
+                self.step.waiting_count += 1
         return run
 
     def finish(self) -> None:
@@ -142,7 +174,10 @@
         if self.waiting:
             self.step.waiting_count -= 1
         self.done = True
+        self.step.record = None
         self.step.undone -= 1
+        if not self.step.undone:
+            self.step.job.note_step_done(self.step)
 
 
 class Step:
@@ -156,6 +191,10 @@
         tasks: Its tasks, by index.
         undone: How many are not done.
         waiting_count: How many wait for a start.
+        run_count: Runs of them that may be on a worker.
+        started: Whether a run of any was ever decided on.
+        failed: Whether a run of any ever failed.
+        record: How it was last encoded, or None if a task has changed.
     """
 
     def __init__(
@@ -168,6 +207,10 @@
         self.spec = spec
         self.undone = spec.width
         self.waiting_count = spec.width
+        self.run_count = 0
+        self.started = False
+        self.failed = False
+        self.record: bytes | None = None
         self.tasks = [
             Task(TaskName(job.id, occurrence.number, number, index), self)
             for index in range(spec.width)
@@ -203,11 +246,6 @@
         for index, spec in enumerate(job.spec.steps):
             self.steps.append(Step(job, self, index, spec))
 
-    @property
-    def done(self) -> bool:
-        """True once every task is done."""
-        return all(step.undone == 0 for step in self.steps)
-
 
 class Job:
     """One job.
@@ -221,6 +259,7 @@
         state: Where it stands.
         recorded_state: The state that its newest stored record has.
         ended_at: When it came to a final state, seconds since 1970.
+        started: Whether any task of it was ever decided on.
     """
 
     def __init__(
@@ -238,6 +277,15 @@
             Occurrence(self, number, due)
             for number, due in enumerate(_due_times(spec, accepted_at))
         ]
+        self.started = False
+        # Counted, as each end of a run asks: looking at all tasks takes 0.2 ms
+        # in a job of a thousand.
+        self._steps_left = sum(
+            step.undone > 0
+            for occurrence in self.occurrences
+            for step in occurrence.steps
+        )
+        self._steps_done: list[Step] = []
 
     @property
     def timed(self) -> bool:
@@ -249,17 +297,22 @@
         """True once it is in a final state."""
         return self.state in TERMINAL
 
-    @property
-    def started(self) -> bool:
-        """True once any task of it was decided on."""
-        return any(task.last_run for task in self.tasks())
-
     def tasks(self) -> Iterator[Task]:
         """Yields all its tasks."""
         for occurrence in self.occurrences:
             for step in occurrence.steps:
                 yield from step.tasks
 
+    def note_step_done(self, step: Step) -> None:
+        """Notes that all tasks of a step are done."""
+        self._steps_left -= 1
+        self._steps_done.append(step)
+
+    def take_steps_done(self) -> list[Step]:
+        """Returns the steps that were done since this was last asked."""
+        taken, self._steps_done = self._steps_done, []
+        return taken
+
     def advance(self, now: float) -> None:
         """Moves to running or to a final state, as its tasks say.
 
@@ -270,7 +323,7 @@
             return
         if self._out_of_attempts():
             self._end(JobState.FAILED, now)
-        elif all(occurrence.done for occurrence in self.occurrences):
+        elif not self._steps_left:
             self._end(JobState.COMPLETED, now)
         elif self.started:
             self.state = JobState.RUNNING
@@ -287,7 +340,8 @@
     def _out_of_attempts(self) -> bool:
         attempts = self.queue.attempts
         return any(
-            step.undone
+            step.failed
+            and step.undone
             and not step.spec.lasting
             and _failures(step) >= attempts
             for occurrence in self.occurrences
