--- a/tests/test_wire_cost.py
+++ b/tests/test_wire_cost.py
@@ -24,7 +24,10 @@
     Listed,
 )
 from pimentocross.links.asgi import HttpRequest
-from pimentocross.links.target_connection import TargetConnection
+from pimentocross.links.target_connection import (
+    TargetConnection,
+    connect_target,
+)
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import CellParts, Keeper
 from pimentocross.owner.learned import Learned
@@ -35,6 +38,7 @@
 from pimentocross.work import records
 from pimentocross.work.spec import JobSpec, TaskName
 from pimentocross.work.state import Job, Run
+from tests.test_http import real_time
 
 _RUNS = 30
 _BODY = b'{"clock_ms":1000000,"running":[],"completions":[]}'
@@ -208,3 +212,20 @@
             records.encode_progress(job)
         calls.append(count.calls)
     assert calls[1] <= calls[0] + 2 * 50, calls
+
+
+@real_time
+async def test_a_new_connection_takes_few_steps() -> None:
+    # 10,000 connections to 246 workers were opened on a day, since one whose
+    # answer is late is closed; each cost as much as three calls.
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    calls = []
+    for _ in range(3):
+        with _counting() as count:
+            connection = await connect_target(f"127.0.0.1:{port}")
+        calls.append(count.calls)
+        await connection.aclose()
+    for listener in listeners:
+        await listener.aclose()
+    assert min(calls) <= 200, calls
