Learn from a reading in one look at its pairs

Cause: each pair that fills beside what serves was gone through three times, in generators, and aged with two calls for what comparisons do.

--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -155,13 +155,15 @@
         """
         weights = {image: share for image, share in loads.items() if share > 0}
         weights[_ALONE] = 1.0
-        known = {image: self._aged(serving, image, now) for image in weights}
         level = self._level(worker, serving, now)
-        expected = level.mean + sum(
-            w * known[i].mean for i, w in weights.items()
-        )
-        spread = level.variance + _READING_VARIANCE
-        spread += sum(w * w * known[i].variance for i, w in weights.items())
+        known: dict[str, Estimate] = {}
+        effect = doubt = 0.0
+        for image, weight in weights.items():
+            found = known[image] = self._aged(serving, image, now)
+            effect += weight * found.mean
+            doubt += weight * weight * found.variance
+        expected = level.mean + effect
+        spread = level.variance + _READING_VARIANCE + doubt
         seen = min(max(ratio, _RATIO_LEAST), _RATIO_MOST)
         surprise = math.log(seen) - expected
         surprise = min(max(surprise, -_SURPRISE_MOST), _SURPRISE_MOST)
@@ -199,10 +201,12 @@
         known = self._estimates.get((serving, image))
         if known is None:
             return Estimate(prior.mean, prior.variance, now)
-        age = max(now - known.at, 0.0)
+        age = now - known.at if now > known.at else 0.0
         kept = math.exp(-age / _FORGETTING)
         mean = prior.mean + (known.mean - prior.mean) * kept
-        variance = min(known.variance + drift * age, prior.variance)
+        variance = known.variance + drift * age
+        if variance > prior.variance:
+            variance = prior.variance
         return Estimate(mean, variance, now)
 
 
