Wait longer for an owner that is taking over, within a bound

Cause: 1.0 s of silence and 0.7 s of watching replace an owner, also one that has just claimed and reads a state larger than that; its successor begins from nothing and is replaced in the same way, eight times in 28 s.

An owner tells for how long it has been taking over; until it has, or until it was heard under its claim, it may be silent twice as long, or as long as the last take-over that was seen. After each owner that is replaced within 10 s of its claim its successor is given twice the time; what is watched grows with it. It may be "it can't write" for as many times longer, and one that has not read its own claim yet isn't taken for one that does not own. Nobody is waited for longer than 6 s of silence: with turns and watching, a new owner that dies is followed within 10 s at most. An owner that has taken over and stood for 10 s is judged as before; so is one whose process was replaced.

The question and answer have new tags; a process of the former version refuses the question and is asked in the older form, and asks in it (test_an_owner_of_a_former_version_is_heard).

test_silent_take_overs_do_not_follow_one_another_for_ever passes (before: 13 to 17 claims in 30 s).

--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -19,6 +19,16 @@
 HEARTBEAT_TIMEOUT: Final = 0.8
 # Three heartbeats missed.
 SILENCE: Final = 1.0
+# One that takes over may be silent this many times longer, or for as long as
+# the last take-over that was seen.
+TAKEOVER_FACTOR: Final = 2.0
+# Whoever is replaced sooner after its claim has failed to take over, and its
+# successor is given twice the time: more than a state of 246 workers took on
+# the weakest VM seen.
+YOUNG: Final = 10.0
+# No owner may be silent for longer: with the turns and what is watched, one
+# that dies while it takes over is followed within 10 s, 4.2 s as a rule.
+SILENCE_MOST: Final = 6.0
 # An owner that can't write for this long should be replaced by one that can:
 # two beats missed.
 STORE_SILENCE: Final = 1.3
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -28,6 +28,7 @@
 from pimentocross.gateway.messages import Standing
 from pimentocross.gateway.own_time import OwnAge, OwnTime
 from pimentocross.gateway.owner_link import OwnerLink
+from pimentocross.gateway.patience import Patience
 from pimentocross.gateway.turns import Turn, find_turn
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
@@ -68,6 +69,7 @@
         self._config = config
         self._heard_peer_at = heard_peer_at
         self._time = OwnTime()
+        self._patience = Patience(self._time)
         # Time since the owner here has written, if there is one.
         self._written = OwnAge(self._time, lambda: 0.0)
         self._served_epoch = 0
@@ -99,7 +101,9 @@
         # such an owner is no worse at writing.
         age = min(owner.ledger.age(), self._written.seconds())
         ready = owner.ready.is_set()
-        return Standing(owner.epoch, ready, age if ready else 0.0)
+        return Standing(
+            owner.epoch, ready, age if ready else 0.0, owner.takeover_age
+        )
 
     def leave(self) -> None:
         """Gives the cell back if it is owned here; claims no more."""
@@ -116,6 +120,7 @@
     async def _follow_claims(self) -> None:
         while True:
             claim = self._cluster.claim
+            self._patience.note_claim(claim)
             if claim is not None and claim.process == self._mine.process:
                 await self._own_or_wait(claim)
             elif claim is None or claim.released:
@@ -237,16 +242,28 @@
     def _suspicion(self, claim: OwnerClaim, link: OwnerLink) -> str:
         if self._surely_gone(claim, link):
             return "its process was replaced"
-        if link.silence() > const.SILENCE:
+        factor = self._factor(claim, link)
+        if link.silence() > const.SILENCE * factor:
             return "silent"
         standing = link.standing
-        if standing is not None:
-            if standing.epoch != claim.epoch:
-                return "it does not own"
-            if standing.store_age > const.STORE_SILENCE:
-                return "it can't write"
+        if standing is None:
+            return ""
+        if standing.epoch != claim.epoch:
+            # It may not have read yet that its claim was taken.
+            begins = self._patience.age < const.SILENCE * factor
+            return "" if begins else "it does not own"
+        if standing.store_age > const.STORE_SILENCE * factor:
+            return "it can't write"
         return ""
 
+    def _factor(self, claim: OwnerClaim, link: OwnerLink) -> float:
+        """Returns how many times longer than usual the owner is waited for."""
+        standing = link.standing
+        if standing is not None and standing.epoch == claim.epoch:
+            self._patience.note_standing(standing)
+            return self._patience.factor(standing)
+        return self._patience.factor(None)
+
     def _surely_gone(self, claim: OwnerClaim, link: OwnerLink) -> bool:
         member = self._cluster.members.get(claim.vm)
         replaced = member is not None and member.process != claim.process
@@ -264,7 +281,9 @@
             began = trio.current_time()
             first = await self._jobs_end()
             took = trio.current_time() - began
-            await self._wait_unchanged(claim, const.OBSERVE + 3 * took)
+            factor = max(self._factor(claim, link) / const.TAKEOVER_FACTOR, 1)
+            observe = const.OBSERVE * factor + 3 * took
+            await self._wait_unchanged(claim, observe)
             if self._cluster.claim is not claim:
                 return False
             second = await self._jobs_end()
--- a/pimentocross/gateway/messages.py
+++ b/pimentocross/gateway/messages.py
@@ -10,6 +10,30 @@
 
 
 class Heartbeat(NamedTuple):
+    """Asks whether a process lives and owns the cell, in the older form.
+
+    Attributes:
+        epoch: Newest epoch that the sender knows.
+    """
+
+    epoch: int
+
+
+class BriefStanding(NamedTuple):
+    """How a process stands, as an older one tells or asks.
+
+    Attributes:
+        epoch: Of the cell that it owns, or 0.
+        ready: Whether it has taken the cell's state over.
+        store_age: Seconds since the store acknowledged an append.
+    """
+
+    epoch: int
+    ready: bool
+    store_age: float
+
+
+class AskStanding(NamedTuple):
     """Asks whether a process lives and owns the cell.
 
     Attributes:
@@ -26,11 +50,13 @@
         epoch: Of the cell that it owns, or 0.
         ready: Whether it has taken the cell's state over.
         store_age: Seconds since the store acknowledged an append.
+        takeover_age: For how many seconds it has been taking over, or 0.
     """
 
     epoch: int
     ready: bool
     store_age: float
+    takeover_age: float = 0.0
 
 
 class SubmitJob(NamedTuple):
@@ -80,6 +106,8 @@
 
 GatewayMessage: TypeAlias = (
     Heartbeat
+    | BriefStanding
+    | AskStanding
     | Standing
     | SubmitJob
     | AskState
@@ -94,7 +122,9 @@
 GATEWAY_MESSAGES: MessageTags[GatewayMessage] = MessageTags(
     {
         "hb": Heartbeat,
-        "hb+": Standing,
+        "hb+": BriefStanding,
+        "standing": AskStanding,
+        "standing+": Standing,
         "submit": SubmitJob,
         "state": AskState,
         "cancel": CancelJob,
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -13,7 +13,9 @@
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
     AskPending,
+    AskStanding,
     AskState,
+    BriefStanding,
     CancelJob,
     GatewayMessage,
     Heartbeat,
@@ -225,8 +227,10 @@
         """Answers a peer; see `PeerAnswerer`."""
         self._peer_heard_at = trio.current_time()
         owner = self._election.owner
-        if isinstance(message, Heartbeat):
+        if isinstance(message, AskStanding):
             return self._election.standing()
+        if isinstance(message, Heartbeat):
+            return BriefStanding(*self._election.standing()[:3])
         if owner is None or not owner.ready.is_set():
             return NotOwner("the cell is not owned here")
         return await _answer_here(owner, message)
--- a/pimentocross/gateway/owner_link.py
+++ b/pimentocross/gateway/owner_link.py
@@ -6,8 +6,11 @@
 from pimentocross.gateway.cluster import OwnerClaim
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
+    AskStanding,
+    BriefStanding,
     GatewayMessage,
     Heartbeat,
+    NotOwner,
     Standing,
 )
 from pimentocross.gateway.own_time import OwnTime
@@ -74,13 +77,19 @@
             self.replaced = True
             await trio.sleep(const.SILENCE)
             return
+        question: GatewayMessage = AskStanding(self.claim.epoch)
         while True:
             try:
-                answer = await link.ask(
-                    Heartbeat(self.claim.epoch), const.HEARTBEAT_TIMEOUT
-                )
+                answer = await link.ask(question, const.HEARTBEAT_TIMEOUT)
             except PeerUnreachableError as error:
                 raise trio.TooSlowError from error
+            newer = isinstance(question, AskStanding)
+            if newer and isinstance(answer, NotOwner):
+                # A process of a former version knows the older form alone.
+                question = Heartbeat(self.claim.epoch)
+                continue
+            if isinstance(answer, BriefStanding):
+                answer = Standing(*answer)
             if isinstance(answer, Standing):
                 self.standing = answer
                 self.heard_at = self._time.now()
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -15,6 +15,8 @@
 from pimentocross.gateway.election import Election
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
+    AskStanding,
+    BriefStanding,
     GatewayMessage,
     Heartbeat,
     NotOwner,
@@ -151,11 +153,15 @@
         self, peer: PeerIdentity, message: GatewayMessage
     ) -> GatewayMessage:
         """Answers a heartbeat."""
-        await self._store.wait_while_busy()
         self._heard_at = trio.current_time()
+        await self._store.wait_while_busy()
         await trio.sleep(self._cell.answers_after)
-        assert isinstance(message, Heartbeat)
-        return self.election.standing()
+        if not self._cell.former:
+            assert isinstance(message, AskStanding)
+            return self.election.standing()
+        if not isinstance(message, Heartbeat):
+            return self.refuse("unknown")
+        return BriefStanding(*self.election.standing()[:3])
 
 
 class VmCell:
@@ -165,6 +171,7 @@
         store: The store.
         hall: The workers.
         vms: Those that live, by name.
+        former: Whether VMs answer as those of the former version do.
         answers_after: Seconds until a heartbeat is answered.
         reading_takes: Seconds for which a new owner reads the cell's state.
         silent_for: Seconds after its claim for which a VM neither writes nor
@@ -176,6 +183,7 @@
         self.store = StoreStandin()
         self.hall: WorkerHall = make_hall()
         self.vms: dict[str, Vm] = {}
+        self.former = False
         self.answers_after = _NETWORK_DELAY
         self.reading_takes = 0.0
         self.silent_for = 0.0
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -133,6 +133,21 @@
         assert decisions.counts()["suspect"] == before
 
 
+async def test_an_owner_of_a_former_version_is_heard() -> None:
+    cell = VmCell()
+    cell.former = True
+    async with cell.running():
+        for number in range(5):
+            cell.start(f"vm{number}", UNKNOWN)
+        owner = await _owner_of(cell)
+        await trio.sleep(5)
+        links = [vm.election.link for vm in cell.vms.values() if vm != owner]
+        assert [link is not None and link.usable for link in links] == [
+            True
+        ] * 4
+        assert len(cell.claims()) == 1, cell.claims()
+
+
 async def test_silent_take_overs_do_not_follow_one_another_for_ever() -> None:
     cell = VmCell()
     # Longer than a first successor is let to be silent.
