Test that few observers look again at an owner that writes

An owner that is too busy to answer in time is looked at again and again by every observer, though each saw it write: 34 VMs, 162 suspicions in 10 s of virtual time on the code as it is.

Fails (python -m tests test_few_observers): test_few_observers_look_again_at_an_owner_that_writes, 162 where 120 are let.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -220,6 +220,21 @@
     assert took < 2.2, took
 
 
+async def test_few_observers_look_again_at_an_owner_that_writes() -> None:
+    cell = VmCell()
+    async with cell.running():
+        await _start_all(cell)
+        await _owner_of(cell)
+        await trio.sleep(11.0)
+        before = decisions.counts()["suspect"]
+        # It writes, and is too busy to answer in time.
+        cell.answers_after = 1.0
+        await trio.sleep(10.0)
+        suspects = decisions.counts()["suspect"] - before
+        assert len(cell.claims()) == 1, cell.claims()
+    assert suspects < 120, suspects
+
+
 def _processor_of(lines: list[str]) -> object:
     """Returns what a process learns of its processor from its settings."""
     with TemporaryDirectory() as folder:
