Test the bounds of patience, also for owners of the former version

An owner of the former version tells that it isn't ready, but not for how long it has been taking over; it is judged as one that has taken over.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -22,7 +22,10 @@
 
 from pimentocross.contracts.store import Record
 from pimentocross.gateway import const
-from pimentocross.gateway.cluster import Cluster
+from pimentocross.gateway.cluster import Cluster, OwnerClaim
+from pimentocross.gateway.messages import Standing
+from pimentocross.gateway.own_time import OwnTime
+from pimentocross.gateway.patience import Patience
 from pimentocross.observe import decisions
 from pimentocross.platform.settings import read_settings
 from tests.gateway_fixtures import STRONG, UNKNOWN, WEAK, Vm, VmCell, processors
@@ -148,6 +151,30 @@
         assert len(cell.claims()) == 1, cell.claims()
 
 
+async def test_patience_has_the_bounds_that_it_tells() -> None:
+    time = OwnTime()
+    patience = Patience(time)
+    ready, at_work = Standing(1, True, 0.1), Standing(1, True, 0.1, 0.5)
+    patience.note_claim(OwnerClaim(1, "a", "a:1", "", False))
+    assert patience.factor(ready) == 1.0
+    assert patience.factor(at_work) == patience.factor(None) == 2.0
+    # One of the former version tells only that it isn't ready.
+    assert patience.factor(Standing(1, False, 0.0)) == 2.0
+    factors = []
+    for epoch in range(2, 6):
+        patience.note_claim(OwnerClaim(epoch, "a", "a:1", "", False))
+        factors.append(patience.factor(None))
+    assert factors == [4.0, 6.0, 6.0, 6.0]
+    # Who has stood is judged as usual, and so is who follows.
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(time.run)
+        await trio.sleep(const.YOUNG + 0.2)
+        nursery.cancel_scope.cancel()
+    assert patience.factor(ready) == 1.0
+    patience.note_claim(OwnerClaim(6, "a", "a:1", "", False))
+    assert patience.factor(None) == 2.0
+
+
 async def test_silent_take_overs_do_not_follow_one_another_for_ever() -> None:
     cell = VmCell()
     # Longer than a first successor is let to be silent.
