--- a/pimentocross/gateway/patience.py
+++ b/pimentocross/gateway/patience.py
@@ -56,7 +56,8 @@
             standing: What it told last under its claim, or None.
         """
         factor = 1.0
-        if standing is None or standing.takeover_age > 0:
+        # One of the former version tells only whether it is ready.
+        if standing is None or not standing.ready or standing.takeover_age > 0:
             factor = max(const.TAKEOVER_FACTOR, self._usual / const.SILENCE)
         if self._is_young():
             factor *= 2.0**self._failed
