--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -19,6 +19,16 @@
 HEARTBEAT_TIMEOUT: Final = 0.8
 # Three heartbeats missed.
 SILENCE: Final = 1.0
+# One that takes over may be silent this many times longer, or for as long as
+# the last take-over that was seen.
+TAKEOVER_FACTOR: Final = 2.0
+# Whoever is replaced sooner after its claim has failed to take over, and its
+# successor is given twice the time: more than a state of 246 workers took on
+# the weakest VM seen.
+YOUNG: Final = 10.0
+# No owner may be silent for longer: with the turns and what is watched, one
+# that dies while it takes over is followed within 10 s, 4.2 s as a rule.
+SILENCE_MOST: Final = 6.0
 # An owner that can't write for this long should be replaced by one that can:
 # two beats missed.
 STORE_SILENCE: Final = 1.3
@@ -35,6 +45,10 @@
 # its notice take 8. All members have had their turn within 1.4 s.
 LATE_TURNS_AFTER: Final = 0.8
 LATE_TURNS_SPAN: Final = 0.6
+# Whoever has a late turn and has seen a suspect write leaves it to the early
+# ones for this long: 34 VMs read half as often, and a cell whose early ones are
+# down waits this much longer at most.
+LATE_TURNS_PAUSE: Final = 2.0
 ELECTION_TICK: Final = 0.1
 # Of the time between two ticks as much counts as silence of others; what is
 # beyond is a stall of this process's own loop. Timers that fire 0.1 s late are
