--- a/bench/large_owner.py
+++ b/bench/large_owner.py
@@ -22,10 +22,9 @@
     lasting_job,
     quick_job,
 )
-from bench.wire_parts import measure_calls, print_parts
+from bench.wire_parts import make_parts, measure_calls, print_parts
 from pimentocross.contracts.worker_link import Ending, WorkerLife
 from pimentocross.owner.jobs import JobBook
-from pimentocross.owner.keeper import CellParts
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.orders import Orders, Placement
@@ -77,14 +76,8 @@
         self.holds = 0
         self.entries = 0
         self.ended = 0
-        self.parts = CellParts(
-            1,
-            5.0,
-            self.book,
-            self.ledger,
-            lambda: None,
-            self._judge,
-            self._on_listed,
+        self.parts = make_parts(
+            self.book, self.ledger, self._judge, self._on_listed
         )
 
     def _judge(
--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -20,6 +20,7 @@
     quick_job,
 )
 from pimentocross.contracts.worker_link import (
+    Ending,
     HoldReply,
     StartOrder,
     StartVerdict,
@@ -27,10 +28,13 @@
 )
 from pimentocross.links.asgi import HttpReply, HttpRequest
 from pimentocross.links.listener import HttpListener, ListenerLimits
+from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import CellParts, Keeper
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.listing_pace import ListingPace
+from pimentocross.owner.patience import Patience
 from pimentocross.owner.worker import Worker
 from pimentocross.platform.wire import read_hold, write_task
 from pimentocross.platform.workers import HttpWorker
@@ -43,6 +47,7 @@
 # The least of some rounds is told: others use this machine as well.
 _ROUNDS: Final = 5
 _MS: Final = 1000.0
+_LEASE: Final = 5.0
 _TIMEOUT: Final = 5.0
 _KEPT: Final = 150.0
 _WIDE = StepSpec(20, Size(1_000, 1_000, 0))
@@ -119,6 +124,27 @@
     )
 
 
+def make_parts(
+    book: JobBook,
+    ledger: Ledger,
+    judge: Callable[[Worker, Task, Run | None, Ending], None],
+    listed: Callable[[Worker], None],
+) -> CellParts:
+    """Returns what the parts of an owner of one worker share."""
+    lateness = LoopLateness()
+    return CellParts(
+        1,
+        _LEASE,
+        Patience(lateness, _LEASE),
+        ListingPace(lateness, _LEASE, lambda: 1),
+        book,
+        ledger,
+        lambda: None,
+        judge,
+        listed,
+    )
+
+
 async def measure_taking_in(runs: int) -> tuple[float, float]:
     """Returns what decoding and taking in of an unchanged listing cost."""
     ledger = Ledger(StoreStandin().client("a"), "jobs", "owner", 1)
@@ -131,9 +157,7 @@
     for task, run in tasks:
         worker.add(task, run)
     learned = Learned()
-    parts = CellParts(
-        1, 5.0, book, ledger, lambda: None, learned.judge, learned.on_listed
-    )
+    parts = make_parts(book, ledger, learned.judge, learned.on_listed)
     began = time.thread_time()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(Keeper(worker, parts, _NoStops()).run)
--- a/tests/test_wire_cost.py
+++ b/tests/test_wire_cost.py
@@ -16,7 +16,7 @@
 import trio
 
 from bench.large_jobs import QUEUE, filling_job
-from bench.wire_parts import body_of, make_listed
+from bench.wire_parts import body_of, make_listed, make_parts
 from pimentocross.contracts.worker_link import (
     Ending,
     EndKind,
@@ -29,7 +29,7 @@
     connect_target,
 )
 from pimentocross.owner.jobs import JobBook
-from pimentocross.owner.keeper import CellParts, Keeper
+from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.worker import Worker
@@ -173,9 +173,7 @@
     book = JobBook(ledger, 150.0)
     life, tasks = make_listed(book, _RUNS)
     learned = Learned()
-    parts = CellParts(
-        1, 5.0, book, ledger, lambda: None, learned.judge, learned.on_listed
-    )
+    parts = make_parts(book, ledger, learned.judge, learned.on_listed)
     taken = []
     for rounds in (10, 20):
         link = _ListsAgain(read_hold(body_of(tasks)), rounds)
