--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -46,8 +46,8 @@
 LATE_TURNS_AFTER: Final = 0.8
 LATE_TURNS_SPAN: Final = 0.6
 # Whoever has a late turn and has seen a suspect write leaves it to the early
-# ones for this long: 34 VMs read half as often, and a cell whose early ones are
-# down waits this much longer at most.
+# ones for this long: 34 VMs look 100 times in 10 s instead of 162. A cell whose
+# early ones are down waits this much longer at most.
 LATE_TURNS_PAUSE: Final = 2.0
 ELECTION_TICK: Final = 0.1
 # Of the time between two ticks as much counts as silence of others; what is
--- a/pimentocross/owner/collector.py
+++ b/pimentocross/owner/collector.py
@@ -10,8 +10,8 @@
     """Has no cycles looked for within the block.
 
     While a state is read almost nothing becomes garbage, but each fourth more
-    of it has all of it looked through, with the whole process stopped: three
-    quarters of the time that reading 2,200 jobs took.
+    of it has all of it looked through, with the whole process stopped: most of
+    the time that reading 2,200 jobs took.
     """
     was_enabled = gc.isenabled()
     gc.disable()
