--- a/pimentocross/observe/lateness.py
+++ b/pimentocross/observe/lateness.py
@@ -34,7 +34,11 @@
     @property
     def recent(self) -> float:
         """The worst lateness of the last second, or what it has come to."""
-        return self.since(trio.current_time() - _RECENT)
+        return self.recent_at(trio.current_time())
+
+    def recent_at(self, now: float) -> float:
+        """Returns the same for a caller that has read the time."""
+        return self.between(now - _RECENT, now)
 
     def since(self, moment: float) -> float:
         """Returns the worst lateness since a moment, up to now.
@@ -42,7 +46,11 @@
         Args:
             moment: Monotonic, no longer ago than what is kept.
         """
-        overdue = trio.current_time() - self._due
+        return self.between(moment, trio.current_time())
+
+    def between(self, moment: float, now: float) -> float:
+        """Returns the same for a caller that has read the time."""
+        overdue = now - self._due
         worst = next((late for at, late in self._worst if at >= moment), 0.0)
         return max(overdue, worst, 0.0)
 
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -85,7 +85,7 @@
         worker = self._worker
         while not worker.gone:
             sent_at = trio.current_time()
-            wait = self._wait()
+            wait = self._wait(sent_at)
             timeout = self._timeout(wait, sent_at)
             meters.add(meters.HOLDS)
             try:
@@ -102,9 +102,9 @@
             except WorkerReplacedError:
                 self.bury("another life answers at its address")
                 break
-            with self._parts.pace.measured():
-                self._on_heard(reply, sent_at)
-                batch = self._take_in(reply, sent_at)
+            self._on_heard(reply, sent_at)
+            batch = self._take_in(reply, sent_at)
+            self._parts.pace.note(trio.current_time() - worker.heard_at)
             if reply.endings:
                 await self._note_endings(reply.endings[-1].number, batch)
 
@@ -125,7 +125,7 @@
 
     def _timeout(self, wait: float, now: float) -> float:
         """Returns the timeout of a listing."""
-        timeout = self._parts.patience.for_hold(wait)
+        timeout = self._parts.patience.for_hold(wait, now)
         left = self._worker.lapses_at - now
         if self._worker.reached or left <= 0:
             return timeout
@@ -146,18 +146,18 @@
         if not worker.reached or not worker.adopted:
             # What can't be heard is left to lapse.
             return None
-        if self._parts.ledger.age() > const.RENEWALS_WITHOUT_STORE:
+        if now - self._parts.ledger.stored_at > const.RENEWALS_WITHOUT_STORE:
             return None
         return worker.clock.after(self._parts.lease, now)
 
-    def _wait(self) -> float:
+    def _wait(self, now: float) -> float:
         worker = self._worker
         if not worker.adopted or not worker.reached:
             return 0.0
         if self._unrecorded or self._excused:
             return 0.0
         serving = worker.serves and worker.filled > 0
-        return self._parts.pace.wait(serving=serving)
+        return self._parts.pace.wait(now, serving=serving)
 
     def _on_silence(self, reason: str) -> None:
         worker = self._worker
--- a/pimentocross/owner/listing_pace.py
+++ b/pimentocross/owner/listing_pace.py
@@ -6,12 +6,9 @@
 for leases and for the figures by which tasks that fill are slowed.
 """
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from typing import Final
 
-import trio
-
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
 
@@ -41,23 +38,20 @@
         self._workers = workers
         self._cost = 0.0
 
-    @contextmanager
-    def measured(self) -> Iterator[None]:
-        """Measures what taking one listing in costs."""
-        began = trio.current_time()
-        yield
-        took = trio.current_time() - began
+    def note(self, took: float) -> None:
+        """Notes how many seconds taking one listing in took."""
         self._cost += (took - self._cost) * _WEIGHT
 
-    def wait(self, *, serving: bool) -> float:
+    def wait(self, now: float, *, serving: bool) -> float:
         """Returns for how long a worker may wait before it lists.
 
         Args:
+            now: Present time.
             serving: Whether tasks serve there beside tasks that fill.
         """
         least = const.HOLD_WAIT_SERVING if serving else const.HOLD_WAIT
         most = const.HOLD_WAIT_SERVING_MOST if serving else self._most
         fair = self._workers() * _WHOLE * self._cost / _SHARE
         # A late thread has less to spare than was measured.
-        wait = max(least, fair) + self._lateness.recent
+        wait = max(least, fair) + self._lateness.recent_at(now)
         return min(wait, most)
--- a/pimentocross/owner/patience.py
+++ b/pimentocross/owner/patience.py
@@ -41,17 +41,20 @@
     def for_call(self) -> float:
         """Returns the timeout of an order."""
         # Longer than a start is valid there is nothing to wait for.
-        return const.CALL_TIMEOUT + min(self._extra(), const.START_VALIDITY)
+        return const.CALL_TIMEOUT + min(
+            self._extra(trio.current_time()), const.START_VALIDITY
+        )
 
-    def for_hold(self, wait: float) -> float:
+    def for_hold(self, wait: float, now: float) -> float:
         """Returns the timeout of a listing.
 
         Args:
             wait: For how long the worker may wait for news before it answers.
+            now: Present time.
         """
         usual = wait + const.HOLD_SLACK
         most = max(self._lease - _LEASE_LEFT - usual, 0.0)
-        return usual + min(self._extra(), most)
+        return usual + min(self._extra(now), most)
 
     def excuses(
         self, sent_at: float, wait: float, timeout: float, heard_at: float
@@ -73,6 +76,5 @@
         foreseen = (timeout - wait - const.HOLD_SLACK) / _TURNS
         return self._lateness.since(sent_at) >= foreseen + _SPOILS_FROM
 
-    def _extra(self) -> float:
-        since = trio.current_time() - _REMEMBERED
-        return _TURNS * self._lateness.since(since)
+    def _extra(self, now: float) -> float:
+        return _TURNS * self._lateness.between(now - _REMEMBERED, now)
