Test what a list is told of within a pass

Two tests more find three of the others: a worker on probation that isn't left out, or not taken in again for what has waited for long, and an image that came to serve in the same pass.

--- a/pimentocross/placement/field.py
+++ b/pimentocross/placement/field.py
@@ -4,7 +4,7 @@
 workers. Looked at anew for each task, all workers cost 0.07 s of a pass on
 average, and up to 0.7 s. Here a kind looks at each worker once, and again only
 at those that changed: a pass over 246 workers that places 400 tasks looks at
-a worker a few hundred times in place of 97,000.
+a worker 2,000 times in place of 97,000.
 """
 
 from collections.abc import Iterable, Sequence
--- a/pimentocross/placement/layout.py
+++ b/pimentocross/placement/layout.py
@@ -65,7 +65,7 @@
     serving: Iterable[str], filling: str, disturbance: Disturbance
 ) -> bool:
     """True if none of the images that serve surely suffers by one."""
-    for image in serving:  # noqa: SIM110 - half the time of any().
+    for image in serving:  # noqa: SIM110 - a third quicker than any().
         if disturbance.is_bad(image, filling):
             return False
     return True
--- a/pimentocross/placement/probes.py
+++ b/pimentocross/placement/probes.py
@@ -68,9 +68,9 @@
 
     def is_on_trial(self, serving: str, filling: str) -> bool:
         """True if a pair is being tried on as many workers as it may be."""
-        return self._workers[
-            (serving, filling)
-        ] >= WORKERS_MOST and self._disturbance.is_untried(serving, filling)
+        if not self._disturbance.is_untried(serving, filling):
+            return False
+        return self._workers[(serving, filling)] >= WORKERS_MOST
 
     def retries(self, filling: str, scarcity: float) -> bool:
         """True if a doubtful pair of an image may be tried again now.
--- a/tests/test_field.py
+++ b/tests/test_field.py
@@ -15,16 +15,20 @@
 import trio
 
 from pimentocross.owner import placer, wall
+from pimentocross.owner.arranger import Arranger
 from pimentocross.owner.worker import Worker
 from pimentocross.placement import hosts
+from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.field import Field
 from pimentocross.placement.hosts import View
+from pimentocross.placement.layout import Compatibility, Outlook
+from pimentocross.placement.probes import Probes
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, Size, StepSpec
 from pimentocross.work.state import Destination, RunState, Task
 from tests import run_virtual
 from tests.owner_fixtures import QUEUE, life
-from tests.pass_fixtures import PassCell, make_worker
+from tests.pass_fixtures import PassCell, make_step, make_worker, put_to_work
 
 _DAYS = 40
 _ROUNDS = 14
@@ -197,3 +201,54 @@
         for seed in range(_DAYS):
             run_virtual(partial(_live, seed), seed)
     assert _CheckedField.chosen > 60 * _DAYS, _CheckedField.chosen
+
+
+def test_a_worker_on_probation_gets_one_task_of_a_step() -> None:
+    async def place() -> None:
+        cell = PassCell([make_worker(life(0), 0)])
+        worker, learned = cell.workers[0], cell.learned
+        for job in ("a", "b"):
+            learned.quarantine.note_failed(worker.life.id, job, 0.0)
+        view = Arranger(learned)
+        advice = cell.dispatcher.advice
+        lasting = StepSpec(2, Size(500, 500, 0), lasting=True)
+        steps = [make_step(f"j{number}", lasting) for number in range(3)]
+        placer_ = placer.Placer([worker], [worker], learned, view, advice, 4.0)
+        # Left out of all steps that follow; but what has waited for long may
+        # try it again.
+        assert [len(placer_.place(step)) for step in steps[:2]] == [1, 0]
+        assert [len(placer_.place_anywhere(s)) for s in steps[1:]] == [1, 1]
+
+    run_virtual(place)
+
+
+def test_what_came_in_this_pass_counts_for_what_shuts_out() -> None:
+    # The image that came makes the pair with the other one doubtful enough to
+    # be tried again, which the list of a kind begun later has to know.
+    async def choose() -> None:
+        disturbance = Disturbance()
+        disturbance.restore([Pair("s2", "f", 4.0, 3.0)], 0.0)
+        workers = [make_worker(life(number), number) for number in range(3)]
+        serving = StepSpec(1, _SIZE, lasting=True, target_tail=20)
+        filling = StepSpec(1, Size(500, 500, 0), fills=True, image="f")
+        for worker in workers:
+            step = make_step(f"s{worker.number}", serving._replace(image="s1"))
+            put_to_work(worker, step)
+        for worker in workers[1:]:
+            put_to_work(worker, make_step(f"f{worker.number}", filling))
+        compatibility = Compatibility(["f"], disturbance)
+        view = View(
+            disturbance,
+            Outlook({"f": 1.0}, compatibility, "f"),
+            Probes(disturbance, workers),
+        )
+        field = Field(workers, view)
+        other = make_step("g", filling._replace(image="g"))
+        assert field.choose(other.tasks[0]) is not None
+        put_to_work(workers[0], make_step("new", serving._replace(image="s2")))
+        field.note_changed(workers[0])
+        task = make_step("f", filling).tasks[0]
+        assert hosts.choose(task, workers, view) is workers[0]
+        assert field.choose(task) is workers[0]
+
+    run_virtual(choose)
