--- a/pimentocross/owner/arranger.py
+++ b/pimentocross/owner/arranger.py
@@ -96,10 +96,12 @@
         """Has the best move made, and more as long as they may be."""
         if outlook.is_plain:
             return
-        seats = _movable(workers, now)
         self._moving = [m for m in self._moving if now < m.until]
         serving = sum(sum(worker.serving.values()) for worker in workers)
         most = int(_MOVING_MOST * serving) - sum(m.cpu for m in self._moving)
+        if most <= 0 and self._moving:
+            return
+        seats = _movable(workers, now)
         mover = Mover(workers, outlook)
         while most > 0 or not self._moving:
             busy = {n for m in self._moving for n in m.workers}
