Tell a VM's processor in a record of its own

The fixture writes what the product writes now: members of four fields and the processor beside them.

--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -14,10 +14,12 @@
 from pimentocross.gateway import const
 from pimentocross.observe.decisions import note
 
-# A member's record has had its processor since form 2.
-_MEMBER_FORM: Final = 2
-_CLAIM_FORM: Final = 1
+_FORM: Final = 1
 _MEMBER: Final = "m/"
+# A VM's processor has a record of its own: former versions read members of just
+# four fields, and took a process that they could not read for a replaced one.
+_CORES: Final = "cores/"
+_MEMBER_FIELDS: Final = 4
 _CLAIM: Final = "claim/"
 _encode: Final = msgspec.msgpack.Encoder().encode
 
@@ -92,6 +94,7 @@
         self.members: dict[str, Member] = {}
         self.claim: OwnerClaim | None = None
         self.end = -1
+        self._cores: dict[str, float] = {}
         self.changed = trio.Event()
         self.reachable = False
         self._store = store
@@ -150,11 +153,13 @@
 
     async def register(self, member: Member) -> None:
         """Makes a process known to all; tries until the store has it."""
-        record = Record(_MEMBER + member.vm, _encode(member))
+        records = [Record(_MEMBER + member.vm, _encode(member[:-1]))]
+        if member.cores:
+            records.append(Record(_CORES + member.vm, _encode(member.cores)))
         while True:
             try:
                 await self._store.append(
-                    const.CLUSTER_TOPIC, [record], const.CLAIM_TIMEOUT
+                    const.CLUSTER_TOPIC, records, const.CLAIM_TIMEOUT
                 )
             except StoreUnavailableError as error:
                 note("register_failed", reason=str(error))
@@ -179,8 +184,14 @@
             return
         try:
             if record.key.startswith(_MEMBER):
-                member = _decode(record.value, Member)
-                self.members[member.vm] = member
+                self._take_member(_decode(record.value, Member))
+            elif record.key.startswith(_CORES):
+                vm = record.key.removeprefix(_CORES)
+                self._cores[vm] = msgspec.msgpack.decode(
+                    record.value, type=float
+                )
+                if vm in self.members:
+                    self._take_member(self.members[vm])
             elif record.key == _CLAIM + const.CELL:
                 claim = _decode(record.value, ClaimRecord)
                 epoch = record.offset + 1
@@ -189,11 +200,16 @@
         except msgspec.DecodeError as error:
             note("record_unreadable", key=record.key, reason=str(error))
 
+    def _take_member(self, member: Member) -> None:
+        cores = self._cores.get(member.vm, 0.0)
+        self.members[member.vm] = member._replace(cores=cores)
+
 
 def _decode(value: bytes, cls: type[_T]) -> _T:
     """Reads a record of any form: later ones only have fields more."""
     fields = msgspec.msgpack.decode(value, type=list)
-    record: _T = msgspec.convert(fields[: len(cls._fields)], cls)
+    known = _MEMBER_FIELDS if cls is Member else len(cls._fields)
+    record: _T = msgspec.convert(fields[:known], cls)
     return record
 
 
@@ -201,14 +217,14 @@
     vm: str, process: str, address: str, cores: float = 0.0
 ) -> Member:
     """Returns the record of a process."""
-    return Member(_MEMBER_FORM, vm, process, address, cores)
+    return Member(_FORM, vm, process, address, cores)
 
 
 def claim_record(vm: str, process: str, address: str) -> ClaimRecord:
     """Returns the record of a claim."""
-    return ClaimRecord(_CLAIM_FORM, vm, process, address, False)
+    return ClaimRecord(_FORM, vm, process, address, False)
 
 
 def release_record(vm: str, *, quiet: bool) -> ClaimRecord:
     """Returns the record that gives the cell back."""
-    return ClaimRecord(_CLAIM_FORM, vm, "", "", quiet)
+    return ClaimRecord(_FORM, vm, "", "", quiet)
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -213,12 +213,11 @@
     async def list_member(self, name: str, process: str, cores: float) -> None:
         """Writes a process's record as it is on the wire."""
         fields: list[object] = [1, name, process, f"{name}:7720"]
+        records = [Record(f"m/{name}", msgspec.msgpack.encode(fields))]
         if cores != UNKNOWN:
-            fields = [2, *fields[1:], cores]
-        value = msgspec.msgpack.encode(fields)
-        await self.store.client("any").append(
-            const.CLUSTER_TOPIC, [Record(f"m/{name}", value)], 1.0
-        )
+            processor = msgspec.msgpack.encode(cores)
+            records.append(Record(f"cores/{name}", processor))
+        await self.store.client("any").append(const.CLUSTER_TOPIC, records, 1.0)
 
     async def claim_for(self, name: str) -> None:
         """Writes a claim of a VM that is none of those that live, or none."""
