Have workers that serve list once a second at least

A worker that serves and has no filler yet could be asked to wait 1.7 s for news where listings are dear. By estimate, not run, a filler that comes just then is told as harmful after 3.8 s, against four that are allowed; the wait is 1.0 s at most again, as before listings were paced.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -156,8 +156,12 @@
             return 0.0
         if self._unrecorded or self._excused:
             return 0.0
-        serving = worker.serves and worker.filled > 0
-        return self._parts.pace.wait(now, serving=serving)
+        if not worker.serves:
+            return self._parts.pace.wait(now, serving=False)
+        wait = self._parts.pace.wait(now, serving=worker.filled > 0)
+        # A filler that comes meanwhile is first read at the next listing, and
+        # what it disturbs must not be over its target for four seconds.
+        return min(wait, const.HOLD_WAIT)
 
     def _on_silence(self, reason: str) -> None:
         worker = self._worker
