Look anew at what is urgent and at room while passes are cut

Misses of a cut round stayed in force until its end: of 9 urgent tasks with room three waited 1.5 to 2.7 s once their kind had used up its misses, and a lasting task was stopped for a short one for which room had come. A pass now looks at what is more urgent than all that was looked at of its kind, and once more at what missed before anything gives way.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -25,6 +25,7 @@
 from pimentocross.owner.room import RoomKeeper, is_short
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
+from pimentocross.placement.reclaim import TASKS_MOST
 from pimentocross.placement.urgency import Chance, Urgency, urgency
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.state import Step, Task
@@ -118,7 +119,7 @@
         self._care.pass_over(orders)
         if not self._round.cut:
             self._round = Round()
-        self._round.cut = False
+        self._round.begin_pass()
         self._start_waiting(orders)
         self._log_load()
 
@@ -160,11 +161,11 @@
         )
         spare = self._room.spare(sound, steps, now)
         placements: list[Placement] = []
-        misses, missed_short = self._round.misses, self._round.missed_short
+        missed_short = self._round.missed_short
         self._share.begin_placing()
         for rank, _, step in ranked:
             kind = _kind_of(step)
-            if misses[kind] >= kind.misses_most or not self._round.is_new(step):
+            if not self._round.wants(step, kind, kind.misses_most):
                 continue
             if spare <= 0 and self._room.is_held_back(step, now):
                 continue
@@ -181,13 +182,16 @@
             if not step.waiting_count:
                 self._room.forget(step)
             spare -= sum(p.task.step.spec.committed.cpu for p in placed)
-            misses[kind] += not placed
-            self._round.note(step)
+            self._round.note(step, kind, found_room=bool(placed))
             if step.waiting_count and is_short(step) and _is_in_time(rank):
                 missed_short.add(step)
+        missed = [step for _, _, step in ranked if step in missed_short]
+        if self._round.carried and not self._round.cut:
+            # Room may have come since they were looked at, in a former pass.
+            for step in missed[:TASKS_MOST]:
+                placements.extend(placer.place(step))
         self._send(placements, orders)
         if not self._round.cut:
-            missed = [step for _, _, step in ranked if step in missed_short]
             self._reclaimer.pass_over(missed, sound, orders, now)
 
     def _ranked(
--- a/pimentocross/owner/pass_share.py
+++ b/pimentocross/owner/pass_share.py
@@ -21,28 +21,59 @@
     """What passes have looked at since one began with all that waits.
 
     Attributes:
-        misses: Steps without room, by kind.
         missed_short: Short steps without room that can still be in time.
         cut: Whether the last pass ended before it had looked at all.
+        carried: Whether it goes on from a pass that was cut.
     """
 
     def __init__(self) -> None:
         """Has looked at nothing yet."""
-        self.misses: Counter[Hashable] = Counter()
         self.missed_short: set[Step] = set()
         self.cut = False
+        self.carried = False
+        # Steps without room by kind, in all passes and in the present one.
+        self._misses: Counter[Hashable] = Counter()
+        self._present: Counter[Hashable] = Counter()
+        # Kinds of which the present pass has met a step looked at before.
+        self._met: set[Hashable] = set()
         # How many tasks of a step were left waiting.
         self._left: dict[Step, int] = {}
 
-    def note(self, step: Step) -> None:
+    def begin_pass(self) -> None:
+        """Begins a pass, anew or where the last one was cut."""
+        self.carried = self.cut
+        self.cut = False
+        self._present.clear()
+        self._met.clear()
+
+    def wants(self, step: Step, kind: Hashable, misses_most: int) -> bool:
+        """True if a step should be looked at; steps come by urgency.
+
+        What is more urgent than all that was looked at of its kind is, also
+        where the kind has used up its misses: it would else wait for seconds
+        until the round ends.
+
+        Args:
+            step: The step.
+            kind: What finds room in the same places.
+            misses_most: Steps without room after which the others of the kind
+                aren't looked at.
+        """
+        if step.waiting_count <= self._left.get(step, 0):
+            # It was looked at, and has lost no task since.
+            self._met.add(kind)
+            return False
+        if kind in self._met and self._misses[kind] >= misses_most:
+            return False
+        return self._present[kind] < misses_most
+
+    def note(self, step: Step, kind: Hashable, *, found_room: bool) -> None:
         """Notes that a step was looked at."""
+        self._misses[kind] += not found_room
+        self._present[kind] += not found_room
         if step.waiting_count:
             self._left[step] = step.waiting_count
 
-    def is_new(self, step: Step) -> bool:
-        """True if a step wasn't looked at, or has lost a task since."""
-        return step.waiting_count > self._left.get(step, 0)
-
 
 class PassShare:
     """Measures passes and has them rest."""
