--- a/tests/test_large_cell.py
+++ b/tests/test_large_cell.py
@@ -49,7 +49,15 @@
     run_on_slow_vm(2.0, _keep_leases)
 
 
-async def _keep_leases(clock: ChargingClock) -> None:
+def test_a_large_cell_bears_that_many_workers_leave_at_once() -> None:
+    # Each time that ten workers left, over a hundred calls went unanswered.
+    async def play(clock: ChargingClock) -> None:
+        await _keep_leases(clock, leaving=10)
+
+    run_on_slow_vm(2.0, play)
+
+
+async def _keep_leases(clock: ChargingClock, leaving: int = 0) -> None:
     hall = make_large_hall(clock, _WORKERS, plan_of)
     late: list[float] = []
     async with running(_owner(hall)) as owner, trio.open_nursery() as nursery:
@@ -58,6 +66,7 @@
             await owner.desk.submit(job, QUEUE, lasting_job(number))
         await trio.sleep(3.0)
         nursery.start_soon(_note_lateness, late)
+        nursery.start_soon(_have_leave, hall, leaving)
         await _bring_jobs(owner)
         nursery.cancel_scope.cancel()
     ended = Counter(event.what for event in hall.journal)
@@ -73,6 +82,14 @@
     return Owner(Claim("jobs", 1, True), platform, lambda: CONFIG)
 
 
+async def _have_leave(hall: LargeHall, leaving: int) -> None:
+    """Has some workers tell that they leave, in the midst of the load."""
+    await trio.sleep(_SECONDS / 3)
+    for worker in list(hall.workers.values())[:leaving]:
+        life = worker.life
+        worker.life = life._replace(draining=True, remaining=_SECONDS)
+
+
 async def _note_lateness(late: list[float]) -> None:
     """Notes how late a timer of 0.05 s fires, for ever."""
     while True:
