--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -34,7 +34,7 @@
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.listing_pace import ListingPace
-from pimentocross.owner.patience import Patience
+from pimentocross.owner.patience import CallPatience
 from pimentocross.owner.worker import Worker
 from pimentocross.platform.wire import read_hold, write_task
 from pimentocross.platform.workers import HttpWorker
@@ -135,7 +135,7 @@
     return CellParts(
         1,
         _LEASE,
-        Patience(lateness, _LEASE),
+        CallPatience(lateness, _LEASE),
         ListingPace(lateness, _LEASE, lambda: 1),
         book,
         ledger,
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -28,7 +28,7 @@
 from pimentocross.gateway.messages import Standing
 from pimentocross.gateway.own_time import OwnAge, OwnTime
 from pimentocross.gateway.owner_link import OwnerLink
-from pimentocross.gateway.patience import Patience
+from pimentocross.gateway.patience import OwnerPatience
 from pimentocross.gateway.turns import Turn, find_turn
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
@@ -69,7 +69,7 @@
         self._config = config
         self._heard_peer_at = heard_peer_at
         self._time = OwnTime()
-        self._patience = Patience(self._time)
+        self._patience = OwnerPatience(self._time)
         # Time since the owner here has written, if there is one.
         self._written = OwnAge(self._time, lambda: 0.0)
         self._served_epoch = 0
@@ -287,6 +287,8 @@
             began = trio.current_time()
             first = await self._jobs_end()
             took = trio.current_time() - began
+            # Longer only for an owner that is given more than a first
+            # take-over: its beats come further apart.
             factor = max(self._factor(claim, link) / const.TAKEOVER_FACTOR, 1)
             observe = const.OBSERVE * factor + 3 * took
             await self._wait_unchanged(claim, observe)
--- a/pimentocross/gateway/patience.py
+++ b/pimentocross/gateway/patience.py
@@ -12,7 +12,7 @@
 from pimentocross.gateway.own_time import OwnTime
 
 
-class Patience:
+class OwnerPatience:
     """What this process has seen of claims and take-overs."""
 
     def __init__(self, time: OwnTime) -> None:
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -19,7 +19,7 @@
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Batch, Ledger
 from pimentocross.owner.listing_pace import ListingPace
-from pimentocross.owner.patience import Patience
+from pimentocross.owner.patience import CallPatience
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import TaskName
 from pimentocross.work.state import TERMINAL, Job, Run, RunState, Task
@@ -54,7 +54,7 @@
 
     token: int
     lease: float
-    patience: Patience
+    patience: CallPatience
     pace: ListingPace
     book: JobBook
     ledger: Ledger
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -24,7 +24,7 @@
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.listing_pace import ListingPace
 from pimentocross.owner.orders import Orders
-from pimentocross.owner.patience import Patience
+from pimentocross.owner.patience import CallPatience
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
@@ -136,7 +136,7 @@
             parts = CellParts(
                 self.epoch,
                 lease,
-                Patience(self.lateness, lease),
+                CallPatience(self.lateness, lease),
                 ListingPace(self.lateness, lease, self._roster.__len__),
                 self._book,
                 self._ledger,
--- a/pimentocross/owner/patience.py
+++ b/pimentocross/owner/patience.py
@@ -30,7 +30,7 @@
 _HEARD_WITHIN: Final = 3.0
 
 
-class Patience:
+class CallPatience:
     """Timeouts of calls to workers; all times in seconds."""
 
     def __init__(self, lateness: LoopLateness, lease: float) -> None:
--- a/pimentocross/placement/hosts.py
+++ b/pimentocross/placement/hosts.py
@@ -167,7 +167,11 @@
         return self.surely
 
     def shuts(self, host: Host) -> bool:
-        """True if `fit` is infinite there."""
+        """True if `fit` is infinite there.
+
+        It says in sets what `fit` says a host at a time; the random days of
+        the tests of `field` compare both.
+        """
         serving = host.serving
         if not self.surely.isdisjoint(serving):
             return True
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -25,7 +25,7 @@
 from pimentocross.gateway.cluster import Cluster, OwnerClaim
 from pimentocross.gateway.messages import Standing
 from pimentocross.gateway.own_time import OwnTime
-from pimentocross.gateway.patience import Patience
+from pimentocross.gateway.patience import OwnerPatience
 from pimentocross.observe import decisions
 from pimentocross.platform.settings import read_settings
 from tests.gateway_fixtures import STRONG, UNKNOWN, WEAK, Vm, VmCell, processors
@@ -153,7 +153,7 @@
 
 async def test_patience_has_the_bounds_that_it_tells() -> None:
     time = OwnTime()
-    patience = Patience(time)
+    patience = OwnerPatience(time)
     ready, at_work = Standing(1, True, 0.1), Standing(1, True, 0.1, 0.5)
     patience.note_claim(OwnerClaim(1, "a", "a:1", "", False))
     assert patience.factor(ready) == 1.0
