Let one set of jobs and stand-ins serve benches and tests of large cells

The stand-in worker tells its next change and figures itself. 40 tests of the large cell, passes, listings and take-overs pass; what they bring is the same.

--- a/bench/large_jobs.py
+++ b/bench/large_jobs.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from bench import wire_workers
 from pimentocross.work.queue import (
     CallerLimits,
     Queue,
@@ -21,19 +20,22 @@
     {"stock": ServicePool("stock", True, 64, False)},
     CallerLimits(16384, 262144, 3.0, 15.0),
 )
-_SERVING = Size(6_400, 13_000, 0)
-_FILLING = Size(3_500, 6_400, 0)
-_SHORT = Size(5_700, 11_000, 0)
+SERVING = Size(6_400, 13_000, 0)
+FILLING = Size(3_500, 6_400, 0)
+QUICK = Size(5_700, 11_000, 0)
+# Milliseconds that what serves has to stay under.
+TARGET = 45
 
 
 def lasting_job(number: int) -> JobSpec:
     """Returns fourteen tasks that last and serve."""
     step = StepSpec(
         14,
-        _SERVING,
+        SERVING,
         lasting=True,
         image=f"serve{number % 10}",
-        target_tail=wire_workers.TARGET,
+        target_tail=TARGET,
+        away_most=2,
     )
     return JobSpec("", (step,))
 
@@ -41,14 +43,14 @@
 def filling_job(number: int) -> JobSpec:
     """Returns two steps of twenty tasks that fill."""
     step = StepSpec(
-        20, _FILLING, 1.0, saves=True, image=f"fill{number % 18}", fills=True
+        20, FILLING, 2.7, saves=True, image=f"fill{number % 18}", fills=True
     )
     return JobSpec("", (step, step._replace(after=(0,))))
 
 
 def quick_job() -> JobSpec:
     """Returns a step of ten short tasks."""
-    return JobSpec("", (StepSpec(10, _SHORT, 1.0),))
+    return JobSpec("", (StepSpec(10, QUICK, 1.0),))
 
 
 class TimeByTask(trio.abc.Instrument):
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from bench.large_jobs import CONFIG, QUEUE
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.links.asgi import HttpReply, HttpRequest
 from pimentocross.links.http_pool import HttpPool
@@ -24,12 +25,6 @@
     TaskWorkerStandin,
 )
 from pimentocross.standins.users_platform import StoreSurface, WorkerSurface
-from pimentocross.work.queue import (
-    CallerLimits,
-    Queue,
-    ServicePool,
-    WorkConfig,
-)
 from pimentocross.work.spec import JobSpec, Size, StepSpec
 from pimentocross.work.state import JobState
 
@@ -44,13 +39,6 @@
 # about three calls, and the decisions: 7 to 8.4 over three runs.
 RATIO_BOUND = 12.0
 
-_QUEUE = Queue("plans", "host", "/plans/", "stock", 0, 3, 2.0, 1.0, False)
-_CONFIG = WorkConfig(
-    1,
-    (_QUEUE,),
-    {"stock": ServicePool("stock", True, 64, False)},
-    CallerLimits(16384, 262144, 3.0, 15.0),
-)
 _SIZE = Size(1000, 1000, 0)
 
 
@@ -122,7 +110,7 @@
     platform = CellPlatform(
         StoreClient(address), _Directory(lives), HttpWorkerDialer()
     )
-    owner = Owner(Claim("jobs", 1, True), platform, lambda: _CONFIG)
+    owner = Owner(Claim("jobs", 1, True), platform, lambda: CONFIG)
     nursery.start_soon(owner.run)
     await owner.ready.wait()
     await trio.sleep(1)
@@ -139,7 +127,7 @@
 async def _run_jobs(owner: Owner) -> None:
     spec = JobSpec("payload", (StepSpec(_WIDTH, _SIZE, _SECONDS),))
     for number in range(_JOBS):
-        await owner.desk.submit(f"j{number}", _QUEUE, spec)
+        await owner.desk.submit(f"j{number}", QUEUE, spec)
         await trio.sleep(_PAUSE)
     jobs = [f"j{number}" for number in range(_JOBS)]
     with trio.fail_after(60):
--- a/bench/wire_workers.py
+++ b/bench/wire_workers.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from pimentocross.contracts.worker_link import HoldReply, Listed, WorkerLife
+from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.links.asgi import HttpReply, HttpRequest
 from pimentocross.links.listener import HttpListener, ListenerLimits
 from pimentocross.standins.store import StoreStandin
@@ -26,7 +26,6 @@
 
 HOST: Final = "127.0.0.1"
 CAPACITY: Final = Size(64_000, 256_000, 0)
-TARGET: Final = 45
 _RACK: Final = 20
 _START_TIMEOUT: Final = 20.0
 # Every worker answers on the one listener: which of them is meant is in this.
@@ -60,22 +59,11 @@
 
 
 class _Worker(TaskWorkerStandin):
-    """A stand-in that tells figures and when it will change."""
-
-    def next_change(self) -> float:
-        """Returns in how many seconds something here changes by itself."""
-        now = self.clock()
-        ends = [running.ends for running in self._runs.values()]
-        return max(min([*ends, self._lease_end], default=now) - now, 0.0)
-
-    def listing(self) -> HoldReply:
-        """Lists with figures."""
-        reply = super().listing()
-        running = [self._with_figure(entry) for entry in reply.running]
-        return reply._replace(running=running)
-
-    def _with_figure(self, entry: Listed) -> Listed:
-        return entry._replace(figure=random.randint(10, 30))
+    """A stand-in that tells figures."""
+
+    def figure(self, plan: TaskPlan) -> int:
+        """Returns a figure of a task that serves or fills."""
+        return random.randint(10, 30)
 
 
 class _Surface(WorkerSurface):
--- a/pimentocross/standins/task_worker.py
+++ b/pimentocross/standins/task_worker.py
@@ -147,6 +147,16 @@
         self._runs.clear()
         self.dead = True
 
+    def next_change(self) -> float:
+        """Returns in how many seconds something here changes by itself."""
+        now = self.clock()
+        ends = [running.ends for running in self._runs.values()]
+        return max(min([*ends, self._lease_end], default=now) - now, 0.0)
+
+    def figure(self, plan: TaskPlan) -> int:
+        """Returns what a run is listed with; see `Listed`."""
+        return 0
+
     def take_hold(self, token: int, seen: int, deadline: float | None) -> None:
         """Takes a renewal in."""
         self._check(token)
@@ -164,7 +174,13 @@
         self._advance()
         now = self.clock()
         running = [
-            Listed(task, run, "", running.percent(now), 0)
+            Listed(
+                task,
+                run,
+                "",
+                running.percent(now),
+                self.figure(running.plan),
+            )
             for (task, run), running in self._runs.items()
         ]
         return HoldReply(now, running, list(self._endings))
--- a/tests/slow_vm.py
+++ b/tests/slow_vm.py
@@ -15,9 +15,9 @@
 
 import trio
 
+from bench.large_jobs import FILLING, QUICK, SERVING, TARGET
 from pimentocross.contracts.worker_link import (
     HoldReply,
-    Listed,
     StartOrder,
     StartReply,
     WorkerLife,
@@ -32,16 +32,12 @@
     TaskWorkerStandin,
     WorkerHall,
 )
-from pimentocross.work.spec import JobSpec, Size, StepSpec, TaskName
+from pimentocross.work.spec import Size, TaskName
 
 # Processor seconds of one call at the caller's end over loopback HTTP: half of
 # what `python -m bench owner` gives for both ends.
 CALL_COST: Final = 0.0001
 CAPACITY: Final = Size(32_000, 128_000, 0)
-SERVING_TARGET: Final = 45
-_SERVING = Size(6_400, 13_000, 0)
-_FILLING = Size(3_500, 6_400, 0)
-_QUICK = Size(5_700, 11_000, 0)
 _RACK: Final = 20
 # Processor seconds of the loop below on the machine that factors refer to.
 _LOOP_REFERENCE: Final = 0.0095
@@ -112,23 +108,11 @@
         self.charging = clock
         self._figures = random.Random(seed)
 
-    def next_change(self) -> float:
-        """Returns in how many seconds something here changes by itself."""
-        now = self.clock()
-        ends = [running.ends for running in self._runs.values()]
-        return max(min([*ends, self._lease_end], default=now) - now, 0.0)
-
-    def listing(self) -> HoldReply:
-        """Lists with figures of tasks that serve or fill."""
-        reply = super().listing()
-        running = [self._with_figure(entry) for entry in reply.running]
-        return reply._replace(running=running)
-
-    def _with_figure(self, entry: Listed) -> Listed:
-        plan = self._plan(entry.task)
+    def figure(self, plan: TaskPlan) -> int:
+        """Returns figures as of tasks that serve or fill."""
         ratio = self._figures.uniform(0.3, 0.9)
-        whole = SERVING_TARGET if plan.seconds == LASTS else plan.size.cpu
-        return entry._replace(figure=int(whole * ratio))
+        whole = TARGET if plan.seconds == LASTS else plan.size.cpu
+        return int(whole * ratio)
 
 
 class ChargedLink(TaskWorkerLink):
@@ -243,37 +227,11 @@
 def plan_of(name: TaskName) -> TaskPlan:
     """Returns the plan of a task; its job's name says of what kind it is."""
     if name.job.startswith("last"):
-        return TaskPlan(LASTS, _SERVING)
+        return TaskPlan(LASTS, SERVING)
     seconds = random.Random(str(name)).uniform(0.5, 1.5)
     if name.job.startswith("fill"):
-        return TaskPlan(2.7 * seconds, Size(0, _FILLING.memory, 0))
-    return TaskPlan(seconds, _QUICK)
-
-
-def lasting_job(number: int) -> JobSpec:
-    """Returns fourteen tasks that last and serve."""
-    step = StepSpec(
-        14,
-        _SERVING,
-        lasting=True,
-        image=f"serve{number % 10}",
-        target_tail=SERVING_TARGET,
-        away_most=2,
-    )
-    return JobSpec("", (step,))
-
-
-def filling_job(number: int) -> JobSpec:
-    """Returns two steps of twenty tasks that fill."""
-    step = StepSpec(
-        20, _FILLING, 2.7, saves=True, image=f"fill{number % 18}", fills=True
-    )
-    return JobSpec("", (step, step._replace(after=(0,))))
-
-
-def quick_job() -> JobSpec:
-    """Returns a step of ten short tasks."""
-    return JobSpec("", (StepSpec(10, _QUICK, 1.0),))
+        return TaskPlan(2.7 * seconds, Size(0, FILLING.memory, 0))
+    return TaskPlan(seconds, QUICK)
 
 
 def _time_of_loop() -> float:
--- a/tests/test_large_cell.py
+++ b/tests/test_large_cell.py
@@ -21,17 +21,15 @@
 
 import trio
 
+from bench.large_jobs import filling_job, lasting_job, quick_job
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.standins.store import StoreStandin
 from tests.owner_fixtures import CONFIG, QUEUE, running
 from tests.slow_vm import (
     ChargingClock,
     LargeHall,
-    filling_job,
-    lasting_job,
     make_large_hall,
     plan_of,
-    quick_job,
     run_on_slow_vm,
 )
 
--- a/tests/test_listing_pace.py
+++ b/tests/test_listing_pace.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from bench.large_jobs import lasting_job
 from pimentocross.owner import const
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
@@ -19,7 +20,6 @@
 from tests.owner_fixtures import CONFIG, QUEUE, count, running
 from tests.slow_vm import (
     ChargingClock,
-    lasting_job,
     make_large_hall,
     plan_of,
     run_on_slow_vm,
--- a/tests/test_owner_lateness.py
+++ b/tests/test_owner_lateness.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from bench.large_jobs import lasting_job
 from pimentocross.observe import decisions
 from pimentocross.observe.late_log import LateLog
 from pimentocross.observe.lateness import LoopLateness
@@ -27,7 +28,6 @@
 from tests.slow_vm import (
     ChargingClock,
     LargeHall,
-    lasting_job,
     make_large_hall,
     plan_of,
     run_on_slow_vm,
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from bench.large_jobs import filling_job
 from pimentocross.cli.log_lines import LogLine, read_lines
 from pimentocross.observe import decisions
 from pimentocross.observe.decisions import DecisionLog
@@ -34,7 +35,6 @@
 from tests.platform_fixtures import loopback_platform, write_settings
 from tests.slow_vm import (
     ChargingClock,
-    filling_job,
     make_large_hall,
     plan_of,
     run_on_slow_vm,
--- a/tests/test_takeover_cost.py
+++ b/tests/test_takeover_cost.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from bench.large_jobs import filling_job
 from pimentocross.contracts.store import Record
 from pimentocross.owner import wall
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
@@ -18,7 +19,6 @@
 from tests.owner_fixtures import CONFIG, QUEUE, running
 from tests.slow_vm import (
     ChargingClock,
-    filling_job,
     make_large_hall,
     plan_of,
     run_on_slow_vm,
