Tell how long a configuration was asked for and how old the copy in force is

The follower moves to a module of its own; what it does is unchanged. 25 tests of test_platform and test_gateway pass.

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -114,6 +114,7 @@
             return _NO_CONFIG
         queue = config.find_queue(host, path)
         if queue is None:
+            note("no_such_queue", host=host, version=config.version)
             return Answer(AnswerKind.NO_SUCH_QUEUE)
         return Place(queue, path[len(queue.prefix) :])
 
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -1,14 +1,14 @@
 """One process on an entry VM: its parts put together, started and stopped."""
 
 import secrets
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import trio
 
-from pimentocross.contracts.store import StoreUnavailableError
 from pimentocross.gateway import const
 from pimentocross.gateway.caller_desk import CallerDesk
 from pimentocross.gateway.cluster import Cluster, Member, member_record
+from pimentocross.gateway.config_follower import ConfigFollower, ConfigSource
 from pimentocross.gateway.election import Election
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
@@ -35,20 +35,6 @@
 from pimentocross.work.queue import WorkConfig
 
 
-class ConfigSource(Protocol):
-    """Where operators publish the configuration."""
-
-    async def next_config(
-        self, wait: float, timeout: float
-    ) -> WorkConfig | None:
-        """Returns the newest configuration if there is news within `wait`.
-
-        Raises:
-            StoreUnavailableError: The source did not answer.
-        """
-        ...
-
-
 class Surfaces(NamedTuple):
     """What answers HTTP requests."""
 
@@ -77,8 +63,7 @@
             process, settings.name, address, settings.zone
         )
         self._settings = settings
-        self._configs = configs
-        self._config: WorkConfig | None = None
+        self._configs = ConfigFollower(configs)
         self._peer_heard_at = float("-inf")
         self._late_log = LateLog()
         self._cluster = Cluster(platform.store)
@@ -94,7 +79,7 @@
 
     def get_config(self) -> WorkConfig | None:
         """Returns the configuration in force, or None before the first."""
-        return self._config
+        return self._configs.config
 
     def request_stop(self) -> None:
         """Has `run` drain and return."""
@@ -117,7 +102,7 @@
             await nursery.start(callers.serve, settings.caller_address)
             nursery.start_soon(self._serve_metrics, surfaces.metrics)
             nursery.start_soon(self._serve_peers, peers)
-            nursery.start_soon(self._follow_config)
+            nursery.start_soon(self._configs.run)
             nursery.start_soon(self._cluster.follow)
             nursery.start_soon(self._cluster.register, self._member())
             nursery.start_soon(self._election.run)
@@ -146,9 +131,12 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns present values for the metrics page."""
-        config, owner = self._config, self._election.owner
+        config, owner = self._configs.config, self._election.owner
         return {
             "config_version": config.version if config is not None else 0,
+            "config_age_seconds": (
+                self._configs.age() if config is not None else 0
+            ),
             "owner_absent_seconds": self.owner_absent(),
             "owned_epoch": owner.epoch if owner is not None else 0,
             "store_age_seconds": self._election.standing().store_age,
@@ -165,7 +153,7 @@
             note("metrics_unserved", address=address, reason=str(error))
 
     def _limits(self) -> ListenerLimits:
-        config = self._config
+        config = self._configs.config
         if config is None:
             return ListenerLimits()
         limits = config.limits
@@ -183,30 +171,6 @@
             host=self._settings.ip,
         )
 
-    async def _follow_config(self) -> None:
-        while True:
-            try:
-                config = await self._configs.next_config(
-                    const.FOLLOW_WAIT, const.FOLLOW_TIMEOUT
-                )
-            except StoreUnavailableError as error:
-                note("config_unread", reason=str(error))
-                await trio.sleep(const.FOLLOW_RETRY)
-                continue
-            if config is not None:
-                self._apply(config)
-
-    def _apply(self, config: WorkConfig) -> None:
-        known = self._config
-        if known is not None and config.version <= known.version:
-            return
-        self._config = config
-        note(
-            "config_in_force",
-            version=config.version,
-            queues=len(config.queues),
-        )
-
     async def ask_owner(
         self, message: GatewayMessage, timeout: float
     ) -> GatewayMessage:
