Reproduce the refused route: a change after an outage comes 3.3 s late

The stand-in store held a read that an outage caught for longer than its timeout; now it keeps to it, and connections can go silent.

--- a/pimentocross/standins/store.py
+++ b/pimentocross/standins/store.py
@@ -31,6 +31,8 @@
         delay: Seconds that each answer takes.
         lost: Share of appends that are done and not answered.
         late: Share of appends that are done seconds later, unanswered.
+        silenced: How often all connections went silent: what waits on one then
+            is never answered, new ones work.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -40,6 +42,7 @@
         self.delay = 0.004
         self.lost = 0.0
         self.late = 0.0
+        self.silenced = 0
         self.random = random.Random(seed)
 
 
@@ -182,6 +185,8 @@
         self, topic: str, start: int, wait: float, timeout: float
     ) -> Page:
         """Reads records."""
+        asked_at = trio.current_time()
+        silenced = self._store.faults.silenced
         await self._reach(timeout)
         found = self._store.topic(topic)
         if start < found.first:
@@ -189,7 +194,10 @@
         if start >= len(found.records) and wait > 0:
             with trio.move_on_after(wait):
                 await found.changed.wait()
-            await self._reach(timeout)
+            left = timeout - (trio.current_time() - asked_at)
+            if self._store.faults.silenced != silenced:
+                await self._hang(left)
+            await self._reach(left)
         return Page(found.records[start:], len(found.records))
 
     async def newest(self, topic: str, timeout: float) -> Page:
@@ -227,5 +235,5 @@
         await trio.sleep(faults.delay)
 
     async def _hang(self, timeout: float) -> None:
-        await trio.sleep(min(timeout, _FOREVER))
+        await trio.sleep(min(max(timeout, 0.0), _FOREVER))
         raise StoreUnavailableError("no answer in time", sent=True)
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -5,14 +5,18 @@
 import os
 from pathlib import Path
 import socket
+import tempfile
 
 import msgspec
 import trio
 
 from pimentocross.contracts.store import Record
+from pimentocross.gateway.node import GatewayNode
 from pimentocross.links.asgi import HttpReply
 from pimentocross.links.http_pool import HttpPool
 from pimentocross.links.listener import HttpListener, ListenerLimits
+from pimentocross.platform.__main__ import build
+from pimentocross.platform.settings import read_settings
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
     RunEvent,
@@ -89,6 +93,21 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def running_node(
+    platform: LoopbackPlatform, name: str
+) -> AsyncIterator[tuple[GatewayNode, dict[str, str]]]:
+    """Runs an entry VM's process within this one; killed at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings"
+        values = write_settings(path, name, platform.store_address)
+        node, surfaces = build(read_settings(path))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.run, surfaces)
+            yield node, values
+            nursery.cancel_scope.cancel()
+
+
 def write_settings(path: Path, name: str, store: str) -> dict[str, str]:
     """Writes a settings file as the platform does; returns its values."""
     ports = _free_ports(4)
@@ -147,3 +166,17 @@
     """Returns a submission of two steps."""
     step = {"count": width, "cpu": 1000, "mem_mb": 1000, "estimated_ms": 300}
     return {"spec": "x", "job_steps": [step, step | {"after": [0]}]}
+
+
+async def until_ready(values: dict[str, str], seconds: float = 10.0) -> None:
+    """Waits until the balancer would send callers to a VM."""
+    caller = Caller(values["listen_addrs.ready"])
+    with trio.fail_after(seconds):
+        while True:
+            await trio.sleep(0.05)
+            try:
+                reply = await caller.call("GET", "/pimentocross/readyz")
+            except Exception:
+                continue
+            if reply.status == 200:
+                return
--- /dev/null
+++ b/tests/test_config_current.py
@@ -0,0 +1,170 @@
+"""How soon a confirmed change of the configuration is in force on a VM.
+
+A route had been added and its version 83 acknowledged, and 2.7 s later a VM
+still answered 404 for it. The store had been away for 8 s and was back. The VM
+had asked for news shortly before the return; the store never got that question,
+and the VM went on waiting for its answer: 2 s for news to come, 1 s more, and
+0.3 s until it asked again. Meanwhile it heard from the store on other
+connections forty times a second. A VM whose question came 0.1 s after the
+return had the version half a second after it was acknowledged.
+
+    46.000  config version 69 sent; acked 54.311 by store
+    53.646  norte-3  config_unread  no answer in time
+    54.094  norte-3  log-append: 200
+    54.387  config version 83 sent; acked 54.415 by store
+    54.989  norte-1  config_in_force  version 83
+    56.944  norte-3  config_unread  no answer in time
+    57.247  norte-3  config_in_force  version 85
+
+In another play of the same day the 404 was given at 57.094.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+import random
+
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.gateway.config_follower import ConfigFollower
+from pimentocross.platform.topics import OperatorTopic
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.users_platform import operator_config
+from tests import run_virtual
+from tests.platform_fixtures import (
+    Caller,
+    loopback_platform,
+    running_node,
+    until_ready,
+)
+from tests.test_http import real_time
+
+# A change is in force everywhere this long after its acknowledgement, in
+# seconds, as the users' pages ask.
+_APPLY_WITHIN = 2.0
+_VM = "vm"
+
+
+class _Followed:
+    """A store, its operator, and a VM that follows the configuration."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.follower = ConfigFollower(OperatorTopic(self.store.client(_VM)))
+        self._version = 0
+
+    async def publish(self) -> int:
+        """Writes the next version and returns it once it is acknowledged."""
+        self._version += 1
+        value = operator_config(self._version, {f"/q{self._version}/": "stock"})
+        await self.store.client("operator").append(
+            "op", [Record("config", value)], 1.0
+        )
+        return self._version
+
+    async def lag(self, version: int) -> float:
+        """Returns how long it takes from now until a version is in force."""
+        began = trio.current_time()
+        with trio.fail_after(30):
+            while not self._in_force(version):
+                await trio.sleep(0.005)
+        return trio.current_time() - began
+
+    def _in_force(self, version: int) -> bool:
+        config = self.follower.config
+        return config is not None and config.version >= version
+
+
+@asynccontextmanager
+async def _followed() -> AsyncIterator[_Followed]:
+    """A VM that has the first version."""
+    followed = _Followed()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(followed.follower.run)
+        await followed.lag(await followed.publish())
+        yield followed
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_change_is_in_force_in_time_whatever_went_unanswered() -> None:
+    """An outage ends, or a connection goes silent, at any moment of a wait."""
+    assert await _most_lag(_store_away) < _APPLY_WITHIN
+    assert await _most_lag(_connections_silent) < _APPLY_WITHIN
+
+
+async def _most_lag(
+    fault: Callable[[_Followed, float], Awaitable[None]],
+) -> float:
+    lags = []
+    for step in range(40):
+        async with _followed() as followed:
+            await trio.sleep(1.03)
+            await fault(followed, step * 0.1)
+            lags.append(await followed.lag(await followed.publish()))
+    return max(lags)
+
+
+async def _store_away(followed: _Followed, moment: float) -> None:
+    followed.store.faults.away = True
+    await trio.sleep(4.0 + moment)
+    followed.store.faults.away = False
+
+
+async def _connections_silent(followed: _Followed, moment: float) -> None:
+    await trio.sleep(moment)
+    followed.store.faults.silenced += 1
+
+
+def test_changes_after_any_faults_are_in_force_in_time() -> None:
+    """Outages, refusals, silence and slowness in turn, then a calm store."""
+    for seed in range(30):
+        run_virtual(_faults_then_calm(seed), seed)
+
+
+def _faults_then_calm(seed: int) -> Callable[[], Awaitable[None]]:
+    async def run() -> None:
+        draw = random.Random(seed)
+        async with _followed() as followed:
+            faults = followed.store.faults
+            for _ in range(6):
+                kind = draw.choice(("away", "refused", "silent", "slow"))
+                if kind == "away":
+                    faults.away = True
+                elif kind == "refused":
+                    faults.refused = {_VM}
+                elif kind == "silent":
+                    faults.silenced += 1
+                else:
+                    faults.delay = draw.uniform(0.05, 0.4)
+                await trio.sleep(draw.uniform(0.05, 5.0))
+                faults.away, faults.refused, faults.delay = False, set(), 0.004
+                await trio.sleep(draw.choice((0.0, draw.uniform(0.0, 1.0))))
+                lag = await followed.lag(await followed.publish())
+                assert lag < _APPLY_WITHIN, (seed, kind, lag)
+
+    return run
+
+
+@real_time
+async def test_a_vm_that_the_store_refuses_denies_no_new_route() -> None:
+    """It can't know of the route, so it tells when to come back."""
+    async with loopback_platform() as platform:
+        async with running_node(platform, "vm1") as (node, values):
+            await until_ready(values)
+            assert node.get_config() is not None
+            platform.store.faults.refused = {"wire"}
+            await platform.configure(5, "/new/")
+            await trio.sleep(_APPLY_WITHIN)
+            caller = Caller(values["listen_addrs.frontend"])
+            reply = await caller.call("GET", "/new/")
+            assert reply.status == 503, reply
+            assert int(dict(reply.headers)[b"retry-after"]) >= 1
+            platform.store.faults.refused = set()
+            await trio.sleep(_APPLY_WITHIN)
+            reply = await caller.call("GET", "/never/")
+            assert reply.status == 404, reply
+            with trio.fail_after(10):
+                while reply.status != 200:
+                    reply = await caller.call("GET", "/new/")
+                    assert reply.status != 404
+                    await trio.sleep(0.05)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,7 +1,5 @@
 """The users' platform: the adapter and whole processes, on loopback."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 import os
 from pathlib import Path
 import signal
@@ -21,9 +19,7 @@
     SequenceGapError,
     StoreUnavailableError,
 )
-from pimentocross.gateway.node import GatewayNode
 from pimentocross.observe.decisions import DECISIONS_PATH
-from pimentocross.platform.__main__ import build
 from pimentocross.platform.settings import SettingsError, read_settings
 from pimentocross.platform.store import StoreClient
 from pimentocross.platform.topics import OperatorTopic, ServerTopic
@@ -39,42 +35,15 @@
 from tests.platform_fixtures import (
     PREFIX,
     Caller,
-    LoopbackPlatform,
     job_body,
     loopback_platform,
+    running_node,
+    until_ready,
     write_settings,
 )
 from tests.test_http import real_time
 
 
-@asynccontextmanager
-async def _node(
-    platform: LoopbackPlatform, name: str
-) -> AsyncIterator[tuple[GatewayNode, dict[str, str]]]:
-    """Runs an entry VM's process within this one; killed at the end."""
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "settings"
-        values = write_settings(path, name, platform.store_address)
-        node, surfaces = build(read_settings(path))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(node.run, surfaces)
-            yield node, values
-            nursery.cancel_scope.cancel()
-
-
-async def _until_ready(values: dict[str, str], seconds: float = 10.0) -> None:
-    caller = Caller(values["listen_addrs.ready"])
-    with trio.fail_after(seconds):
-        while True:
-            await trio.sleep(0.05)
-            try:
-                reply = await caller.call("GET", "/pimentocross/readyz")
-            except Exception:
-                continue
-            if reply.status == 200:
-                return
-
-
 async def _until_accepted(caller: Caller, job: str) -> None:
     with trio.fail_after(15):
         while True:
@@ -96,8 +65,8 @@
 @real_time
 async def test_a_job_is_served_through_the_whole_path() -> None:
     async with loopback_platform() as platform:
-        async with _node(platform, "vm1") as (_, values):
-            await _until_ready(values)
+        async with running_node(platform, "vm1") as (_, values):
+            await until_ready(values)
             caller = Caller(values["listen_addrs.frontend"])
             await _until_accepted(caller, "aa01")
             await _until_accepted(caller, "aa01")
@@ -122,8 +91,8 @@
 @real_time
 async def test_malformed_submissions_are_named_and_change_nothing() -> None:
     async with loopback_platform() as platform:
-        async with _node(platform, "vm1") as (_, values):
-            await _until_ready(values)
+        async with running_node(platform, "vm1") as (_, values):
+            await until_ready(values)
             caller = Caller(values["listen_addrs.frontend"])
             await _until_accepted(caller, "aa01")
             bodies: list[object] = [
@@ -149,8 +118,8 @@
 @real_time
 async def test_a_route_is_gone_and_another_there_within_a_second() -> None:
     async with loopback_platform() as platform:
-        async with _node(platform, "vm1") as (_, values):
-            await _until_ready(values)
+        async with running_node(platform, "vm1") as (_, values):
+            await until_ready(values)
             caller = Caller(values["listen_addrs.frontend"])
             await _until_accepted(caller, "aa01")
             await platform.configure(5, "/new/")
@@ -167,7 +136,7 @@
 async def test_without_the_store_a_new_process_answers_503() -> None:
     async with loopback_platform() as platform:
         platform.store.faults.away = True
-        async with _node(platform, "vm1") as (_, values):
+        async with running_node(platform, "vm1") as (_, values):
             await trio.sleep(0.5)
             caller = Caller(values["listen_addrs.frontend"])
             reply = await caller.call("POST", PREFIX + "aa01", job_body())
@@ -183,11 +152,11 @@
     None
 ):
     async with loopback_platform(seconds=1.0) as platform:
-        async with _node(platform, "vm2") as (_, second):
-            await _until_ready(second)
+        async with running_node(platform, "vm2") as (_, second):
+            await until_ready(second)
             caller = Caller(second["listen_addrs.frontend"])
-            async with _node(platform, "vm1") as (_, first):
-                await _until_ready(first)
+            async with running_node(platform, "vm1") as (_, first):
+                await until_ready(first)
                 other = Caller(first["listen_addrs.frontend"])
                 await _until_accepted(other, "aa01")
                 assert await caller.state("aa01") in ("queued", "running")
@@ -237,7 +206,7 @@
                 for vm in vms:
                     vm.start()
                 for vm in vms:
-                    await _until_ready(vm.values, 20)
+                    await until_ready(vm.values, 20)
                 await _kill_in_turn(vms)
             finally:
                 for vm in vms:
@@ -266,7 +235,7 @@
         vm.start()
         await _until_accepted(other, f"ab{number}")
         await _until_state(other, f"aa{number}", "completed")
-        await _until_ready(vm.values, 20)
+        await until_ready(vm.values, 20)
 
 
 # About 50 lines each, 7,000 in all: more than wait (4,000) and fit in a pipe.
@@ -298,7 +267,7 @@
             vm = _Process(folder, "vm1", platform.store_address)
             process = vm.start(stdout)
             try:
-                await _until_ready(vm.values, 20)
+                await until_ready(vm.values, 20)
                 await _until_accepted(vm.caller, "aa01")
                 took = await _load(vm)
                 metrics = Caller(vm.values["test.metrics"])
@@ -327,8 +296,8 @@
 @real_time
 async def test_a_live_process_is_asked_for_a_jobs_story() -> None:
     async with loopback_platform() as platform:
-        async with _node(platform, "vm1") as (_, values):
-            await _until_ready(values)
+        async with running_node(platform, "vm1") as (_, values):
+            await until_ready(values)
             caller = Caller(values["listen_addrs.frontend"])
             await _until_accepted(caller, "aa01")
             await _until_state(caller, "aa01", "completed")
