Drop workers that an expired history would have removed

A reader that begins anew tells so, and the directory forgets what it knew before: a removal that had expired with the rest left a worker listed for good. Test test_a_worker_whose_removal_has_expired_is_not_listed, failing before.

--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -37,10 +37,12 @@
         records: What is new, in order.
         known_at: Until when nothing newer was there, monotonic; -inf if there
             is more to read.
+        whole: Whether this is the newest of each key, and all that there is.
     """
 
     records: list[Record]
     known_at: float
+    whole: bool
 
 
 class TopicReader:
@@ -81,12 +83,13 @@
             )
             if read.value is not None:
                 self._position = position + len(read.value.records)
-                return TopicNews(read.value.records, _known_at(read, position))
+                known_at = _known_at(read, position)
+                return TopicNews(read.value.records, known_at, whole=False)
             note("history_gone", topic=self._topic, position=position)
             self._position = None
         found = await first_answer(self._newest, 0.0, timeout, again_after)
         self._position = found.value.end
-        return TopicNews(found.value.records, found.asked_at)
+        return TopicNews(found.value.records, found.asked_at, whole=True)
 
     async def _read(
         self, position: int, wait: float, timeout: float
@@ -100,11 +103,6 @@
     async def _newest(self, wait: float, timeout: float) -> Page:
         return await self._store.newest(self._topic, timeout)
 
-    @property
-    def whole(self) -> bool:
-        """True if the next read begins with the newest of each key."""
-        return self._position is None
-
 
 def _known_at(read: Answered[Page | None], position: int) -> float:
     """Returns until when a page told all that there was, at the least."""
@@ -161,9 +159,9 @@
         An entry that can't be read lists no worker, also where one that could
         stood under its key before: another writer may have put it there.
         """
-        whole = self._reader.whole
         news = await self._reader.read(0.0, timeout)
-        if whole:
+        if news.whole:
+            # Removals may have expired: what isn't told now isn't there.
             self._lives.clear()
         for record in news.records:
             self._take(record)
