--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,59 @@
+"""The owner's records while the store doesn't answer.
+
+An append that the store never got was waited for, for 1.5 s, after the store
+was back: nothing was taken in or started meanwhile. It has the same cause as
+the late configuration in `test_config_current`.
+
+    52.493  log-append, no answer        (the store is back at 54.0)
+    54.094  log-append: 200
+"""
+
+import trio
+
+from pimentocross.owner.ledger import Ledger, PlainRecord
+from pimentocross.standins.store import StoreStandin
+
+# Callers of short jobs want them started within this, in seconds.
+_START_WITHIN = 1.0
+
+
+def _record(key: str) -> PlainRecord:
+    return PlainRecord(key, lambda: b"value")
+
+
+async def test_records_are_stored_in_time_after_an_outage() -> None:
+    """Whatever the moment of the return in the course of an append."""
+    for step in range(40):
+        store = StoreStandin()
+        ledger = Ledger(store.client("vm"), "jobs", "owner", 1)
+        async with trio.open_nursery() as nursery:
+            await ledger.open()
+            nursery.start_soon(ledger.run)
+            store.faults.away = True
+            ledger.put(_record("a"))
+            await trio.sleep(4.0 + step * 0.1)
+            store.faults.away = False
+            began = trio.current_time()
+            await ledger.put(_record("b")).stored.wait()
+            assert trio.current_time() - began < _START_WITHIN
+            nursery.cancel_scope.cancel()
+        keys = [r.key for r in store.topic("jobs").records if r.value]
+        assert keys == ["a", "b"]
+
+
+async def test_an_append_that_is_asked_again_is_done_once() -> None:
+    """Also if answers are slow, lost, or what was asked is done later."""
+    for seed in range(20):
+        store = StoreStandin(seed)
+        ledger = Ledger(store.client("vm"), "jobs", "owner", 1)
+        async with trio.open_nursery() as nursery:
+            await ledger.open()
+            nursery.start_soon(ledger.run)
+            store.faults.delay = 0.5
+            store.faults.lost = store.faults.late = 0.3
+            for number in range(20):
+                await ledger.put(_record(f"r{number}")).stored.wait()
+            await trio.sleep(10.0)
+            nursery.cancel_scope.cancel()
+        keys = [r.key for r in store.topic("jobs").records if r.value]
+        assert keys == [f"r{number}" for number in range(20)], seed
