--- a/pimentocross/contracts/asking.py
+++ b/pimentocross/contracts/asking.py
@@ -16,6 +16,8 @@
 # A question unanswered for this long is overdue: a store that is 50 to 100
 # times slower than usual (4 ms) answers within it.
 AGAIN_AFTER: Final = 0.4
+# Turns of the event loop that reading an answer takes once it is there.
+_TURNS: Final = 5
 
 T = TypeVar("T")
 # Asks once: waits up to so many seconds for news, and for so many at all.
@@ -83,7 +85,7 @@
     """Returns the first answer to a question that is asked repeatedly.
 
     Args:
-        ask: Asks once; must change nothing, as it may be answered repeatedly.
+        ask: Asks once; idempotent, and keeps to its timeout.
         wait: Seconds that the first question may wait for news.
         timeout: Seconds beyond `wait` after which no answer is waited for.
         again_after: Seconds after which an unanswered question is overdue and
@@ -98,16 +100,28 @@
     async with trio.open_nursery() as nursery:
         asking.start(nursery, wait)
         await _wait_for_either(asking.done, urgent, wait + again_after)
-        while not asking.done.is_set() and trio.current_time() < until:
+        while trio.current_time() < until:
+            await _take_what_is_there(asking.done)
+            if asking.done.is_set():
+                break
             asking.start(nursery, 0.0)
             with trio.move_on_after(again_after):
                 await asking.done.wait()
+        # Each question keeps to its timeout, as well as this process can.
+        await asking.done.wait()
         nursery.cancel_scope.cancel()
     if asking.answer is not None:
         return asking.answer
     raise asking.error or StoreUnavailableError("no answer in time", sent=True)
 
 
+async def _take_what_is_there(done: trio.Event) -> None:
+    """Lets an answer be read that came while this process was late."""
+    for _ in range(_TURNS):
+        if not done.is_set():
+            await trio.lowlevel.checkpoint()
+
+
 async def _wait_for_either(
     done: trio.Event, urgent: trio.Event | None, seconds: float
 ) -> None:
@@ -116,7 +130,9 @@
         nursery.cancel_scope.cancel()
 
     with trio.move_on_after(seconds):
+        if urgent is None:
+            await done.wait()
+            return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(end_with, done)
-            if urgent is not None:
-                nursery.start_soon(end_with, urgent)
+            nursery.start_soon(end_with, urgent)
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -1,11 +1,18 @@
 """Writes what changed to the store, gathered, in order, as the sole writer."""
 
 from collections.abc import Callable
-from typing import Protocol
+from functools import partial
+from typing import Protocol, TypeAlias
 
 import trio
 
+from pimentocross.contracts.asking import (
+    AGAIN_AFTER,
+    Answered,
+    first_answer,
+)
 from pimentocross.contracts.store import (
+    FencedError,
     ProducerMark,
     Record,
     SequenceGapError,
@@ -15,6 +22,8 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 
+_Refusal: TypeAlias = FencedError | SequenceGapError
+
 
 class Recordable(Protocol):
     """Something whose newest form is kept under a key."""
@@ -100,12 +109,10 @@
             FencedError: There is a newer one.
             StoreUnavailableError: The store did not answer.
         """
-        sent_at = trio.current_time()
-        mark = ProducerMark(self._producer, self._epoch, 0)
-        await self._store.append(
-            self._topic, [], const.APPEND_TIMEOUT, mark=mark
-        )
-        self.stored_at = sent_at
+        answered = await self._ask([])
+        if isinstance(answered.value, Exception):
+            raise answered.value
+        self.stored_at = answered.asked_at
 
     async def run(self) -> None:
         """Writes batches for ever.
@@ -135,35 +142,64 @@
         """Appends until the store has acknowledged it."""
         self._append_since = trio.current_time()
         while True:
-            sent_at = trio.current_time()
-            mark = ProducerMark(self._producer, self._epoch, self._sequence)
             try:
-                await self._store.append(
-                    self._topic, records, const.APPEND_TIMEOUT, mark=mark
-                )
-                break
+                answered = await self._ask(records)
             except StoreUnavailableError as error:
                 if not self._failures:
                     note("append_failed", reason=str(error), epoch=self._epoch)
                 self._failures += 1
                 await trio.sleep(const.APPEND_RETRY_PAUSE)
-            except SequenceGapError as error:
-                note(
-                    "append_out_of_sequence",
-                    sequence=self._sequence,
-                    expected=error.expected,
-                )
-                if error.expected == self._sequence + 1:
-                    break
-                self._sequence = error.expected
+                continue
+            refusal = answered.value
+            if refusal is None:
+                break
+            if isinstance(refusal, FencedError):
+                raise refusal
+            note(
+                "append_out_of_sequence",
+                sequence=self._sequence,
+                expected=refusal.expected,
+            )
+            if refusal.expected == self._sequence + 1:
+                break
+            self._sequence = refusal.expected
         if self._failures:
             note("append_stored", after=self._failures, epoch=self._epoch)
         self._failures = 0
         self._sequence += 1
         self.appends += 1
-        self.stored_at = sent_at
+        self.stored_at = answered.asked_at
         self._append_since = None
 
+    async def _ask(self, records: list[Record]) -> Answered[_Refusal | None]:
+        """Appends under this epoch's next number; asks again if overdue.
+
+        An append that the store never got kept records back for 1.6 s after
+        its return, now 0.5 s. The number makes a repeat the same append.
+
+        Raises:
+            StoreUnavailableError: No usable answer.
+        """
+        mark = ProducerMark(self._producer, self._epoch, self._sequence)
+        append = partial(self._try, records, mark)
+        return await first_answer(
+            append, 0.0, const.APPEND_TIMEOUT, AGAIN_AFTER
+        )
+
+    async def _try(
+        self,
+        records: list[Record],
+        mark: ProducerMark,
+        wait: float,
+        timeout: float,
+    ) -> _Refusal | None:
+        """Returns why the store refuses for good, or None if it doesn't."""
+        try:
+            await self._store.append(self._topic, records, timeout, mark=mark)
+        except (FencedError, SequenceGapError) as error:
+            return error
+        return None
+
 
 def _split(records: list[Record]) -> list[list[Record]]:
     parts: list[list[Record]] = [[]]
