--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -169,25 +169,28 @@
 
 async def test_a_claim_is_known_in_time_after_an_outage() -> None:
     """Whatever was asked before: a VM without an owner leaves the balancer."""
-    for step in range(40):
-        store = StoreStandin()
-        follower = Cluster(store.client("vm"))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(follower.follow)
-            await trio.sleep(1.0)
-            store.faults.away = True
-            await trio.sleep(4.0 + step * 0.1)
-            store.faults.away = False
-            other = Cluster(store.client("other"))
-            await other.refresh(0.0)
-            await other.append_claim(
-                claim_record("other", "other:0", "127.0.0.1:9"), other.end
-            )
-            claimed_at = trio.current_time()
-            await wait_until(lambda: follower.claim is not None)
-            lag = trio.current_time() - claimed_at
-            assert lag < const.READY_WITHOUT_OWNER, (step, lag)
-            nursery.cancel_scope.cancel()
+    lags = [await _claim_lag(4.0 + step * 0.1) for step in range(40)]
+    assert max(lags) < const.READY_WITHOUT_OWNER, max(lags)
+
+
+async def _claim_lag(away_for: float) -> float:
+    """Returns how long after an outage a claim is unknown to a member."""
+    store = StoreStandin()
+    member, other = Cluster(store.client("vm")), Cluster(store.client("other"))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(member.follow)
+        await trio.sleep(1.0)
+        store.faults.away = True
+        await trio.sleep(away_for)
+        store.faults.away = False
+        await other.refresh(0.0)
+        await other.append_claim(
+            claim_record("other", "other:0", "127.0.0.1:9"), other.end
+        )
+        claimed_at = trio.current_time()
+        await wait_until(lambda: member.claim is not None)
+        nursery.cancel_scope.cancel()
+    return trio.current_time() - claimed_at
 
 
 async def test_a_claim_on_what_was_not_read_fails() -> None:
