Ask what is overdue on a new connection; a known job stays known

An answer without records counts as evidence up to its wait only if that has passed. The owner asks whether a queue is in force only for jobs that it doesn't know. A refusal by it tells its reason.

--- a/pimentocross/contracts/asking.py
+++ b/pimentocross/contracts/asking.py
@@ -20,8 +20,24 @@
 _TURNS: Final = 5
 
 T = TypeVar("T")
-# Asks once: waits up to so many seconds for news, and for so many at all.
-Ask = Callable[[float, float], Awaitable[T]]
+
+
+class Question(NamedTuple):
+    """How to ask once.
+
+    Attributes:
+        wait: Seconds to wait for news.
+        timeout: Seconds to wait for an answer.
+        again: Whether an answer to one before is overdue: the connections used
+            so far may have gone silent.
+    """
+
+    wait: float
+    timeout: float
+    again: bool
+
+
+Ask = Callable[[Question], Awaitable[T]]
 
 
 class Answered(NamedTuple, Generic[T]):
@@ -56,15 +72,16 @@
         self._until = until
         self._open = 0
 
-    def start(self, nursery: trio.Nursery, wait: float) -> None:
+    def start(self, nursery: trio.Nursery, wait: float, *, again: bool) -> None:
         """Sends one question more."""
         self._open += 1
-        nursery.start_soon(self._run, wait)
+        nursery.start_soon(self._run, wait, again)
 
-    async def _run(self, wait: float) -> None:
+    async def _run(self, wait: float, again: bool) -> None:
         asked_at = trio.current_time()
         try:
-            value = await self._ask(wait, self._until - asked_at)
+            left = self._until - asked_at
+            value = await self._ask(Question(wait, left, again))
         except StoreUnavailableError as error:
             self.error = error
         else:
@@ -98,13 +115,13 @@
     until = trio.current_time() + wait + timeout
     asking = _Asking(ask, until)
     async with trio.open_nursery() as nursery:
-        asking.start(nursery, wait)
+        asking.start(nursery, wait, again=False)
         await _wait_for_either(asking.done, urgent, wait + again_after)
         while trio.current_time() < until:
             await _take_what_is_there(asking.done)
             if asking.done.is_set():
                 break
-            asking.start(nursery, 0.0)
+            asking.start(nursery, 0.0, again=True)
             with trio.move_on_after(again_after):
                 await asking.done.wait()
         # Each question keeps to its timeout, as well as this process can.
--- a/pimentocross/contracts/store.py
+++ b/pimentocross/contracts/store.py
@@ -106,6 +106,7 @@
         *,
         at: int | None = None,
         mark: ProducerMark | None = None,
+        fresh: bool = False,
     ) -> int:
         """Appends records, all or none.
 
@@ -115,6 +116,7 @@
             timeout: Seconds to wait for the answer.
             at: Append only if the log ends at this offset.
             mark: Append at most once, and only as the newest writer.
+            fresh: See `read`.
 
         Returns:
             The offset of the first record.
@@ -128,17 +130,33 @@
         ...
 
     async def read(
-        self, topic: str, start: int, wait: float, timeout: float
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        timeout: float,
+        *,
+        fresh: bool = False,
     ) -> Page:
         """Reads from `start` on, waiting up to `wait` s for a record.
 
+        Args:
+            topic: The log.
+            start: The first offset.
+            wait: Seconds to wait for a record.
+            timeout: Seconds to wait for the answer.
+            fresh: Trust no connection that was used before: an answer on one is
+                overdue, and they may all have gone silent.
+
         Raises:
             StoreUnavailableError: No usable answer.
             HistoryGoneError: Records from `start` on have expired.
         """
         ...
 
-    async def newest(self, topic: str, timeout: float) -> Page:
+    async def newest(
+        self, topic: str, timeout: float, *, fresh: bool = False
+    ) -> Page:
         """Returns the newest record of each key.
 
         The records are at least as new as the returned end; newer ones may
--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -12,6 +12,7 @@
     CancelJob,
     GatewayMessage,
     JobAnswer,
+    NotOwner,
     PendingAnswer,
     SubmitJob,
 )
@@ -246,6 +247,8 @@
 def _reason(reply: GatewayMessage) -> str:
     if isinstance(reply, JobAnswer):
         return reply.outcome.value
+    if isinstance(reply, NotOwner):
+        return reply.reason
     return "the owner isn't sure"
 
 
--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -6,7 +6,11 @@
 import msgspec
 import trio
 
-from pimentocross.contracts.asking import AGAIN_AFTER, first_answer
+from pimentocross.contracts.asking import (
+    AGAIN_AFTER,
+    Question,
+    first_answer,
+)
 from pimentocross.contracts.store import (
     HistoryGoneError,
     Page,
@@ -154,19 +158,20 @@
             self.changed.set()
             self.changed = trio.Event()
 
-    async def _ask(
-        self, start: int, wait: float, timeout: float
-    ) -> Page | None:
+    async def _ask(self, start: int, question: Question) -> Page | None:
         """Returns what follows an offset, or None if it has expired."""
+        wait, timeout, again = question
         try:
             return await self._store.read(
-                const.CLUSTER_TOPIC, start, wait, timeout
+                const.CLUSTER_TOPIC, start, wait, timeout, fresh=again
             )
         except HistoryGoneError:
             return None
 
-    async def _ask_newest(self, wait: float, timeout: float) -> Page:
-        return await self._store.newest(const.CLUSTER_TOPIC, timeout)
+    async def _ask_newest(self, question: Question) -> Page:
+        return await self._store.newest(
+            const.CLUSTER_TOPIC, question.timeout, fresh=question.again
+        )
 
     async def register(self, member: Member) -> None:
         """Makes a process known to all; tries until the store has it."""
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -32,7 +32,7 @@
 from pimentocross.observe.decisions import note, write_lines
 from pimentocross.observe.late_log import LateLog
 from pimentocross.owner.owner import CellPlatform, Owner
-from pimentocross.work.queue import WorkConfig
+from pimentocross.work.queue import Queue, WorkConfig
 
 
 class Surfaces(NamedTuple):
@@ -207,7 +207,9 @@
     ) -> GatewayMessage:
         match message:
             case SubmitJob(job, queue, spec):
-                known = await self._configs.in_force(queue)
+                known: Queue | None = queue
+                if not owner.desk.knows(job):
+                    known = await self._configs.in_force(queue)
                 if known is None:
                     return NotOwner("the queue is not in force")
                 return JobAnswer(*await owner.desk.submit(job, known, spec))
--- a/pimentocross/owner/desk.py
+++ b/pimentocross/owner/desk.py
@@ -70,6 +70,10 @@
         note("job_accepted", job=job_id, queue=queue.name, steps=spec.steps)
         return JobReply(Outcome.OK, JobState.QUEUED)
 
+    def knows(self, job_id: str) -> bool:
+        """True if a job was taken in, or may have been."""
+        return self._book.find(job_id) is not None
+
     def state(self, job_id: str) -> JobReply:
         """Returns a job's state."""
         job = self._book.find(job_id)
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -9,6 +9,7 @@
 from pimentocross.contracts.asking import (
     AGAIN_AFTER,
     Answered,
+    Question,
     first_answer,
 )
 from pimentocross.contracts.store import (
@@ -187,15 +188,17 @@
         )
 
     async def _try(
-        self,
-        records: list[Record],
-        mark: ProducerMark,
-        wait: float,
-        timeout: float,
+        self, records: list[Record], mark: ProducerMark, question: Question
     ) -> _Refusal | None:
         """Returns why the store refuses for good, or None if it doesn't."""
         try:
-            await self._store.append(self._topic, records, timeout, mark=mark)
+            await self._store.append(
+                self._topic,
+                records,
+                question.timeout,
+                mark=mark,
+                fresh=question.again,
+            )
         except (FencedError, SequenceGapError) as error:
             return error
         return None
--- a/pimentocross/platform/store.py
+++ b/pimentocross/platform/store.py
@@ -76,6 +76,7 @@
         *,
         at: int | None = None,
         mark: ProducerMark | None = None,
+        fresh: bool = False,
     ) -> int:
         """Appends records; see `Store`."""
         query: dict[str, str | int] = {"topic": _KEYED + topic, "part": 0}
@@ -87,7 +88,7 @@
             query["sequence"] = mark.sequence
         body = b"".join(_frame(record) for record in records)
         reply = await self._call(
-            "POST", "/pimentocross/log-append", query, body, timeout
+            "POST", "/pimentocross/log-append", query, body, timeout, fresh
         )
         if reply.status == _OK:
             return _decode(reply).offset
@@ -100,7 +101,13 @@
         )
 
     async def read(
-        self, topic: str, start: int, wait: float, timeout: float
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        timeout: float,
+        *,
+        fresh: bool = False,
     ) -> Page:
         """Reads records; see `Store`."""
         query: dict[str, str | int] = {
@@ -112,7 +119,7 @@
         if wait > 0:
             query["wait_ms"] = int(wait * 1000)
         reply = await self._call(
-            "GET", "/pimentocross/log-read", query, b"", timeout
+            "GET", "/pimentocross/log-read", query, b"", timeout, fresh
         )
         if reply.status == _GONE:
             raise HistoryGoneError
@@ -122,15 +129,18 @@
             )
         return _read_page(reply.body, start)
 
-    async def newest(self, topic: str, timeout: float) -> Page:
+    async def newest(
+        self, topic: str, timeout: float, *, fresh: bool = False
+    ) -> Page:
         """Returns the newest record of each key; see `Store`."""
         records: list[Record] = []
         end = -1
         query: dict[str, str | int] = {"topic": _KEYED + topic, "part": 0}
         while True:
             reply = await self._call(
-                "GET", "/pimentocross/log-newest", query, b"", timeout
+                "GET", "/pimentocross/log-newest", query, b"", timeout, fresh
             )
+            fresh = False
             if reply.status != _OK:
                 raise StoreUnavailableError(
                     f"newest: status {reply.status}", sent=False
@@ -158,9 +168,12 @@
         query: dict[str, str | int],
         body: bytes,
         timeout: float,
+        fresh: bool,
     ) -> HttpReply:
         target = f"{path}?{urlencode(query)}"
         try:
+            if fresh:
+                await self._pool.aclose()
             return await self._pool.call(method, target, body, timeout)
         except HttpCallError as error:
             raise StoreUnavailableError(str(error), sent=error.sent) from error
--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -8,6 +8,7 @@
 from pimentocross.contracts.asking import (
     AGAIN_AFTER,
     Answered,
+    Question,
     first_answer,
 )
 from pimentocross.contracts.store import (
@@ -91,17 +92,20 @@
         self._position = found.value.end
         return TopicNews(found.value.records, found.asked_at, whole=True)
 
-    async def _read(
-        self, position: int, wait: float, timeout: float
-    ) -> Page | None:
+    async def _read(self, position: int, question: Question) -> Page | None:
         """Returns what follows a position, or None if it has expired."""
+        wait, timeout, again = question
         try:
-            return await self._store.read(self._topic, position, wait, timeout)
+            return await self._store.read(
+                self._topic, position, wait, timeout, fresh=again
+            )
         except HistoryGoneError:
             return None
 
-    async def _newest(self, wait: float, timeout: float) -> Page:
-        return await self._store.newest(self._topic, timeout)
+    async def _newest(self, question: Question) -> Page:
+        return await self._store.newest(
+            self._topic, question.timeout, fresh=question.again
+        )
 
 
 def _known_at(read: Answered[Page | None], position: int) -> float:
@@ -109,8 +113,9 @@
     page = read.value
     if page is None or page.end > position + len(page.records):
         return float("-inf")
-    # The store answers with no record only once it has waited for one.
-    return read.asked_at + (0.0 if page.records else read.wait)
+    # With no record the store answers once it has waited for one.
+    waited = trio.current_time() - read.asked_at >= read.wait
+    return read.asked_at + (read.wait if waited and not page.records else 0.0)
 
 
 class OperatorTopic:
@@ -127,7 +132,7 @@
         again_after: float = AGAIN_AFTER,
         urgent: trio.Event | None = None,
     ) -> ConfigNews:
-        """Returns the newest configuration if there is news; see `Configs`."""
+        """Returns the newest configuration, if new; see `ConfigSource`."""
         news = await self._reader.read(wait, timeout, again_after, urgent)
         found: WorkConfig | None = None
         for record in news.records:
--- a/pimentocross/standins/store.py
+++ b/pimentocross/standins/store.py
@@ -20,6 +20,8 @@
 # As many newest appends of a producer as are answered again.
 _REPEATS_KEPT = 5
 _FOREVER = 1e9
+# Connections that a client keeps beside those in use.
+_IDLE_KEPT = 3
 
 
 class StoreFaults:
@@ -32,7 +34,8 @@
         lost: Share of appends that are done and not answered.
         late: Share of appends that are done seconds later, unanswered.
         silenced: How often all connections went silent: what waits on one then
-            is never answered, new ones work.
+            is never answered, nor what is sent on one that was kept; new ones
+            work.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -158,6 +161,9 @@
         """Takes the store and the VM's name."""
         self._store = store
         self._name = name
+        self._silenced = store.faults.silenced
+        # Kept connections that have gone silent.
+        self._silent = 0
 
     async def append(
         self,
@@ -167,9 +173,10 @@
         *,
         at: int | None = None,
         mark: ProducerMark | None = None,
+        fresh: bool = False,
     ) -> int:
         """Appends records."""
-        await self._reach(timeout)
+        await self._reach(timeout, fresh)
         faults = self._store.faults
         if faults.random.random() < faults.late:
             trio.lowlevel.spawn_system_task(
@@ -182,12 +189,18 @@
         return first
 
     async def read(
-        self, topic: str, start: int, wait: float, timeout: float
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        timeout: float,
+        *,
+        fresh: bool = False,
     ) -> Page:
         """Reads records."""
         asked_at = trio.current_time()
         silenced = self._store.faults.silenced
-        await self._reach(timeout)
+        await self._reach(timeout, fresh)
         found = self._store.topic(topic)
         if start < found.first:
             raise HistoryGoneError
@@ -197,12 +210,14 @@
             left = timeout - (trio.current_time() - asked_at)
             if self._store.faults.silenced != silenced:
                 await self._hang(left)
-            await self._reach(left)
+            await self._reach(left, fresh=True)
         return Page(found.records[start:], len(found.records))
 
-    async def newest(self, topic: str, timeout: float) -> Page:
+    async def newest(
+        self, topic: str, timeout: float, *, fresh: bool = False
+    ) -> Page:
         """Returns the newest record of each key."""
-        await self._reach(timeout)
+        await self._reach(timeout, fresh)
         found = self._store.topic(topic)
         newest = {record.key: record for record in found.records}
         kept = [r for r in newest.values() if r.value is not None]
@@ -222,9 +237,10 @@
             # Its condition holds no more.
             return
 
-    async def _reach(self, timeout: float) -> None:
+    async def _reach(self, timeout: float, fresh: bool) -> None:
         faults = self._store.faults
         self._store.calls += 1
+        await self._pass_silent(timeout, fresh)
         if self._name in faults.refused:
             await trio.sleep(faults.delay)
             raise StoreUnavailableError("status 503", sent=False)
@@ -234,6 +250,17 @@
             await self._hang(timeout)
         await trio.sleep(faults.delay)
 
+    async def _pass_silent(self, timeout: float, fresh: bool) -> None:
+        """Hangs if the call goes out on a kept connection that is silent."""
+        silenced = self._store.faults.silenced
+        if silenced != self._silenced:
+            self._silenced, self._silent = silenced, _IDLE_KEPT
+        if fresh:
+            self._silent = 0
+        if self._silent:
+            self._silent -= 1
+            await self._hang(timeout)
+
     async def _hang(self, timeout: float) -> None:
         await trio.sleep(min(max(timeout, 0.0), _FOREVER))
         raise StoreUnavailableError("no answer in time", sent=True)
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -79,28 +79,37 @@
         *,
         at: int | None = None,
         mark: ProducerMark | None = None,
+        fresh: bool = False,
     ) -> int:
         """Appends records, those of a busy new owner late."""
         if topic == const.JOBS_TOPIC:
             await self.wait_while_busy()
         offset = await self._client.append(
-            topic, records, timeout, at=at, mark=mark
+            topic, records, timeout, at=at, mark=mark, fresh=fresh
         )
         if topic == const.CLUSTER_TOPIC and at is not None:
             self.claimed_at = trio.current_time()
         return offset
 
     async def read(
-        self, topic: str, start: int, wait: float, timeout: float
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        timeout: float,
+        *,
+        fresh: bool = False,
     ) -> Page:
         """Reads records."""
-        return await self._client.read(topic, start, wait, timeout)
+        return await self._client.read(topic, start, wait, timeout, fresh=fresh)
 
-    async def newest(self, topic: str, timeout: float) -> Page:
+    async def newest(
+        self, topic: str, timeout: float, *, fresh: bool = False
+    ) -> Page:
         """Returns the newest records; the state of jobs takes its time."""
         if topic == const.JOBS_TOPIC:
             await trio.sleep(self._cell.reading_takes)
-        return await self._client.newest(topic, timeout)
+        return await self._client.newest(topic, timeout, fresh=fresh)
 
     async def wait_while_busy(self) -> None:
         """Waits until this VM, if it has claimed, does more than adopt."""
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from pimentocross.contracts.asking import first_answer
+from pimentocross.contracts.asking import Question, first_answer
 from pimentocross.contracts.store import StoreUnavailableError
 
 
@@ -18,8 +18,10 @@
         self.asked: list[float] = []
         self._takes = takes
 
-    async def ask(self, wait: float, timeout: float) -> int:
+    async def ask(self, question: Question) -> int:
         """Answers with the question's number."""
+        _, timeout, again = question
+        assert again is bool(self.asked)
         number = len(self.asked)
         self.asked.append(trio.current_time())
         takes = self._takes[min(number, len(self._takes) - 1)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -379,6 +379,39 @@
         assert len(await servers.poll(1.0)) == 2
 
 
+@real_time
+async def test_kept_connections_that_went_silent_are_not_asked_again() -> None:
+    """One is overdue, so all that were kept may have gone silent with it."""
+    opened = 0
+    silent = False
+
+    async def answer(stream: trio.SocketStream) -> None:
+        nonlocal opened
+        opened += 1
+        mine_is_old = opened <= 4
+        body = b'{"items":[],"end_offset":0}'
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        while await stream.receive_some(4096):
+            await trio.sleep(0.05)
+            if not (silent and mine_is_old):
+                await stream.send_all(head + body)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, answer, 0)
+        port = listeners[0].socket.getsockname()[1]
+        client = StoreClient(f"127.0.0.1:{port}")
+        async with trio.open_nursery() as calls:
+            for _ in range(4):
+                calls.start_soon(client.newest, "op", 1.0)
+        assert opened == 4
+        silent = True
+        began = trio.current_time()
+        await OperatorTopic(client).next_config(0.0, 2.0, 0.3)
+        assert trio.current_time() - began < 0.6
+        assert opened == 5
+        nursery.cancel_scope.cancel()
+
+
 @real_time
 async def test_a_store_that_refuses_or_is_not_there_is_unavailable() -> None:
     async with loopback_platform(0) as platform:
