--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -176,7 +176,8 @@
         """Appends under this epoch's next number; asks again if overdue.
 
         An append that the store never got kept records back for 1.5 s after
-        its return, now 0.3 s (virtual time). The number makes a repeat the same append.
+        its return, now 0.3 s (virtual time). The number makes a repeat the
+        same append.
 
         Raises:
             StoreUnavailableError: No usable answer.
