--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -1,6 +1,7 @@
 """Asking a store until one question is answered."""
 
 import trio
+from trio.testing import MockClock
 
 from pimentocross.contracts.asking import Question, first_answer
 from pimentocross.contracts.store import StoreUnavailableError
@@ -11,17 +12,20 @@
 
     Attributes:
         asked: When each question came, in seconds.
+        timeouts: For how many seconds each was to be answered.
     """
 
     def __init__(self, *takes: float | None) -> None:
         """Takes the seconds for each question in turn; None refuses it."""
         self.asked: list[float] = []
+        self.timeouts: list[float] = []
         self._takes = takes
 
     async def ask(self, question: Question) -> int:
         """Answers with the question's number."""
         _, timeout, again = question
         assert again is bool(self.asked)
+        self.timeouts.append(timeout)
         number = len(self.asked)
         self.asked.append(trio.current_time())
         takes = self._takes[min(number, len(self._takes) - 1)]
@@ -29,7 +33,7 @@
             await trio.sleep(0.004)
             raise StoreUnavailableError("status 503", sent=False)
         if takes > timeout:
-            await trio.sleep(timeout)
+            await trio.sleep(max(timeout, 0.0))
             raise StoreUnavailableError("no answer in time", sent=True)
         await trio.sleep(takes)
         return number
@@ -88,6 +92,31 @@
         assert trio.current_time() - began < 0.21
 
 
+async def test_a_process_that_is_late_asks_no_question_without_time() -> None:
+    """Its time passed between the decision to ask and the question.
+
+    A process ended by itself on a busy VM: "ValueError: `seconds` must be
+    non-negative", as the question was to be answered before it was asked.
+    """
+    for step in range(60):
+        scripted = _Scripted(_NEVER)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_be_late_from, 1.4 + step * 0.01, 0.03)
+            await _failed(scripted)
+            nursery.cancel_scope.cancel()
+        assert min(scripted.timeouts) > 0, scripted.timeouts
+
+
+async def _be_late_from(seconds: float, jump: float) -> None:
+    """Lets time pass with each turn of the loop, from then on."""
+    await trio.sleep(seconds)
+    clock = trio.lowlevel.current_clock()
+    assert isinstance(clock, MockClock)
+    while True:
+        clock.jump(jump)
+        await trio.lowlevel.checkpoint()
+
+
 async def _set_later(event: trio.Event) -> None:
     await trio.sleep(0.2)
     event.set()
