--- a/pimentocross/contracts/asking.py
+++ b/pimentocross/contracts/asking.py
@@ -63,30 +63,28 @@
         done: Set once there is an answer, or none can come.
     """
 
-    def __init__(self, ask: Ask[T], until: float) -> None:
-        """Takes how to ask and until when to wait, monotonic."""
+    def __init__(self, ask: Ask[T]) -> None:
+        """Takes how to ask."""
         self.answer: Answered[T] | None = None
         self.error: StoreUnavailableError | None = None
         self.done = trio.Event()
         self._ask = ask
-        self._until = until
         self._open = 0
 
-    def start(self, nursery: trio.Nursery, wait: float, *, again: bool) -> None:
+    def start(self, nursery: trio.Nursery, question: Question) -> None:
         """Sends one question more."""
         self._open += 1
-        nursery.start_soon(self._run, wait, again)
+        nursery.start_soon(self._run, question)
 
-    async def _run(self, wait: float, again: bool) -> None:
+    async def _run(self, question: Question) -> None:
         asked_at = trio.current_time()
         try:
-            left = self._until - asked_at
-            value = await self._ask(Question(wait, left, again))
+            value = await self._ask(question)
         except StoreUnavailableError as error:
             self.error = error
         else:
             if self.answer is None:
-                self.answer = Answered(value, asked_at, wait)
+                self.answer = Answered(value, asked_at, question.wait)
         self._open -= 1
         if self.answer is not None or not self._open:
             self.done.set()
@@ -113,15 +111,17 @@
         StoreUnavailableError: None was answered, or all were refused.
     """
     until = trio.current_time() + wait + timeout
-    asking = _Asking(ask, until)
+    asking = _Asking(ask)
     async with trio.open_nursery() as nursery:
-        asking.start(nursery, wait, again=False)
+        asking.start(nursery, Question(wait, wait + timeout, again=False))
         await _wait_for_either(asking.done, urgent, wait + again_after)
-        while trio.current_time() < until:
+        while True:
             await _take_what_is_there(asking.done)
-            if asking.done.is_set():
+            # A process that is late may find that no time is left.
+            left = until - trio.current_time()
+            if asking.done.is_set() or left <= 0:
                 break
-            asking.start(nursery, 0.0, again=True)
+            asking.start(nursery, Question(0.0, left, again=True))
             with trio.move_on_after(again_after):
                 await asking.done.wait()
         # Each question keeps to its timeout, as well as this process can.
