--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from pimentocross.links.http_pool import HttpPool
 from pimentocross.observe.decisions import DECISIONS_PATH
 from pimentocross.platform.settings import SettingsError, read_settings
 from pimentocross.platform.wire import (
@@ -104,6 +105,24 @@
             assert await caller.state("bad") == "410"
 
 
+@real_time
+async def test_a_caller_may_name_any_time_that_it_waits() -> None:
+    """One below 0 ended the process; all that it did for others ended too."""
+    async with loopback_platform() as platform:
+        async with running_node(platform, "vm1") as (_, values):
+            await until_ready(values)
+            caller = Caller(values["listen_addrs.frontend"])
+            await _until_accepted(caller, "aa01")
+            pool = HttpPool(values["listen_addrs.frontend"])
+            for told in (b"-5", b"0", b"nan", b"inf", b"-inf", b"1e400", b"x"):
+                headers = [(b"x-deadline-ms", told)]
+                for method in ("GET", "DELETE"):
+                    path = PREFIX + "unknown"
+                    reply = await pool.call(method, path, b"", 5.0, headers)
+                    assert reply.status in (410, 503, 504), (told, reply)
+            assert await caller.state("unknown") == "410"
+
+
 @real_time
 async def test_a_route_is_gone_and_another_there_within_a_second() -> None:
     async with loopback_platform() as platform:
