--- a/pimentocross/platform/callers.py
+++ b/pimentocross/platform/callers.py
@@ -110,9 +110,13 @@
     """Returns the seconds that the caller waits for."""
     told = request.header(_DEADLINE_HEADER)
     try:
-        return float(told or _DEADLINE_MS) / 1000
+        milliseconds = float(told or _DEADLINE_MS)
     except ValueError:
-        return _DEADLINE_MS / 1000
+        milliseconds = _DEADLINE_MS
+    if not math.isfinite(milliseconds):
+        milliseconds = _DEADLINE_MS
+    # A timeout below 0 is an error that would end the process.
+    return max(milliseconds, 0.0) / 1000
 
 
 def _reply(answer: Answer) -> HttpReply:
