One reader of topics for the cluster and the platform's adapter

Cause: `Cluster._ask`, `_ask_newest` and `TopicReader._read`, `_newest` were one reader twice, each with its own way of beginning anew.

A history that has expired is read anew at once, no longer a turn later.

--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -1,23 +1,16 @@
 """Who takes part and who owns the cell, as the store tells."""
 
-from functools import partial
 from typing import Final, NamedTuple, TypeVar
 
 import msgspec
 import trio
 
-from pimentocross.contracts.asking import (
-    AGAIN_AFTER,
-    Question,
-    first_answer,
-)
 from pimentocross.contracts.store import (
-    HistoryGoneError,
-    Page,
     Record,
     Store,
     StoreUnavailableError,
 )
+from pimentocross.contracts.topic_reader import TopicReader
 from pimentocross.gateway import const
 from pimentocross.observe.decisions import note
 
@@ -92,7 +85,6 @@
     Attributes:
         members: By VM; the newest process of each.
         claim: The newest, or None before the first.
-        end: Offset up to which the topic was read, or -1.
         changed: Set, and replaced, whenever something came in.
     """
 
@@ -100,11 +92,16 @@
         """Knows nobody yet."""
         self.members: dict[str, Member] = {}
         self.claim: OwnerClaim | None = None
-        self.end = -1
         self._cores: dict[str, float] = {}
         self.changed = trio.Event()
         self.reachable = False
         self._store = store
+        self._reader = TopicReader(store, const.CLUSTER_TOPIC)
+
+    @property
+    def end(self) -> int:
+        """Offset up to which the topic was read, or -1."""
+        return -1 if self._reader.end is None else self._reader.end
 
     async def follow(self) -> None:
         """Follows the topic for ever."""
@@ -130,49 +127,16 @@
             raise
 
     async def _read(self, wait: float) -> None:
-        start = self.end
-        if start < 0:
-            found = await first_answer(
-                self._ask_newest, 0.0, const.READ_TIMEOUT, AGAIN_AFTER
-            )
-            page, end = found.value, found.value.end
-        else:
-            read = await first_answer(
-                partial(self._ask, start),
-                wait,
-                const.FOLLOW_TIMEOUT,
-                AGAIN_AFTER,
-            )
-            if read.value is None:
-                note("history_gone", topic=const.CLUSTER_TOPIC)
-                self.end = -1
-                return
-            page, end = read.value, start + len(read.value.records)
+        news = await self._reader.read(wait, const.FOLLOW_TIMEOUT)
         if not self.reachable:
             note("store_reached")
         self.reachable = True
-        for record in page.records:
+        for record in news.records:
             self._take(record)
-        self.end = max(self.end, end)
-        if page.records or start < 0:
+        if news.records or news.whole:
             self.changed.set()
             self.changed = trio.Event()
 
-    async def _ask(self, start: int, question: Question) -> Page | None:
-        """Returns what follows an offset, or None if it has expired."""
-        wait, timeout, again = question
-        try:
-            return await self._store.read(
-                const.CLUSTER_TOPIC, start, wait, timeout, fresh=again
-            )
-        except HistoryGoneError:
-            return None
-
-    async def _ask_newest(self, question: Question) -> Page:
-        return await self._store.newest(
-            const.CLUSTER_TOPIC, question.timeout, fresh=question.again
-        )
-
     async def register(self, member: Member) -> None:
         """Makes a process known to all; tries until the store has it."""
         records = [Record(_MEMBER + member.vm, _encode(member[:-1]))]
--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -1,22 +1,10 @@
 """What the platform and its operator keep in the store for all to read."""
 
-from functools import partial
-from typing import NamedTuple
-
 import trio
 
-from pimentocross.contracts.asking import (
-    AGAIN_AFTER,
-    Answered,
-    Question,
-    first_answer,
-)
-from pimentocross.contracts.store import (
-    HistoryGoneError,
-    Page,
-    Record,
-    Store,
-)
+from pimentocross.contracts.asking import AGAIN_AFTER
+from pimentocross.contracts.store import Record, Store
+from pimentocross.contracts.topic_reader import TopicReader
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.gateway.config_follower import ConfigNews
 from pimentocross.observe.decisions import note
@@ -31,93 +19,6 @@
 _UNREADABLE_MOST = 1000
 
 
-class TopicNews(NamedTuple):
-    """What was read.
-
-    Attributes:
-        records: What is new, in order.
-        known_at: Until when nothing newer was there, monotonic; -inf if there
-            is more to read.
-        whole: Whether this is the newest of each key, and all that there is.
-    """
-
-    records: list[Record]
-    known_at: float
-    whole: bool
-
-
-class TopicReader:
-    """Reads a topic on from where it was read last."""
-
-    def __init__(self, store: Store, topic: str) -> None:
-        """Begins with the newest record of each key."""
-        self._store = store
-        self._topic = topic
-        self._position: int | None = None
-
-    async def read(
-        self,
-        wait: float,
-        timeout: float,
-        again_after: float = AGAIN_AFTER,
-        urgent: trio.Event | None = None,
-    ) -> TopicNews:
-        """Returns what is new, waiting for it for a while.
-
-        Args:
-            wait: Seconds to wait for news.
-            timeout: Seconds beyond `wait` to wait for an answer.
-            again_after: Seconds after which the store is asked once more.
-            urgent: Once set, what is new is asked for at once.
-
-        Raises:
-            StoreUnavailableError: The store did not answer.
-        """
-        position = self._position
-        if position is not None:
-            read = await first_answer(
-                partial(self._read, position),
-                wait,
-                timeout,
-                again_after,
-                urgent,
-            )
-            if read.value is not None:
-                self._position = position + len(read.value.records)
-                known_at = _known_at(read, position)
-                return TopicNews(read.value.records, known_at, whole=False)
-            note("history_gone", topic=self._topic, position=position)
-            self._position = None
-        found = await first_answer(self._newest, 0.0, timeout, again_after)
-        self._position = found.value.end
-        return TopicNews(found.value.records, found.asked_at, whole=True)
-
-    async def _read(self, position: int, question: Question) -> Page | None:
-        """Returns what follows a position, or None if it has expired."""
-        wait, timeout, again = question
-        try:
-            return await self._store.read(
-                self._topic, position, wait, timeout, fresh=again
-            )
-        except HistoryGoneError:
-            return None
-
-    async def _newest(self, question: Question) -> Page:
-        return await self._store.newest(
-            self._topic, question.timeout, fresh=question.again
-        )
-
-
-def _known_at(read: Answered[Page | None], position: int) -> float:
-    """Returns until when a page told all that there was, at the least."""
-    page = read.value
-    if page is None or page.end > position + len(page.records):
-        return float("-inf")
-    # With no record the store answers once it has waited for one.
-    waited = trio.current_time() - read.asked_at >= read.wait
-    return read.asked_at + (read.wait if waited and not page.records else 0.0)
-
-
 class OperatorTopic:
     """The operator's configuration."""
 
