--- /dev/null
+++ b/tests/test_new_workers.py
@@ -0,0 +1,139 @@
+"""Workers that come empty take what waits, while the others are crowded.
+
+Users saw new workers stay untouched while what serves crowded the halls that
+they had before: tasks that fill waited for room there, and answers came late.
+"""
+
+from unittest import mock
+
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.owner import wall
+from pimentocross.owner.learned import Learned
+from pimentocross.owner.owner import Owner
+from pimentocross.placement.disturbance import Pair
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import (
+    LASTS,
+    RunEvent,
+    TaskPlan,
+    TaskWorkerStandin,
+    WorkerHall,
+)
+from pimentocross.work import records
+from pimentocross.work.spec import Size, StepSpec, TaskName
+from tests import run_virtual
+from tests.owner_fixtures import (
+    QUEUE,
+    life,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+)
+
+_WORKERS = 24
+_NEW_WORKERS = 6
+_SEAT = Size(2400, 1000, 0)
+_FILLER = Size(1000, 500, 0)
+_FILLER_SECONDS = 1.0
+_WIDTH = 14
+# Seconds of the load after which the new workers come, and after which it ends.
+_CROWDED = 6.0
+_AFTER = 12.0
+_ARRIVALS = 0.1
+
+
+def _plan(task: TaskName) -> TaskPlan:
+    if task.job.startswith("fill"):
+        return TaskPlan(_FILLER_SECONDS, Size(0, 500, 0))
+    return TaskPlan(LASTS, _SEAT)
+
+
+async def _submit_fillers(owner: Owner, sent: dict[str, float]) -> None:
+    """Asks for more than the crowded workers leave to tasks that fill."""
+    while True:
+        job = f"fill{len(sent)}"
+        sent[job] = trio.current_time()
+        step = StepSpec(_WIDTH, _FILLER, _FILLER_SECONDS, image="x", fills=True)
+        await owner.desk.submit(job, QUEUE, spec(step))
+        await trio.sleep(_ARRIVALS)
+
+
+async def _play(hall: WorkerHall, sent: dict[str, float]) -> float:
+    """Returns when the new workers came."""
+    store, learned = StoreStandin(), Learned()
+    learned.disturbance.restore([Pair("serves", "x", 0.0, 0.01)], 0.0)
+    record = Record(records.LEARNED, learned.encode())
+    await store.client("a").append("jobs", [record], 1.0)
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with (
+            running(make_owner(store, hall, 1)) as owner,
+            trio.open_nursery() as nursery,
+        ):
+            serves = StepSpec(
+                3 * _WORKERS,
+                _SEAT,
+                lasting=True,
+                image="serves",
+                target_tail=20,
+            )
+            await owner.desk.submit("serves", QUEUE, spec(serves))
+            await trio.sleep(3.0)
+            nursery.start_soon(_submit_fillers, owner, sent)
+            await trio.sleep(_CROWDED)
+            came_at = trio.current_time()
+            for number in range(_WORKERS, _WORKERS + _NEW_WORKERS):
+                new = TaskWorkerStandin(
+                    life(number), _plan, hall.journal, seed=number
+                )
+                hall.add(new)
+            await trio.sleep(_AFTER)
+            nursery.cancel_scope.cancel()
+    return came_at
+
+
+def _starts(
+    journal: list[RunEvent], since: float, until: float
+) -> list[RunEvent]:
+    return [
+        event
+        for event in journal
+        if event.what == "start"
+        and event.task.job.startswith("fill")
+        and since <= event.at < until
+    ]
+
+
+def _is_new(event: RunEvent) -> bool:
+    return int(event.worker.removeprefix("w").split("-")[0]) >= _WORKERS
+
+
+def _wait_at_99(starts: list[RunEvent], sent: dict[str, float]) -> float:
+    waits = sorted(event.at - sent[event.task.job] for event in starts)
+    return waits[int(0.99 * (len(waits) - 1))]
+
+
+def test_new_workers_carry_their_share_within_seconds() -> None:
+    hall = make_hall(_WORKERS, _plan)
+    sent: dict[str, float] = {}
+    came_at = 0.0
+
+    async def play() -> None:
+        nonlocal came_at
+        came_at = await _play(hall, sent)
+
+    run_virtual(play)
+    before = _starts(hall.journal, came_at - 2.0, came_at)
+    soon = _starts(hall.journal, came_at + 1.0, came_at + 3.0)
+    after = _starts(hall.journal, came_at + 5.0, came_at + 8.0)
+    # A new worker has more room left than a crowded one: its share is more
+    # than that of its number.
+    share = sum(map(_is_new, soon)) / len(soon)
+    assert share >= _NEW_WORKERS / (_WORKERS + _NEW_WORKERS), share
+    crowded, relieved = _wait_at_99(before, sent), _wait_at_99(after, sent)
+    assert crowded > 0.3, crowded
+    assert relieved < crowded, (relieved, crowded)
+    # Nothing that serves was moved to where nothing has to be opened.
+    assert not any(event.what == "stopped" for event in hall.journal)
