--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -26,8 +26,8 @@
 _QUARANTINE: Final = QuarantineTerms(after=2, first=3.0, most=12.0)
 # What serves alone on a sound worker stays under this share of its target.
 _SOUND_ALONE: Final = 1.2
-# A worker that was seen in trouble gets nothing new for this long: faults of
-# this kind were seen to last for 5 to 8 s.
+# A worker that was seen in trouble gets nothing new for this long, seconds:
+# shorter than most faults of this kind, so that a try tells when they end.
 UNSOUND_FOR: Final = 2.0
 
 
--- a/pimentocross/owner/listing_pace.py
+++ b/pimentocross/owner/listing_pace.py
@@ -14,8 +14,7 @@
 
 # Share of the thread that listings may take.
 _SHARE: Final = 0.25
-# A whole call costs the owner this many times what taking its listing in does:
-# 0.34 to 0.48 ms and 0.14 ms were measured with 246 workers.
+# A whole call costs the owner this many times what taking its listing in does.
 _WHOLE: Final = 3.0
 # Weight of a new measurement: of some seconds' listings of a small cell.
 _WEIGHT: Final = 0.02
--- a/pimentocross/placement/disturbance.py
+++ b/pimentocross/placement/disturbance.py
@@ -5,10 +5,8 @@
 swings), and, for each image that fills beside it, a coefficient times the share
 of the worker's processors that this image uses. All are estimated with their
 spread, one reading at a time, as by a Kalman filter with independent parts, and
-forgotten slowly. Without the level, a swing was put down to whatever had just
-come: with it readings are foreseen within 0.18 in place of 0.29 (root mean
-square of the logarithm, 18,000 readings), and harmless pairs are told by a few.
-Measured on played days: a few pairs raise the tail tenfold, most do nothing.
+forgotten slowly. Without the level, a swing would be put down to whatever has
+just come. A few pairs raise the tail tenfold, most do nothing.
 """
 
 from collections.abc import Mapping, Sequence
@@ -33,12 +31,11 @@
     variance: float
 
 
-# Without neighbours, tails were seen at 0.3 to 0.6 of their target.
+# Without neighbours, tails are about half of their target.
 _BASE: Final = Estimate(math.log(0.45), 0.3, 0.0)
-# Coefficients were seen from 0 to 10; an unknown pair is tried with care.
+# An unknown pair is tried with care.
 _PAIR: Final = Estimate(1.0, 6.0, 0.0)
-# On played days two thirds of the pairs lay under this, most near 0, and the
-# others between 2 and 16.
+# Under this a pair can't be told from a harmless one.
 _NOISE: Final = 0.8
 # ... and from here on a pair is taken to disturb.
 _SURELY: Final = 1.5
--- a/pimentocross/placement/field.py
+++ b/pimentocross/placement/field.py
@@ -1,10 +1,9 @@
 """The workers of one pass, in the order in which they suit each kind of task.
 
 Load pattern: hundreds of tasks of a few kinds wait in a cell of hundreds of
-workers. Looked at anew for each task, all workers cost 0.07 s of a pass on
-average, and up to 0.7 s. Here a kind looks at each worker once, and again only
-at those that changed: a pass over 246 workers that places 400 tasks looks at
-a worker 2,000 times in place of 97,000.
+workers. Looked at anew for each task, they would take most of a pass. Here a
+kind looks at each worker once, and again only at those that changed: looks grow
+with workers plus placements, not with their product.
 """
 
 from collections.abc import Iterable, Sequence
--- a/pimentocross/placement/headroom.py
+++ b/pimentocross/placement/headroom.py
@@ -9,11 +9,11 @@
 import math
 from typing import Final
 
-# The demand of a wave is remembered for about this many seconds: waves of
-# callers were seen to come every 11 s.
+# The demand of a wave is remembered for about this many seconds, until the next
+# wave of callers.
 _REMEMBERED: Final = 15.0
-# Bounds, as shares of all processors. Short work was seen to take 3 to 8 %
-# on average and twice that in its waves.
+# Bounds, as shares of all processors: room for a first wave, and an end to what
+# short work may have before all the rest.
 _LEAST: Final = 0.04
 _MOST: Final = 0.15
 # Work that has been held back for this long, in seconds, takes the room all
--- a/pimentocross/placement/host.py
+++ b/pimentocross/placement/host.py
@@ -7,7 +7,7 @@
 from pimentocross.work.spec import Size
 from pimentocross.work.state import Step
 
-# Share of what serving tasks ask for that they use, as seen on played days.
+# Share of what serving tasks ask for that they use.
 SERVING_LOAD: Final = 0.42
 
 
--- a/pimentocross/placement/layout.py
+++ b/pimentocross/placement/layout.py
@@ -26,7 +26,7 @@
 # One image is enough to fill a worker; this share of its worth is by how many
 # images may, as the next jobs are of any of them.
 _BREADTH: Final = 0.3
-# Rounds in which room is shared out among images; two were seen to settle.
+# Rounds in which room is shared out among images, until the shares settle.
 _ROUNDS: Final = 3
 # Images for which there is this many times the room are left out.
 _PLENTY: Final = 5.0
--- a/pimentocross/placement/soundness.py
+++ b/pimentocross/placement/soundness.py
@@ -22,15 +22,15 @@
 _SPEED_KEPT: Final = 3.0
 # A run is measured once it has worked this long, in seconds.
 MEASURED_AFTER: Final = 0.7
-# What serves on a sound worker was seen over its target in 1 % of readings;
-# all of it, this far over, is the worker's doing.
+# What serves on a sound worker is over its target by chance now and then; all
+# of it, this far over, is the worker's doing.
 SICK_FROM: Final = 1.5
 # ... if it lasts this many seconds, three readings, and fillers explain no
 # more than this of it (in the logarithm of the tail).
 SICK_AFTER: Final = 1.2
 EXPLAINED_MOST: Final = 0.3
-# Fillers were seen to raise tails to 17 times the target, workers that hang
-# show hundreds: from here on one reading is enough.
+# Fillers raise no tail that far, workers that hang do: from here on one reading
+# is enough.
 SICK_SURELY: Final = 40.0
 
 
--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -331,7 +331,7 @@
         loose = _decode_loose_hold(body)
         running = [_listed(row) for row in loose.running]
         return loose.clock_ms, running, loose.completions
-    # Each row is made in one step: 30 take 0.03 ms in place of 0.1.
+    # Each row is made in one step: listings are most of what is decoded.
     running = [
         Listed(
             read_task(row.task),
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -152,7 +152,7 @@
     if job.ended and not any(step.run_count for step in started):
         started = []
     # In the form of a `ProgressRecord`. An end changes one step of a job, and
-    # only that is encoded anew: 0.06 ms in place of 4 in a job of fifty.
+    # only that is encoded anew: a wide job changes with each end of a task.
     steps = [_encoded_step(step) for step in started]
     return _encode((FORM, job.state.value, job.ended_at, steps))
 
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -284,8 +284,8 @@
             for number, due in enumerate(_due_times(spec, accepted_at))
         ]
         self.started = False
-        # Counted, as each end of a run asks: looking at all tasks takes 0.2 ms
-        # in a job of a thousand.
+        # Counted, as each end of a run asks: looking at all tasks would take
+        # the longer the wider a job is.
         self._steps_left = sum(
             step.undone > 0
             for occurrence in self.occurrences
