--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -335,3 +335,31 @@
     ):
         step.waiting_count = away
         assert reclaimer.may_give(step) is may, (step.spec.width, away)
+
+
+class _CountedHost(_Host):
+    """A worker that counts how often its room is looked at."""
+
+    looks = 0
+
+    @property
+    def free(self) -> Size:  # type: ignore[override]
+        _CountedHost.looks += 1
+        return Size(400, 9000, 0)
+
+    @free.setter
+    def free(self, free: Size) -> None:
+        pass
+
+
+def test_looks_for_room_grow_with_steps_and_not_with_their_tasks() -> None:
+    hosts = [_CountedHost(number, Size(400, 9000, 0)) for number in range(270)]
+    seats = [_seat(host, 1500) for host in hosts for _ in range(6)]
+    steps = [_tasks(9, _SHORT) for _ in range(15)]
+    _CountedHost.looks = 0
+    chosen = choose_evictions(
+        [task for tasks in steps for task in tasks], seats, 1_000_000
+    )
+    # Nothing leaves enough, so that each seat is looked at.
+    assert not chosen
+    assert _CountedHost.looks <= 2 * len(steps) * len(seats)
