--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -343,7 +343,7 @@
     looks = 0
 
     @property
-    def free(self) -> Size:  # type: ignore[override]
+    def free(self) -> Size:
         _CountedHost.looks += 1
         return Size(400, 9000, 0)
 
