A lasting task that failed on a worker goes elsewhere

Where a task failed was noted for tasks with a number of attempts alone, and a worker that has just failed what it had looks free.

Change: it is noted for tasks that last, too; they still have any number of attempts.

--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -23,7 +23,7 @@
         _keep_checkpoint(task, ending.checkpoint)
     if ending.how is EndKind.DONE and not task.step.spec.lasting:
         _finish(task)
-    elif ending.how is EndKind.FAILED and not task.step.spec.lasting:
+    elif ending.how is EndKind.FAILED:
         _count_failure(task, run, worker)
     note(
         "run_ended",
@@ -39,13 +39,16 @@
 def _count_failure(task: Task, run: Run | None, worker: Worker) -> None:
     """Counts a failed run, once.
 
-    A run that isn't known any more was counted when its ending was recorded,
+    What lasts has any number of attempts; it goes elsewhere all the same, as a
+    worker that fails all would get it again and again. A run that isn't known any more was counted when its ending was recorded,
     maybe by a former owner that did not come to take note of it; or it was
     given up since its lease had lapsed, which voids the ending.
     """
-    if run is not None:
+    if run is None:
+        return
+    task.failed_on.add(worker.number)
+    if not task.step.spec.lasting:
         task.failures += 1
-        task.failed_on.add(worker.number)
 
 
 def _finish(task: Task) -> None:
--- a/tests/test_failing_workers.py
+++ b/tests/test_failing_workers.py
@@ -13,14 +13,24 @@
 
 import trio
 
+from pimentocross.contracts.worker_link import Ending, EndKind
 from pimentocross.owner import wall
+from pimentocross.owner.endings import apply_ending
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import TaskPlan, WorkerHall
 from pimentocross.work.spec import Size, StepSpec, TaskName
 from pimentocross.work.state import JobState
 from tests import run_virtual
-from tests.owner_fixtures import QUEUE, make_hall, make_owner, running, spec
+from tests.owner_fixtures import (
+    QUEUE,
+    life,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+)
+from tests.pass_fixtures import make_step, make_worker, put_to_work
 
 _WORKERS = 60
 _FAILING = 9
@@ -60,6 +70,19 @@
     assert runs_failed < 10 * _FAILING, runs_failed
 
 
+def test_a_lasting_task_goes_elsewhere_after_it_failed() -> None:
+    # Half of all failed runs were of tasks that last: a worker that had failed
+    # them had most room again, and got them back, up to a hundred in 6 s.
+    step = StepSpec(1, _SIZE, lasting=True)
+    task = make_step("watch", step).tasks[0]
+    worker = make_worker(life(7), 7)
+    put_to_work(worker, task.step)
+    apply_ending(task, Ending(1, task.name, 1, EndKind.FAILED, ""), worker)
+    assert task.waiting
+    assert task.failed_on == {7}
+    assert not task.failures
+
+
 def _fail(quarantine: Quarantine, worker: str, task: str) -> None:
     job = task.split(".")[0]
     quarantine.note_failed(worker, job, 1.0, task)
