--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -40,7 +40,9 @@
     """Counts a failed run, once.
 
     What lasts has any number of attempts; it goes elsewhere all the same, as a
-    worker that fails all would get it again and again. A run that isn't known any more was counted when its ending was recorded,
+    worker that fails all would get it again and again.
+
+    A run that isn't known any more was counted when its ending was recorded,
     maybe by a former owner that did not come to take note of it; or it was
     given up since its lease had lapsed, which voids the ending.
     """
