Count the time of each answer of the owner, as before

Cause: since a successor is asked again, the time of a submission was counted also where no owner was known, and test_a_job_is_served_through_the_whole_path found one more of it than it submits.

Change: the time is taken where the owner replies.

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -164,9 +164,9 @@
         is not waited for while the store is away from this VM, too.
         """
         message = SubmitJob(place.rest, place.queue, spec)
-        asked_at = trio.current_time()
-        until = asked_at + deadline * const.OWNER_SHARE
-        answer = await self._submit_once(place, message, until - asked_at)
+        timeout = deadline * const.OWNER_SHARE
+        until = trio.current_time() + timeout
+        answer = await self._submit_once(place, message, timeout)
         while answer.kind is AnswerKind.UNKNOWN:
             if trio.current_time() + const.ASK_AGAIN_PAUSE >= until:
                 break
@@ -180,17 +180,18 @@
             # A refusal says nothing of what was asked before.
             if again.kind is AnswerKind.ACCEPTED:
                 answer = again
-        took = trio.current_time() - asked_at
-        self.histograms.record(Label("queue", place.queue.name), took)
         return answer
 
     async def _submit_once(
         self, place: Place, message: SubmitJob, timeout: float
     ) -> Answer:
+        asked_at = trio.current_time()
         try:
             reply = await self._owner.ask_owner(message, timeout)
         except PeerUnreachableError as error:
             return self._unanswered(place.rest, error)
+        took = trio.current_time() - asked_at
+        self.histograms.record(Label("queue", place.queue.name), took)
         if isinstance(reply, JobAnswer):
             if reply.outcome is Outcome.OK:
                 return Answer(AnswerKind.ACCEPTED)
