--- a/pimentocross/standins/task_worker.py
+++ b/pimentocross/standins/task_worker.py
@@ -12,16 +12,13 @@
     HoldReply,
     Listed,
     StartOrder,
-    StartReply,
     StartVerdict,
     WorkerFencedError,
     WorkerLife,
     WorkerReplacedError,
-    WorkerUnreachableError,
 )
 from pimentocross.work.spec import NO_SIZE, Size, TaskName
 
-_POLL = 0.02
 _PERCENT = 100
 LASTS = float("inf")
 
@@ -263,140 +260,3 @@
         when = trio.current_time() if at is None else at
         event = RunEvent(when, self.life.id, task, run, what)
         self._journal.append(event)
-
-
-class TaskWorkerLink:
-    """Access to a stand-in worker; see `WorkerLink`."""
-
-    def __init__(self, worker: TaskWorkerStandin, cut: set[str]) -> None:
-        """Takes the worker, and lives that this VM can't reach."""
-        self._worker = worker
-        self._cut = cut
-
-    async def hold(
-        self,
-        token: int,
-        seen: int,
-        deadline: float | None,
-        wait: float,
-        timeout: float,
-    ) -> HoldReply:
-        """Lists runs and endings."""
-        worker = self._worker
-        await self._order(
-            lambda: worker.take_hold(token, seen, deadline), timeout
-        )
-        until = trio.current_time() + wait
-        reply = worker.listing()
-        while not reply.endings and trio.current_time() < until:
-            await trio.sleep(_POLL)
-            reply = worker.listing()
-        if self._unreachable():
-            raise WorkerUnreachableError("no answer in time")
-        return reply
-
-    async def start(self, order: StartOrder, timeout: float) -> StartReply:
-        """Starts a run."""
-        worker = self._worker
-        verdicts: list[StartVerdict] = []
-        await self._order(
-            lambda: verdicts.append(worker.take_start(order)), timeout
-        )
-        return StartReply(verdicts[0], worker.clock())
-
-    async def stop(
-        self, task: TaskName, run: int, token: int, timeout: float
-    ) -> None:
-        """Stops a run."""
-        worker = self._worker
-        await self._order(lambda: worker.take_stop(task, run, token), timeout)
-
-    async def pace(
-        self, task: TaskName, run: int, percent: int, token: int, timeout: float
-    ) -> None:
-        """Is not modelled."""
-        await self._order(lambda: None, timeout)
-
-    async def aclose(self) -> None:
-        """Has nothing to close."""
-        await trio.lowlevel.checkpoint()
-
-    def _unreachable(self) -> bool:
-        worker = self._worker
-        return worker.faults.silent or worker.life.id in self._cut
-
-    async def _order(
-        self, carry_out: Callable[[], None], timeout: float
-    ) -> None:
-        faults = self._worker.faults
-        await trio.sleep(0.002)
-        if self._unreachable():
-            await trio.sleep(timeout)
-            raise WorkerUnreachableError("no answer in time")
-        if faults.random.random() < faults.late:
-            trio.lowlevel.spawn_system_task(self._carry_out_late, carry_out)
-            await trio.sleep(timeout)
-            raise WorkerUnreachableError("no answer in time")
-        carry_out()
-        if faults.random.random() < faults.lost:
-            await trio.sleep(timeout)
-            raise WorkerUnreachableError("the answer was lost")
-
-    async def _carry_out_late(self, carry_out: Callable[[], None]) -> None:
-        await trio.sleep(self._worker.faults.random.uniform(2.0, 12.0))
-        try:
-            carry_out()
-        except (WorkerFencedError, WorkerReplacedError):
-            # Nobody waits for the answer any more.
-            return
-
-
-class WorkerHall:
-    """All workers, their directory, and each VM's access to them.
-
-    Attributes:
-        workers: Lives that the directory lists or did list, by id.
-        journal: What happened to runs.
-        cut: Lives that a VM can't reach, by VM.
-    """
-
-    def __init__(self) -> None:
-        """Starts empty."""
-        self.workers: dict[str, TaskWorkerStandin] = {}
-        self.unlisted: set[str] = set()
-        self.journal: list[RunEvent] = []
-        self.cut: dict[str, set[str]] = {}
-
-    def add(self, worker: TaskWorkerStandin) -> None:
-        """Lists a worker."""
-        self.workers[worker.life.id] = worker
-
-    def access(self, vm: str) -> "HallAccess":
-        """Returns a VM's access: directory and dialer."""
-        return HallAccess(self, self.cut.setdefault(vm, set()))
-
-
-class HallAccess:
-    """One VM's access; see `WorkerDirectory` and `WorkerDialer`."""
-
-    def __init__(self, hall: WorkerHall, cut: set[str]) -> None:
-        """Takes the hall and the lives out of reach."""
-        self._hall = hall
-        self._cut = cut
-
-    async def poll(self, timeout: float) -> list[WorkerLife]:
-        """Returns all workers listed."""
-        await trio.sleep(0.004)
-        return [
-            worker.life
-            for life_id, worker in self._hall.workers.items()
-            if life_id not in self._hall.unlisted
-        ]
-
-    def link(self, life: WorkerLife) -> TaskWorkerLink:
-        """Returns a link; to a life that never was, one that is silent."""
-        worker = self._hall.workers.get(life.id)
-        if worker is None:
-            worker = TaskWorkerStandin(life, lambda _: TaskPlan(0.0), [])
-            worker.faults.silent = True
-        return TaskWorkerLink(worker, self._cut)
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -26,7 +26,7 @@
 from pimentocross.links.peer import PeerListener
 from pimentocross.owner.owner import CellPlatform
 from pimentocross.standins.store import StoreClientStandin, StoreStandin
-from pimentocross.standins.task_worker import WorkerHall
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.queue import WorkConfig
 from tests.owner_fixtures import CONFIG, make_hall
 
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -15,8 +15,8 @@
     RunEvent,
     TaskPlan,
     TaskWorkerStandin,
-    WorkerHall,
 )
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.queue import (
     CallerLimits,
     Queue,
--- a/tests/slow_vm.py
+++ b/tests/slow_vm.py
@@ -25,11 +25,13 @@
 )
 from pimentocross.standins.task_worker import (
     LASTS,
-    HallAccess,
     RunEvent,
     TaskPlan,
-    TaskWorkerLink,
     TaskWorkerStandin,
+)
+from pimentocross.standins.worker_hall import (
+    HallAccess,
+    TaskWorkerLink,
     WorkerHall,
 )
 from pimentocross.work.spec import Size, TaskName
--- a/tests/test_failing_workers.py
+++ b/tests/test_failing_workers.py
@@ -18,7 +18,8 @@
 from pimentocross.owner.endings import apply_ending
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.task_worker import TaskPlan, WorkerHall
+from pimentocross.standins.task_worker import TaskPlan
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.spec import Size, StepSpec, TaskName
 from pimentocross.work.state import JobState
 from tests import run_virtual
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -15,11 +15,9 @@
 from pimentocross.platform.topics import ServerTopic
 from pimentocross.platform.wire import WireError, read_worker
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.task_worker import (
-    HallAccess,
-    TaskWorkerStandin,
-)
+from pimentocross.standins.task_worker import TaskWorkerStandin
 from pimentocross.standins.users_platform import server_entry
+from pimentocross.standins.worker_hall import HallAccess
 from pimentocross.work.spec import Size, StepSpec
 from tests import run_virtual
 from tests.owner_fixtures import (
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,7 +23,7 @@
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.owner import CellPlatform
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.task_worker import WorkerHall
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.state import JobState
 from tests.gateway_fixtures import FixedConfig
 from tests.owner_fixtures import (
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -23,8 +23,8 @@
     RunEvent,
     TaskPlan,
     TaskWorkerStandin,
-    WorkerHall,
 )
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work import records
 from pimentocross.work.spec import JobSpec, Size, StepSpec, TaskName
 from pimentocross.work.state import Job, Step
--- a/tests/test_new_workers.py
+++ b/tests/test_new_workers.py
@@ -19,8 +19,8 @@
     RunEvent,
     TaskPlan,
     TaskWorkerStandin,
-    WorkerHall,
 )
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work import records
 from pimentocross.work.spec import Size, StepSpec, TaskName
 from tests import run_virtual
--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -14,11 +14,8 @@
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.owner import Owner
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.task_worker import (
-    TaskPlan,
-    TaskWorkerStandin,
-    WorkerHall,
-)
+from pimentocross.standins.task_worker import TaskPlan, TaskWorkerStandin
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.spec import TaskName
 from pimentocross.work.state import TERMINAL, JobState
 from tests import run_virtual
--- a/tests/test_pass_share.py
+++ b/tests/test_pass_share.py
@@ -16,7 +16,7 @@
 from pimentocross.owner.owner import Owner
 from pimentocross.owner.placer import Placer
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.task_worker import WorkerHall
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.spec import JobSpec, Size, StepSpec
 from pimentocross.work.state import Step
 from tests.owner_fixtures import (
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -13,7 +13,8 @@
 from pimentocross.placement.moves import Seat, seat_of
 from pimentocross.placement.reclaim import choose_evictions, tasks_most
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.task_worker import LASTS, TaskPlan, WorkerHall
+from pimentocross.standins.task_worker import LASTS, TaskPlan
+from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work import records
 from pimentocross.work.spec import Size, StepSpec, TaskName
 from pimentocross.work.state import Job, JobState, Task
