--- a/pimentocross/contracts/topic_reader.py
+++ b/pimentocross/contracts/topic_reader.py
@@ -28,11 +28,13 @@
         known_at: Until when nothing newer was there, monotonic; -inf if there
             is more to read.
         whole: Whether this is the newest of each key, and all that there is.
+        asked_at: When the question that was answered was sent, monotonic.
     """
 
     records: list[Record]
     known_at: float
     whole: bool
+    asked_at: float
 
 
 class TopicReader:
@@ -80,13 +82,26 @@
             )
             if read.value is not None:
                 self._advance(start + len(read.value.records))
-                known_at = _known_at(read, start)
-                return TopicNews(read.value.records, known_at, whole=False)
+                return self._page_news(read, read.value, start)
             note("history_gone", topic=self._topic, position=start)
             self._end = None
         found = await first_answer(self._ask_newest, 0.0, timeout, again_after)
         self._advance(found.value.end)
-        return TopicNews(found.value.records, found.asked_at, whole=True)
+        asked_at = found.asked_at
+        return TopicNews(found.value.records, asked_at, True, asked_at)
+
+    def _page_news(
+        self, read: Answered[Page | None], page: Page, start: int
+    ) -> TopicNews:
+        if page.end > start and not page.records:
+            note(
+                "records_withheld",
+                topic=self._topic,
+                position=start,
+                end=page.end,
+            )
+        known_at = _known_at(read, page, start)
+        return TopicNews(page.records, known_at, False, read.asked_at)
 
     def _advance(self, end: int) -> None:
         """Notes how far was read; a read that overlapped may be further."""
@@ -108,10 +123,9 @@
         )
 
 
-def _known_at(read: Answered[Page | None], start: int) -> float:
+def _known_at(read: Answered[Page | None], page: Page, start: int) -> float:
     """Returns until when a page told all that there was, at the least."""
-    page = read.value
-    if page is None or page.end > start + len(page.records):
+    if page.end > start + len(page.records):
         return float("-inf")
     # With no record the store answers once it has waited for one.
     waited = trio.current_time() - read.asked_at >= read.wait
--- a/pimentocross/gateway/config_follower.py
+++ b/pimentocross/gateway/config_follower.py
@@ -21,10 +21,12 @@
         config: The newest configuration, or None if it hasn't changed.
         known_at: Until when nothing newer was there, monotonic; -inf if there
             may be something newer.
+        asked_at: When the question that was answered was sent, monotonic.
     """
 
     config: WorkConfig | None
     known_at: float
+    asked_at: float
 
 
 class ConfigSource(Protocol):
@@ -161,10 +163,10 @@
             return
         self.away = False
         if news.config is not None:
-            self._apply(news.config)
+            self._apply(news.config, news.asked_at)
         self._known_at = max(self._known_at, news.known_at)
 
-    def _apply(self, config: WorkConfig) -> None:
+    def _apply(self, config: WorkConfig, asked_at: float) -> None:
         known = self._config
         if known is not None and config.version <= known.version:
             return
@@ -172,6 +174,7 @@
             "config_in_force",
             version=config.version,
             queues=len(config.queues),
+            waited=round(trio.current_time() - asked_at, 3),
             age=self._told_age(),
         )
         self._config = config
--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -46,7 +46,7 @@
                 continue
             if found is None or config.version > found.version:
                 found = config
-        return ConfigNews(found, news.known_at)
+        return ConfigNews(found, news.known_at, news.asked_at)
 
 
 class ServerTopic:
