Reproduce: versions that a waiting read isn't told of

Callers: a confirmed route is denied, or an old service used, for as long as a read of the store waits (half of the bound: 1.0 to 2.0 s).

So the answer leaves the store as the wait ends. No late loop, one question, no empty answer (records_withheld is silent).

The recorded order of events itself passes: test_versions_on_a_silent_stores_ return_are_in_force_in_time.

--- a/pimentocross/standins/store.py
+++ b/pimentocross/standins/store.py
@@ -36,6 +36,8 @@
         silenced: How often all connections went silent: what waits on one then
             is never answered, nor what is sent on one that was kept; new ones
             work.
+        deaf: Reads that wait aren't told of what comes: they are answered once
+            their wait is over.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -46,6 +48,7 @@
         self.lost = 0.0
         self.late = 0.0
         self.silenced = 0
+        self.deaf = False
         self.random = random.Random(seed)
 
 
@@ -207,6 +210,8 @@
         if start >= len(found.records) and wait > 0:
             with trio.move_on_after(wait):
                 await found.changed.wait()
+                if self._store.faults.deaf:
+                    await trio.sleep_forever()
             left = timeout - (trio.current_time() - asked_at)
             if self._store.faults.silenced != silenced:
                 await self._hang(left)
--- /dev/null
+++ b/tests/test_silent_store.py
@@ -0,0 +1,166 @@
+"""A store that was silent comes back, or answers a waiting read too late.
+
+In the record, a cell's store is silent for 8 s. More than half of the VMs are
+killed meanwhile and start again, and on its return five versions of the
+configuration are acknowledged 27 ms after one another. Two VMs that ran on
+denied a route of the last one 2.5 s later.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.gateway.config_follower import ConfigFollower
+from pimentocross.platform.topics import OperatorTopic
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.users_platform import operator_config
+
+# A change is in force everywhere this long after its acknowledgement, in
+# seconds, as the users' pages ask.
+_APPLY_WITHIN = 2.0
+# A change that the store doesn't tell a waiting read of is in force within a
+# quarter of that.
+_UNTOLD_WITHIN = 0.5
+_VMS = 8
+# Of the VMs, those that are killed while the store is silent.
+_KILLED = 5
+_SILENCE = 8.05
+_VERSIONS = 5
+_BETWEEN_VERSIONS = 0.027
+
+
+class _Vm:
+    """A VM's process, as far as it follows the configuration."""
+
+    def __init__(self, store: StoreStandin, name: str) -> None:
+        source = OperatorTopic(store.client(name))
+        self.follower = ConfigFollower(source, _APPLY_WITHIN)
+        self._scope = trio.CancelScope()
+
+    @property
+    def version(self) -> int:
+        config = self.follower.config
+        return config.version if config is not None else 0
+
+    async def run(self) -> None:
+        with self._scope:
+            await self.follower.run()
+
+    def kill(self) -> None:
+        self._scope.cancel()
+
+
+class _Vms:
+    """VMs that follow one operator's configuration."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.store = StoreStandin()
+        self._nursery = nursery
+        self._vms = [self._start(number) for number in range(_VMS)]
+        self._version = 0
+
+    @property
+    def first(self) -> _Vm:
+        return self._vms[0]
+
+    def kill(self, count: int) -> None:
+        for vm in self._vms[:count]:
+            vm.kill()
+
+    def restart(self, count: int) -> None:
+        self._vms[:count] = [self._start(number) for number in range(count)]
+
+    async def publish(self, count: int = 1) -> None:
+        """Writes versions one after the other, each once the last is stored."""
+        for number in range(count):
+            if number:
+                await trio.sleep(_BETWEEN_VERSIONS)
+            self._version += 1
+            queues = {f"/q{self._version}/": "stock"}
+            value = operator_config(self._version, queues)
+            await self.store.client("operator").append(
+                "op", [Record("config", value)], 1.0
+            )
+
+    async def lag(self) -> float:
+        """Returns how long it takes until all have the newest version."""
+        began = trio.current_time()
+        with trio.fail_after(30):
+            while any(vm.version < self._version for vm in self._vms):
+                await trio.sleep(0.005)
+        return trio.current_time() - began
+
+    def _start(self, number: int) -> _Vm:
+        vm = _Vm(self.store, f"vm{number}")
+        self._nursery.start_soon(vm.run)
+        return vm
+
+
+@asynccontextmanager
+async def _running_vms() -> AsyncIterator[_Vms]:
+    """VMs that have the first version."""
+    async with trio.open_nursery() as nursery:
+        vms = _Vms(nursery)
+        await vms.publish()
+        await vms.lag()
+        yield vms
+        nursery.cancel_scope.cancel()
+
+
+async def test_versions_on_a_silent_stores_return_are_in_force_in_time() -> (
+    None
+):
+    """The recorded order of events, at any moment of a reader's rhythm."""
+    lags = []
+    for step in range(40):
+        async with _running_vms() as vms:
+            await trio.sleep(2.0)
+            vms.store.faults.away = True
+            await trio.sleep(3.0)
+            vms.kill(_KILLED)
+            await trio.sleep(1.0)
+            vms.restart(_KILLED)
+            await trio.sleep(_SILENCE - 4.0 + step * 0.1)
+            vms.store.faults.away = False
+            await vms.publish(_VERSIONS)
+            lags.append(await vms.lag())
+    assert max(lags) < _APPLY_WITHIN, max(lags)
+
+
+async def test_a_confirmed_route_is_not_denied_by_a_vm_that_was_not_told() -> (
+    None
+):
+    """Its read waits on though the version is there."""
+    for step in range(10):
+        async with _running_vms() as vms:
+            vms.store.faults.deaf = True
+            await trio.sleep(5.0 + step * 0.1)
+            await vms.publish()
+            await trio.sleep(0.2)
+            assert await vms.first.follower.make_current()
+            assert vms.first.version == 2
+
+
+async def test_versions_in_series_are_in_force_soon_though_none_is_told() -> (
+    None
+):
+    async with _running_vms() as vms:
+        vms.store.faults.deaf = True
+        await trio.sleep(5.0)
+        await vms.publish()
+        await vms.lag()
+        await vms.publish(_VERSIONS)
+        assert await vms.lag() < _UNTOLD_WITHIN
+
+
+async def test_a_first_version_is_in_force_soon_though_it_is_not_told() -> None:
+    """The operator writes it just as the processes start."""
+    async with trio.open_nursery() as nursery:
+        vms = _Vms(nursery)
+        vms.store.faults.deaf = True
+        await trio.sleep(0.01)
+        await vms.publish()
+        assert await vms.lag() < _UNTOLD_WITHIN
+        nursery.cancel_scope.cancel()
