Look a queue up anew before it is denied, unless the copy is fresh

Callers: 404 for a route that had been confirmed up to 1.5 s before, allowed by the users' bound of 2.0 s, wrong all the same: whoever publishes a route and calls it is told that it doesn't exist.

Cause: a copy counted as current until it was as old as a change may be late. Fix: a denial from a copy older than a twentieth of the bound (0.1 s) asks the store first, once for all who wait; where it doesn't answer within 0.2 s the older bound decides between 404 and 503. Unknown routes cost ten questions a second at most.

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -135,8 +135,7 @@
         place = self._place(host, path)
         if place is not None:
             return place
-        # A copy of unknown age can't deny a queue: VMs that had missed the
-        # store's return said 404 for routes up to 3.3 s old, 2.0 s allowed.
+        # A copy that isn't fresh may lack a route that was just confirmed.
         current = await self._configs.make_current()
         place = self._place(host, path)
         if place is not None:
--- a/pimentocross/gateway/config_follower.py
+++ b/pimentocross/gateway/config_follower.py
@@ -78,6 +78,7 @@
         self._again_after = min(
             AGAIN_AFTER, within * const.CONFIG_OVERDUE_SHARE
         )
+        self._fresh_within = within * const.CONFIG_FRESH_SHARE
         self._current_within = within * const.CONFIG_CURRENT_SHARE
         self._config: WorkConfig | None = None
         self._known_at = float("-inf")
@@ -96,11 +97,13 @@
     async def make_current(self) -> bool:
         """Returns whether no change that has to be in force can be missing.
 
-        A copy that is too old is looked up anew first; see `known_since`.
+        A copy that isn't fresh is looked up anew first, see `known_since`: it
+        may lack a change that was confirmed a moment ago. Where the source is
+        too slow for that, a copy counts until a change has to be in force.
         """
-        return await self.known_since(
-            trio.current_time() - self._current_within
-        )
+        now = trio.current_time()
+        await self.known_since(now - self._fresh_within)
+        return self._known_at >= now - self._current_within
 
     async def known_since(self, moment: float) -> bool:
         """Returns whether the copy was surely the newest at a moment or later.
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -18,10 +18,13 @@
 # Of the time within which a change has to be in force: how long a question may
 # wait for news, when it is overdue, and how old a copy may be to be taken for
 # the newest. A question that the store never got costs the first two, 1.4 of
-# 2.0 s; the rest is left for an answer and a busy VM.
+# 2.0 s; the rest is left for an answer and a busy VM. Until a copy is as old as
+# the last share, nobody looks it up anew: callers of routes that don't exist
+# have a VM ask ten times a second at most.
 CONFIG_WAIT_SHARE: Final = 0.5
 CONFIG_OVERDUE_SHARE: Final = 0.2
 CONFIG_CURRENT_SHARE: Final = 0.75
+CONFIG_FRESH_SHARE: Final = 0.05
 # A caller waits this long for a look at the store before it is told to come
 # back: a store that is 50 times slower than usual (4 ms) answers within it.
 CONFIG_LOOK_UP: Final = 0.2
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -144,6 +144,29 @@
             assert vms.first.version == 2
 
 
+async def test_callers_of_unknown_routes_cost_few_questions() -> None:
+    """However many they are, a VM asks ten times a second at most."""
+    async with _running_vms() as vms:
+        await trio.sleep(5.0)
+        asked = vms.store.calls
+        for _ in range(200):
+            assert await vms.first.follower.make_current()
+            await trio.sleep(0.005)
+        # Each look-up, and the waiting read that follows it.
+        assert vms.store.calls - asked <= 2 * 10 + 2 * _VMS
+
+
+async def test_a_slow_store_has_callers_wait_briefly_once() -> None:
+    """An answer that takes 0.4 s is too late to be waited for."""
+    async with _running_vms() as vms:
+        await trio.sleep(5.0)
+        vms.store.faults.delay = 0.4
+        began = trio.current_time()
+        for _ in range(20):
+            await vms.first.follower.make_current()
+        assert trio.current_time() - began < 0.25
+
+
 async def test_versions_in_series_are_in_force_soon_though_none_is_told() -> (
     None
 ):
