Look for a newer claim before an owner is suspected

Callers: a VM that the store didn't tell of a claim knew no owner, and refused, until its read had waited for its whole time: up to 3.84 s after an owner's death (virtual time, 20 moments; aim 3.0 s for a cell's successor).

The VM watched the dead owner, saw records come in, another's, and left it at that. Fix: before it looks at the records it reads the claims, one read a suspicion. VMs of the fixture that start while the store is away register as real ones do, until they are heard.

--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -284,6 +284,10 @@
             return True
         self._former_quiet = False
         try:
+            # A claim that this VM wasn't told of explains any silence.
+            await self._cluster.refresh(0.0)
+            if self._cluster.claim is not claim:
+                return False
             began = trio.current_time()
             first = await self._jobs_end()
             took = trio.current_time() - began
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -9,7 +9,12 @@
 import trio
 from trio.testing import memory_stream_pair
 
-from pimentocross.contracts.store import Page, ProducerMark, Record
+from pimentocross.contracts.store import (
+    Page,
+    ProducerMark,
+    Record,
+    StoreUnavailableError,
+)
 from pimentocross.gateway import const
 from pimentocross.gateway.cluster import ClaimRecord, Cluster
 from pimentocross.gateway.election import Election
@@ -248,7 +253,15 @@
         if cores != UNKNOWN:
             processor = msgspec.msgpack.encode(cores)
             records.append(Record(f"cores/{name}", processor))
-        await self.store.client("any").append(const.CLUSTER_TOPIC, records, 1.0)
+        while True:
+            try:
+                await self.store.client("any").append(
+                    const.CLUSTER_TOPIC, records, const.CLAIM_TIMEOUT
+                )
+            except StoreUnavailableError:
+                await trio.sleep(const.FOLLOW_RETRY)
+            else:
+                return
 
     async def claim_for(self, name: str) -> None:
         """Writes a claim of a VM that is none of those that live, or none."""
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -6,7 +6,7 @@
 denied a route of the last one 2.5 s later.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import trio
@@ -15,12 +15,18 @@
 from pimentocross.contracts.store import Record
 from pimentocross.gateway.config_follower import ConfigFollower
 from pimentocross.platform.topics import OperatorTopic
-from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.store import StoreFaults, StoreStandin
 from pimentocross.standins.users_platform import operator_config
+from tests import run_virtual
+from tests.gateway_fixtures import WEAK, VmCell
+from tests.owner_fixtures import wait_until
 
 # A change is in force everywhere this long after its acknowledgement, in
 # seconds, as the users' pages ask.
 _APPLY_WITHIN = 2.0
+# All VMs know an owner again this long after the former one's death at most, in
+# seconds, as large cells ask.
+_SUCCEED_WITHIN = 3.0
 # A change that the store doesn't tell a waiting read of is in force within a
 # quarter of that.
 _UNTOLD_WITHIN = 0.5
@@ -200,3 +206,48 @@
     assert waits == [0.125, 0.25, 0.5, 1.0, 1.0, 0.125, 0.125]
     pace.restart()
     assert pace.wait == 0.125
+
+
+def test_a_dead_owner_is_followed_in_time_though_claims_are_not_told() -> None:
+    """Whoever wasn't told of a claim takes its owner for a stranger."""
+
+    def deafen(faults: StoreFaults) -> None:
+        faults.deaf = True
+
+    _check_succession(deafen)
+
+
+def _check_succession(fault: Callable[[StoreFaults], None]) -> None:
+    lags: list[float] = []
+    for step in range(20):
+
+        async def run(after: float = step * 0.1) -> None:
+            lags.append(await _succession(fault, after))
+
+        run_virtual(run, step)
+    assert max(lags) < _SUCCEED_WITHIN, max(lags)
+
+
+async def _succession(
+    fault: Callable[[StoreFaults], None], after: float
+) -> float:
+    """Returns how long after an owner's death some VM knows none."""
+    cell = VmCell()
+    async with cell.running():
+        for number in range(_VMS):
+            cell.start(f"vm{number}", WEAK)
+        await wait_until(lambda: bool(cell.owners()))
+        await trio.sleep(4.0)
+        cell.kill(cell.owners()[0])
+        died_at = trio.current_time()
+        await trio.sleep(after)
+        fault(cell.store.faults)
+        with trio.fail_after(20.0):
+            while not _all_know_an_owner(cell):
+                await trio.sleep(0.01)
+        return trio.current_time() - died_at
+
+
+def _all_know_an_owner(cell: VmCell) -> bool:
+    vms = cell.vms.values()
+    return all(vm.election.owner_absent() == 0.0 for vm in vms)
