Ask claims and the end of the records again when they are overdue

Callers: refused for as long as a successor waited for one answer that could not come, 1.0 s for the end of the records and 1.5 s for a claim.

Fix: both are asked again after 0.4 s on a new connection; a claim that was taken but not answered is refused the second time and found by the read that follows.

--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -1,13 +1,20 @@
 """Who takes part and who owns the cell, as the store tells."""
 
+from functools import partial
 from typing import Final, NamedTuple, TypeVar
 
 import msgspec
 import trio
 
+from pimentocross.contracts.asking import (
+    AGAIN_AFTER,
+    Question,
+    first_answer,
+)
 from pimentocross.contracts.jitter import jittered
 from pimentocross.contracts.poll_pace import PollPace
 from pimentocross.contracts.store import (
+    ConditionFailedError,
     Record,
     Store,
     StoreUnavailableError,
@@ -167,12 +174,34 @@
 
         Raises:
             StoreUnavailableError: No answer; it may have been appended.
-            ConditionFailedError: Something came in.
+            ConditionFailedError: Something came in, this claim perhaps: it is
+                appended again while it isn't answered.
         """
         record = Record(_CLAIM + const.CELL, _encode(claim))
-        await self._store.append(
-            const.CLUSTER_TOPIC, [record], const.CLAIM_TIMEOUT, at=at
+        answered = await first_answer(
+            partial(self._try_append, record, at),
+            0.0,
+            const.CLAIM_TIMEOUT,
+            AGAIN_AFTER,
         )
+        if answered.value is not None:
+            raise answered.value
+
+    async def _try_append(
+        self, record: Record, at: int, question: Question
+    ) -> ConditionFailedError | None:
+        """Returns why the store refuses, or None if it doesn't."""
+        try:
+            await self._store.append(
+                const.CLUSTER_TOPIC,
+                [record],
+                question.timeout,
+                at=at,
+                fresh=question.again,
+            )
+        except ConditionFailedError as error:
+            return error
+        return None
 
     def _take(self, record: Record) -> None:
         if record.value is None:
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -8,9 +8,15 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import Final
 
 import trio
 
+from pimentocross.contracts.asking import (
+    AGAIN_AFTER,
+    Question,
+    first_answer,
+)
 from pimentocross.contracts.store import (
     ConditionFailedError,
     FencedError,
@@ -35,6 +41,9 @@
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.work.queue import WorkConfig
 
+# An offset that no topic reaches: a read from there tells the end alone.
+_BEYOND_ALL: Final = 1 << 40
+
 
 class Election:
     """Watches the owner, claims, and owns.
@@ -308,8 +317,18 @@
 
     async def _jobs_end(self) -> int:
         """Returns the end of the owner's records."""
+        answered = await first_answer(
+            self._ask_jobs_end, 0.0, const.READ_TIMEOUT, AGAIN_AFTER
+        )
+        return answered.value
+
+    async def _ask_jobs_end(self, question: Question) -> int:
         page = await self.store.read(
-            const.JOBS_TOPIC, 1 << 40, 0.0, const.READ_TIMEOUT
+            const.JOBS_TOPIC,
+            _BEYOND_ALL,
+            0.0,
+            question.timeout,
+            fresh=question.again,
         )
         return page.end
 
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -208,6 +208,17 @@
     assert pace.wait == 0.125
 
 
+def test_a_dead_owner_is_followed_in_time_though_connections_go_silent() -> (
+    None
+):
+    """Those to the store, at any moment of the succession."""
+
+    def silence(faults: StoreFaults) -> None:
+        faults.silenced += 1
+
+    _check_succession(silence)
+
+
 def test_a_dead_owner_is_followed_in_time_though_claims_are_not_told() -> None:
     """Whoever wasn't told of a claim takes its owner for a stranger."""
 
