Our own interface asks the log again when a read is overdue

Callers: a change of the configuration, or any record, up to 9.1 s late after a log that was silent (virtual time, 40 moments of its return), by any VM whose peers had asked at the same time.

Cause, the same as on the users' platform: a read of 5 s and 4 s more was waited for alone. Fix: the same asking (contracts/asking.py), and no waiting read while the log doesn't answer.

--- a/pimentocross/contracts/fold.py
+++ b/pimentocross/contracts/fold.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from enum import StrEnum
+from functools import partial
 import math
 from typing import Generic, NamedTuple, Protocol, TypeVar
 import uuid
@@ -21,6 +22,8 @@
     RecordBody,
 )
 from pimentocross.contracts import const
+from pimentocross.contracts.asking import AGAIN_AFTER, Question, first_answer
+from pimentocross.contracts.store import StoreUnavailableError
 
 SNAPSHOT_KIND = "snapshot"
 
@@ -190,14 +193,17 @@
         """Reads the stream for ever."""
         backoff = const.READ_BACKOFF_FIRST
         while True:
-            sent_at = trio.current_time()
-            wait = const.LONG_POLL if self._at_end else 0.0
+            # What isn't there can't be waited for.
+            answers = self._failing_since == float("inf")
+            wait = const.LONG_POLL if self._at_end and answers else 0.0
             try:
-                with trio.fail_after(wait + const.READ_PATIENCE):
-                    page = await self._log.read(
-                        self._stream, self._position, wait
-                    )
-            except (LogUnavailableError, trio.TooSlowError):
+                read = await first_answer(
+                    partial(self._read, self._position),
+                    wait,
+                    const.READ_PATIENCE,
+                    AGAIN_AFTER,
+                )
+            except StoreUnavailableError:
                 self._note_failure()
                 self._steady_since = float("inf")
                 await trio.sleep(backoff)
@@ -206,7 +212,16 @@
             backoff = const.READ_BACKOFF_FIRST
             self._failing_since = float("inf")
             self._steady_since = min(self._steady_since, trio.current_time())
-            self._take_page(page, sent_at)
+            self._take_page(read.value, read.asked_at)
+
+    async def _read(self, start: int, question: Question) -> ReadPage:
+        try:
+            with trio.fail_after(question.timeout):
+                return await self._log.read(self._stream, start, question.wait)
+        except LogUnavailableError as error:
+            raise StoreUnavailableError(str(error), sent=error.sent) from error
+        except trio.TooSlowError as error:
+            raise StoreUnavailableError("no answer", sent=True) from error
 
     async def run_writer(self) -> None:
         """Appends what `publish` queues, many records in one append."""
--- a/pimentocross/standins/faults.py
+++ b/pimentocross/standins/faults.py
@@ -14,12 +14,14 @@
         delay: Seconds added to each answer.
         lose_replies: Share of operations that take effect unanswered.
         lose_requests: Share of operations that never take effect.
+        silent: Answer nothing, ever: what comes in meanwhile is lost.
     """
 
     away: bool = False
     delay: float = 0.0
     lose_replies: float = 0.0
     lose_requests: float = 0.0
+    silent: bool = False
 
 
 class FaultError(Exception):
@@ -51,6 +53,8 @@
         """
         if self.plan.delay:
             await trio.sleep(self.plan.delay)
+        if self.plan.silent:
+            await trio.sleep_forever()
         lost = self._random.random() < self.plan.lose_requests
         if self.plan.away or lost:
             raise FaultError(happened=False)
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -10,6 +10,10 @@
 from pimentocross.standins.faults import FaultPlan
 from pimentocross.standins.log import LogStandin
 
+# A change is in force everywhere this long after its acknowledgement, in
+# seconds, as on the users' platform.
+_READ_WITHIN = 2.0
+
 
 class _Sum:
     """Adds numbers to accounts; rejects what would go below zero."""
@@ -92,6 +96,29 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_record_after_a_silent_log_is_read_in_time() -> None:
+    """Whatever was asked while the log was silent, and is never answered."""
+    lags = [await _lag_after_silence(8.0 + step * 0.25) for step in range(40)]
+    assert max(lags) < _READ_WITHIN, max(lags)
+
+
+async def _lag_after_silence(seconds: float) -> float:
+    """Returns how long after its append a reader has a record."""
+    log = LogStandin()
+    reader = _fold(log)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reader.run)
+        await trio.sleep(1.0)
+        log.faults.plan = FaultPlan(silent=True)
+        await trio.sleep(seconds)
+        log.faults.plan = FaultPlan()
+        await log.append("s", [_record("a", 1) | {"id": "1"}])
+        appended_at = trio.current_time()
+        await reader.wait_position(1)
+        nursery.cancel_scope.cancel()
+    return trio.current_time() - appended_at
+
+
 async def test_reader_in_a_gap_keeps_its_state_until_a_snapshot() -> None:
     log = LogStandin(retention=10.0)
     writer, reader = _fold(log), _fold(log)
