--- a/pimentocross/contracts/authority.py
+++ b/pimentocross/contracts/authority.py
@@ -19,7 +19,8 @@
 import trio
 
 from pimentocross.contracts import const
-from pimentocross.contracts.fold import StreamFold, Verdict
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Verdict
 from pimentocross.contracts.ownership import (
     KINDS,
     Claimed,
--- a/pimentocross/contracts/fold.py
+++ b/pimentocross/contracts/fold.py
@@ -5,10 +5,8 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Sequence
-from enum import StrEnum
+from collections.abc import Iterable
 from functools import partial
-import math
 from typing import Generic, NamedTuple, Protocol, TypeVar
 import uuid
 
@@ -23,39 +21,12 @@
 )
 from pimentocross.contracts import const
 from pimentocross.contracts.asking import AGAIN_AFTER, Question, first_answer
+from pimentocross.contracts.outbox import Outbox, Outcome, Pending, Verdict
 from pimentocross.contracts.store import StoreUnavailableError
 
 SNAPSHOT_KIND = "snapshot"
 
 
-class Outcome(StrEnum):
-    """How publishing a record ended."""
-
-    ACCEPTED = "accepted"
-    REJECTED = "rejected"
-    NOT_SENT = "not sent"
-    UNKNOWN = "unknown"
-
-
-class Verdict(NamedTuple):
-    """What became of a published record.
-
-    Attributes:
-        outcome: Whether it was folded, refused, never sent or is unknown.
-        offset: Where it was read back, or -1.
-        reason: Why it was not accepted, or "".
-    """
-
-    outcome: Outcome
-    offset: int = -1
-    reason: str = ""
-
-    @property
-    def accepted(self) -> bool:
-        """True if every reader folds the record."""
-        return self.outcome is Outcome.ACCEPTED
-
-
 class FoldState(Protocol):
     """A state that records are folded into, deterministically."""
 
@@ -97,23 +68,6 @@
     ids: list[FoldedId]
 
 
-class _Pending:
-    """A record on its way into the log."""
-
-    def __init__(self, body: RecordBody, *, urgent: bool) -> None:
-        self.body = body
-        self.urgent = urgent
-        self.maybe_sent = False
-        self.verdict: Verdict | None = None
-        self.done = trio.Event()
-
-    def settle(self, verdict: Verdict) -> None:
-        """Sets the verdict, once."""
-        if self.verdict is None:
-            self.verdict = verdict
-            self.done.set()
-
-
 class StreamFold(Generic[StateT]):
     """Reads one stream into its state and publishes records to it.
 
@@ -138,10 +92,8 @@
         self._at_end = False
         self._recent: deque[Record] = deque(maxlen=const.RECENT_RECORDS)
         self._ids: OrderedDict[str, FoldedId] = OrderedDict()
-        self._waiting: dict[str, _Pending] = {}
-        self._outbox: deque[_Pending] = deque()
-        self._outbox_filled = trio.Event()
-        self._appended_at = float("-inf")
+        self._waiting: dict[str, Pending] = {}
+        self._outbox = Outbox(log, stream)
         self._changed = trio.Event()
         self._failing_since = float("inf")
         self._steady_since = float("inf")
@@ -227,9 +179,8 @@
         """Appends what `publish` queues, many records in one append."""
         backoff = const.APPEND_BACKOFF_FIRST
         while True:
-            batch = await self._next_batch()
             try:
-                await self._append(batch)
+                await self._outbox.append_next()
             except LogUnavailableError:
                 self._note_failure()
                 await trio.sleep(backoff)
@@ -269,25 +220,21 @@
         record_id = str(body["id"])
         if record_id in self._ids:
             return self._ids[record_id].verdict()
-        pending = _Pending(body, urgent=urgent)
+        pending = Pending(body, urgent=urgent)
         self._waiting[record_id] = pending
-        self._outbox.append(pending)
-        self._outbox_filled.set()
+        self._outbox.put(pending)
         try:
             with trio.move_on_after(timeout):
                 await pending.done.wait()
         finally:
             self._waiting.pop(record_id, None)
-            pending.settle(self._unanswered(pending))
+            pending.settle_unanswered()
         assert pending.verdict is not None
         return pending.verdict
 
     def publish_later(self, body: RecordBody) -> None:
         """Queues a record that nobody waits for; it is sent until it is in."""
-        self._outbox.append(_Pending(self.new_body(body), urgent=False))
-        while len(self._outbox) > const.OUTBOX_MOST:
-            self._outbox.popleft().settle(Verdict(Outcome.NOT_SENT))
-        self._outbox_filled.set()
+        self._outbox.put_dropping(Pending(self.new_body(body), urgent=False))
 
     async def wait_position(self, offset: int) -> None:
         """Waits until everything below `offset` is folded."""
@@ -351,45 +298,10 @@
         }
         await self._log.append(self._stream, [body])
 
-    async def _next_batch(self) -> list[_Pending]:
-        while True:
-            unsettled = [p for p in self._outbox if p.verdict is None]
-            self._outbox = deque(unsettled)
-            linger_until = self._appended_at + const.LINGER
-            lingering = trio.current_time() < linger_until
-            if unsettled and not lingering:
-                return unsettled[: const.APPEND_BATCH_MOST]
-            if any(pending.urgent for pending in unsettled):
-                return unsettled[: const.APPEND_BATCH_MOST]
-            self._outbox_filled = trio.Event()
-            with trio.move_on_at(linger_until if unsettled else math.inf):
-                await self._outbox_filled.wait()
-
-    async def _append(self, batch: Sequence[_Pending]) -> None:
-        self._appended_at = trio.current_time()
-        sent_before = [pending.maybe_sent for pending in batch]
-        for pending in batch:
-            # A verdict that is due meanwhile must not say "not sent".
-            pending.maybe_sent = True
-        try:
-            await self._log.append(self._stream, [p.body for p in batch])
-        except LogUnavailableError as error:
-            for pending, before in zip(batch, sent_before, strict=True):
-                pending.maybe_sent = before or error.sent
-            raise
-        for pending in batch:
-            self._outbox.remove(pending)
-
     def _note_failure(self) -> None:
         self._failing_since = min(self._failing_since, trio.current_time())
         self.log_failures += 1
 
-    @staticmethod
-    def _unanswered(pending: _Pending) -> Verdict:
-        if pending.maybe_sent:
-            return Verdict(Outcome.UNKNOWN, reason="not read back in time")
-        return Verdict(Outcome.NOT_SENT, reason="log service away")
-
     def _take_page(self, page: ReadPage, sent_at: float) -> None:
         if page.first_kept > self._position:
             self._gap = []
--- a/pimentocross/entry/idempotency.py
+++ b/pimentocross/entry/idempotency.py
@@ -7,7 +7,8 @@
 import trio
 import xxhash
 
-from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Outcome, Verdict
 from pimentocross.entry import const
 from pimentocross.entry.keys import (
     KINDS,
--- a/pimentocross/entry/jobs.py
+++ b/pimentocross/entry/jobs.py
@@ -7,7 +7,8 @@
 import trio
 
 from pimentocross.config.state import ConfigState
-from pimentocross.contracts.fold import Outcome, StreamFold
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Outcome
 from pimentocross.entry import const
 from pimentocross.entry.membership import Peers
 from pimentocross.entry.ownership import CellKeeper
--- a/pimentocross/entry/node.py
+++ b/pimentocross/entry/node.py
@@ -16,7 +16,8 @@
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.authority import Authority
 from pimentocross.contracts.drain import Drain
-from pimentocross.contracts.fold import StreamFold, Verdict
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Verdict
 from pimentocross.contracts.ownership import OwnershipState
 from pimentocross.entry import const
 from pimentocross.entry.answerer import Answerer
--- a/pimentocross/entry/operator_api.py
+++ b/pimentocross/entry/operator_api.py
@@ -9,7 +9,8 @@
 
 from pimentocross.config.load import load_configuration
 from pimentocross.config.state import KINDS, ConfigChanged, ConfigState
-from pimentocross.contracts.fold import Outcome, StreamFold
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Outcome
 from pimentocross.entry import const
 from pimentocross.entry.membership import Peers
 from pimentocross.entry.reports import Reports
--- a/pimentocross/zones/cell.py
+++ b/pimentocross/zones/cell.py
@@ -17,7 +17,8 @@
 )
 from pimentocross.config.state import ConfigState
 from pimentocross.contracts.authority import Authority
-from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Outcome, Verdict
 from pimentocross.placement.policy import PlacementPolicy
 from pimentocross.vms.worker import Worker, cell_resource, is_exclusive
 from pimentocross.zones import const
--- a/pimentocross/zones/cell_records.py
+++ b/pimentocross/zones/cell_records.py
@@ -6,7 +6,8 @@
 
 from pimentocross.backing.workers import Attempt, TaskReport, TaskState
 from pimentocross.contracts.authority import Authority
-from pimentocross.contracts.fold import Outcome, StreamFold, Verdict
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Outcome, Verdict
 from pimentocross.vms.worker import Worker
 from pimentocross.zones import const
 from pimentocross.zones.cell_state import (
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -11,7 +11,7 @@
 from pimentocross.config.schema import Configuration
 from pimentocross.config.state import KINDS, ConfigChanged
 from pimentocross.contracts.authority import Timing
-from pimentocross.contracts.fold import Verdict
+from pimentocross.contracts.outbox import Verdict
 from pimentocross.entry.node import EntryNode, Platform
 from pimentocross.entry.settings import EntrySettings
 from pimentocross.links.greeting import Credentials
--- a/tests/random_faults.py
+++ b/tests/random_faults.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from pimentocross.contracts.fold import Outcome
+from pimentocross.contracts.outbox import Outcome
 from pimentocross.standins.faults import FaultPlan
 from tests import run_virtual
 from tests.fixtures import FILES, Cluster, open_cluster, wait_for
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -3,7 +3,7 @@
 import trio
 
 from pimentocross.backing.workers import TaskKind
-from pimentocross.contracts.fold import Outcome
+from pimentocross.contracts.outbox import Outcome
 from pimentocross.standins.checks import finished_tasks
 from pimentocross.standins.faults import FaultPlan
 from tests.fixtures import FILES, TIMING, Cluster, open_cluster, wait_for
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -6,7 +6,8 @@
 from trio.testing import MockClock
 
 from pimentocross.backing.log import RecordBody
-from pimentocross.contracts.fold import Outcome, StreamFold
+from pimentocross.contracts.fold import StreamFold
+from pimentocross.contracts.outbox import Outcome
 from pimentocross.standins.faults import FaultPlan
 from pimentocross.standins.log import LogStandin
 
