--- a/pimentocross/contracts/asking.py
+++ b/pimentocross/contracts/asking.py
@@ -13,8 +13,8 @@
 
 from pimentocross.contracts.store import StoreUnavailableError
 
-# A question unanswered for this long is overdue: a store that is 50 to 100
-# times slower than usual (4 ms) answers within it.
+# A question unanswered for this long is overdue; a slow store answers within
+# it.
 AGAIN_AFTER: Final = 0.4
 # Turns of the event loop that reading an answer takes once it is there.
 _TURNS: Final = 5
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -9,24 +9,23 @@
 # secret that they could share.
 PEER_CLUSTER: Final = "pimentocross"
 
-# A long poll ends this often: a connection that has gone silent is noticed
-# within this and the timeout, a store of 4 ms answers 2 calls a second less.
+# Longest wait for news: a connection that has gone silent is noticed within
+# this and the timeout.
 FOLLOW_WAIT: Final = 2.0
 FOLLOW_TIMEOUT: Final = 1.0
 FOLLOW_RETRY: Final = 0.3
 
 # Of the time within which a change has to be in force: how long a question may
 # wait for news, when it is overdue, and how old a copy may be to be taken for
-# the newest. A question that the store never got costs the first two, 1.4 of
-# 2.0 s; the rest is left for an answer and a busy VM. Until a copy is as old as
-# the last share, nobody looks it up anew: callers of routes that don't exist
-# have a VM ask ten times a second at most.
+# the newest. A question that the store never got costs the first two; the rest
+# is left for an answer and a busy VM. The last bounds how often callers of
+# routes that don't exist have the copy looked up.
 CONFIG_WAIT_SHARE: Final = 0.5
 CONFIG_OVERDUE_SHARE: Final = 0.2
 CONFIG_CURRENT_SHARE: Final = 0.75
 CONFIG_FRESH_SHARE: Final = 0.05
-# A caller waits this long for a look at the store before it is told to come
-# back: a store that is 50 times slower than usual (4 ms) answers within it.
+# A caller waits this long for a look at the store, in which a slow one answers,
+# before it is told to come back.
 CONFIG_LOOK_UP: Final = 0.2
 
 HEARTBEAT_INTERVAL: Final = 0.3
@@ -37,16 +36,15 @@
 # the last take-over that was seen.
 TAKEOVER_FACTOR: Final = 2.0
 # Whoever is replaced sooner after its claim has failed to take over, and its
-# successor is given twice the time: more than a state of 246 workers took on
-# the weakest VM seen.
+# successor is given twice the time.
 YOUNG: Final = 10.0
-# No owner may be silent for longer: with the turns and what is watched, one
-# that dies while it takes over is followed within 10 s, 4.2 s as a rule.
+# No owner may be silent for longer, so that one that dies while it takes over
+# is followed in bounded time.
 SILENCE_MOST: Final = 6.0
 # An owner that can't write for this long should be replaced by one that can:
 # two beats missed.
 STORE_SILENCE: Final = 1.3
-# A suspect is watched this long for records: its beats come every 0.5 s.
+# A suspect is watched this long for records: more than one of its beats.
 OBSERVE: Final = 0.7
 # The better placed candidate claims this much earlier: a claim is known to all
 # within a tenth of it, unless they are late themselves.
@@ -55,18 +53,17 @@
 # once is rare, and each costs two reads.
 EARLY_TURNS: Final = 4
 # The others begin once the first of the early ones has observed and claimed,
-# and share a span: with 34 members their turns are 20 ms apart, an append and
-# its notice take 8. All members have had their turn within 1.4 s.
+# and share a span.
 LATE_TURNS_AFTER: Final = 0.8
 LATE_TURNS_SPAN: Final = 0.6
 # Whoever has a late turn and has seen a suspect write leaves it to the early
-# ones for this long: 34 VMs look 100 times in 10 s instead of 162. A cell whose
-# early ones are down waits this much longer at most.
+# ones for this long, which spares the store. A cell whose early ones are down
+# waits this much longer at most.
 LATE_TURNS_PAUSE: Final = 2.0
 ELECTION_TICK: Final = 0.1
 # Of the time between two ticks as much counts as silence of others; what is
-# beyond is a stall of this process's own loop. Timers that fire 0.1 s late are
-# usual on a VM that is busy.
+# beyond is a stall of this process's own loop. On a busy VM timers fire late by
+# a tick.
 STALL: Final = 2 * ELECTION_TICK
 CLAIM_TIMEOUT: Final = 1.5
 READ_TIMEOUT: Final = 1.0
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -188,8 +188,8 @@
             if newest is not None and newest.epoch > claim.epoch:
                 note("owner_superseded", epoch=claim.epoch, by=newest.epoch)
                 raise FencedError
-            # Peers were heard as late as this process came to listen: counted
-            # in its own time, a stall of 3 s made no owner give the cell back.
+            # Peers are heard as late as this process comes to listen: counted
+            # in its own time, a stall makes no owner give the cell back.
             alone = heard.seconds()
             if alone > const.ALONE_AFTER and len(self._cluster.members) > 1:
                 if trio.current_time() < self._not_before:
--- a/pimentocross/links/plain_http.py
+++ b/pimentocross/links/plain_http.py
@@ -1,9 +1,9 @@
 """Requests and answers of HTTP/1.1 in their plain form.
 
 Nearly all that is sent and received here has one form: a head, then as many
-bytes as it says. `h11` takes 535 calls of functions and 0.2 ms for such an
-exchange, most of them to build and check headers one by one; here one regular
-expression checks a whole head. What has any other form is left to `h11`.
+bytes as it says. `h11` builds and checks headers one by one, which takes most
+of the time of such an exchange; here one regular expression checks a whole
+head. What has any other form is left to `h11`.
 """
 
 import re
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -2,25 +2,24 @@
 
 from typing import Final
 
-# Changes gathered into one append: at 20 ms an append costs a fiftieth of the
-# store's smallest write budget, and a task's start waits 10 ms on average.
+# Changes gathered into one append, which spares the store's write budget and
+# delays a task's start by half of it.
 BATCH_PAUSE: Final = 0.015
 # An idle owner writes this often, so that a suspicious peer sees that it lives.
 BEAT_INTERVAL: Final = 0.5
 BEAT_KEY: Final = "beat"
-# A store that is 50 to 100 times slower than usual (4 ms) answers within this.
+# A slow store answers within this.
 APPEND_TIMEOUT: Final = 1.5
 APPEND_RETRY_PAUSE: Final = 0.1
 # An append unanswered for this long means that the store is away: new jobs
 # are refused at once rather than left to wait.
 AWAY_AFTER: Final = 0.8
-# ... or after as many tries that failed at once, 0.3 s: a job that is taken in
+# ... or after as many tries that failed at once: a job that is taken in
 # meanwhile ends as one that its caller isn't sure of.
 AWAY_FAILURES: Final = 3
 # A caller whose job's record is on its way is told that it isn't sure after
-# this, while the store is away: under half of the 3 s that callers were seen
-# to wait. Told at once they asked again every 0.1 s and had used up their tries
-# within 0.8 s, long before the store was back.
+# this, while the store is away. Told at once, callers would use up their tries
+# before the store is back; told later, their time is over.
 UNSURE_AFTER: Final = 1.3
 # How often a caller's wait looks whether the store has gone away.
 AWAY_LOOK: Final = 0.1
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -175,9 +175,8 @@
     async def _ask(self, records: list[Record]) -> Answered[_Refusal | None]:
         """Appends under this epoch's next number; asks again if overdue.
 
-        An append that the store never got kept records back for 1.5 s after
-        its return, now 0.3 s (virtual time). The number makes a repeat the
-        same append.
+        An append that the store never got would keep records back after its
+        return. The number makes a repeat the same append.
 
         Raises:
             StoreUnavailableError: No usable answer.
