--- a/pimentocross/contracts/topic_reader.py
+++ b/pimentocross/contracts/topic_reader.py
@@ -87,8 +87,12 @@
             self._end = None
         found = await first_answer(self._ask_newest, 0.0, timeout, again_after)
         self._advance(found.value.end)
-        asked_at = found.asked_at
-        return TopicNews(found.value.records, asked_at, True, asked_at)
+        return TopicNews(
+            found.value.records,
+            known_at=found.asked_at,
+            whole=True,
+            asked_at=found.asked_at,
+        )
 
     def _page_news(
         self, read: Answered[Page | None], page: Page, start: int
@@ -100,8 +104,12 @@
                 position=start,
                 end=page.end,
             )
-        known_at = _known_at(read, page, start)
-        return TopicNews(page.records, known_at, False, read.asked_at)
+        return TopicNews(
+            page.records,
+            known_at=_known_at(read, page, start),
+            whole=False,
+            asked_at=read.asked_at,
+        )
 
     def _advance(self, end: int) -> None:
         """Notes how far was read; a read that overlapped may be further."""
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -24,12 +24,12 @@
 # A change is in force everywhere this long after its acknowledgement, in
 # seconds, as the users' pages ask.
 _APPLY_WITHIN = 2.0
-# All VMs know an owner again this long after the former one's death at most, in
-# seconds, as large cells ask.
-_SUCCEED_WITHIN = 3.0
 # A change that the store doesn't tell a waiting read of is in force within a
 # quarter of that.
 _UNTOLD_WITHIN = 0.5
+# All VMs know an owner again this long after the former one's death at most, in
+# seconds, as large cells ask.
+_SUCCEED_WITHIN = 3.0
 _VMS = 8
 # Of the VMs, those that are killed while the store is silent.
 _KILLED = 5
