--- a/pimentocross/entry/node.py
+++ b/pimentocross/entry/node.py
@@ -32,6 +32,7 @@
 from pimentocross.entry.reports import Reports
 from pimentocross.entry.settings import EntrySettings
 from pimentocross.entry.snapshots import write_snapshots
+from pimentocross.entry.target_pushes import TargetPushes
 from pimentocross.entry.targets import TargetBook
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.links.http_server import HttpListener, serve_http
@@ -40,11 +41,9 @@
     EntryLink,
     EntryListener,
     Heartbeat,
-    PushTargets,
 )
 from pimentocross.links.peer import (
     PeerListener,
-    PeerUnreachableError,
     StreamDialer,
     dial_tcp,
 )
@@ -53,8 +52,6 @@
 from pimentocross.zones.cell import CellOwner
 from pimentocross.zones.views import CellLoad
 
-_PUSH_TIMEOUT = 3.0
-
 
 class Platform(NamedTuple):
     """The platform's services, as one entry process reaches them."""
@@ -122,11 +119,10 @@
             self._vms,
             platform.workers,
             settings.retention,
-            self._note_targets,
+            lambda: self._pushes.note_change(),
         )
         self._loads: dict[str, dict[str, CellLoad]] = {}
-        self._targets_version = 0
-        self._targets_changed = trio.Event()
+        self._pushes = TargetPushes(self._keeper, self._book, self._peers)
         self._build_faces(mine)
 
     def _build_faces(self, mine: PeerIdentity) -> None:
@@ -296,8 +292,7 @@
 
     async def on_peer_connected(self, link: EntryLink) -> None:
         """Tells a peer this one's targets; see `PeerCare`."""
-        for push in self._pushes():
-            await link.ask(push, _PUSH_TIMEOUT)
+        await self._pushes.tell(link)
 
     async def run_roles(self) -> None:
         """Runs everything but the listeners, until cancelled."""
@@ -315,7 +310,7 @@
             nursery.start_soon(self._peers.run)
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._forwarder.run)
-            nursery.start_soon(self._push_targets)
+            nursery.start_soon(self._pushes.run)
             nursery.start_soon(self._follow_vms)
 
     async def wait_stop(self) -> None:
@@ -345,40 +340,6 @@
 
         return is_writer
 
-    def _note_targets(self) -> None:
-        self._targets_changed.set()
-
-    def _pushes(self) -> list[PushTargets]:
-        return [
-            PushTargets(
-                name, owner.epoch, self._targets_version, owner.targets()
-            )
-            for name, owner in self._keeper.owned.items()
-            if owner.opened
-        ]
-
-    async def _push_targets(self) -> None:
-        while True:
-            await self._targets_changed.wait()
-            self._targets_changed = trio.Event()
-            self._targets_version += 1
-            pushes = self._pushes()
-            for push in pushes:
-                self._book.put(*push)
-            async with trio.open_nursery() as nursery:
-                for link in self._peers.live():
-                    nursery.start_soon(self._push_to, link, pushes)
-
-    async def _push_to(
-        self, link: EntryLink, pushes: list[PushTargets]
-    ) -> None:
-        try:
-            for push in pushes:
-                await link.ask(push, _PUSH_TIMEOUT)
-        except PeerUnreachableError:
-            # It is told again once it is connected.
-            return
-
     async def _follow_vms(self) -> None:
         while True:
             self._book.set_leaving(
