Log each run that is given up with its worker

Which runs a crashed worker took with it, and how soon after their start, could not be read from the log: runs_lost has a count only. Needed to tell a crash under one task from a worker that crashes for other reasons. explain ends such a run where the owner knew of it, no longer at its task's next start.

--- a/pimentocross/cli/told_runs.py
+++ b/pimentocross/cli/told_runs.py
@@ -111,5 +111,8 @@
     elif line.kind == "start_refused" and run.ended is None:
         run.ended, run.how = line.at, "refused"
         run.reason = str(line.fields["verdict"])
+    elif line.kind == "run_lost" and run.ended is None:
+        run.ended, run.how = line.at, "lost"
+        run.reason = "its worker was given up"
     elif line.kind == "start_unanswered":
         run.reason = "its start was not answered"
--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -15,6 +15,21 @@
     return task.drop_run(number)
 
 
+def note_lost(worker: Worker, reason: str) -> None:
+    """Logs the runs on a worker that are given up, and how long each lived."""
+    life = worker.life.id
+    note("runs_lost", worker=life, count=len(worker.runs), reason=reason)
+    for (task, number), run in worker.runs.items():
+        note(
+            "run_lost",
+            task=task.name,
+            run=number,
+            worker=life,
+            state=run.state.name.lower(),
+            lived=round(worker.lived(run), 3),
+        )
+
+
 def apply_ending(task: Task, ending: Ending, worker: Worker) -> Run | None:
     """Brings a task to where a listed ending leaves it; returns the run."""
     newest = ending.run >= task.last_run
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -15,7 +15,7 @@
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
-from pimentocross.owner.endings import apply_ending, drop_run
+from pimentocross.owner.endings import apply_ending, drop_run, note_lost
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Batch, Ledger
 from pimentocross.owner.listing_pace import ListingPace
@@ -307,12 +307,7 @@
         worker.lease_end = 0.0
         if not worker.runs:
             return
-        note(
-            "runs_lost",
-            worker=worker.life.id,
-            count=len(worker.runs),
-            reason=reason,
-        )
+        note_lost(worker, reason)
         jobs: dict[Job, None] = {}
         for task, number in list(worker.runs):
             drop_run(task, number, worker)
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -13,7 +13,7 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.breather import Breather
-from pimentocross.owner.endings import drop_run
+from pimentocross.owner.endings import drop_run, note_lost
 from pimentocross.owner.keeper import CellParts, Keeper, Stops
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.worker import Worker
@@ -150,11 +150,11 @@
                 continue
             del self._absent[number]
             self._forget(number)
+            note_lost(worker, "never listed")
             jobs: dict[Job, None] = {}
             for task, run_number in list(worker.runs):
                 drop_run(task, run_number, worker)
                 jobs[task.step.job] = None
-            note("runs_lost", worker=worker.life.id, reason="never listed")
             for job in jobs:
                 parts.book.changed(job)
             parts.wake()
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -249,6 +249,17 @@
             return 0.0
         return now - self._over_since.setdefault(image, now)
 
+    def lived(self, run: Run) -> float:
+        """Returns for how many seconds a run was seen to live here.
+
+        A run that its worker never listed may have lived for no time at all.
+        """
+        if not run.began_at:
+            return 0.0
+        running = run.state is RunState.RUNNING
+        since = run.state_at if running else run.began_at
+        return max(self.heard_at - since, 0.0)
+
     def running(self) -> list[tuple[Task, Run]]:
         """Returns the runs that were listed and aren't being stopped."""
         return [
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -90,6 +90,24 @@
     assert "worker silent" in told.cause
 
 
+def test_a_run_that_went_with_its_worker_ends_when_that_was_known() -> None:
+    lost = {"task": ["j", 0, 0, 0], "run": 1, "worker": "w1"}
+    told = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(10.1, None),
+        _line(12.0, "run_lost", **lost, state="running", lived=0.0),
+        *_run(14.0, 16.0, run=2, worker="w2"),
+        _line(16.0, "job_ended", job="j", state="completed", took=6.0),
+        *_loads(18),
+    )
+    assert [part.span for part in told.parts] == [
+        Span.LOST,
+        Span.WAITED,
+        Span.WORKED,
+    ]
+    assert told.parts[0].detail == "its worker was given up, on w1"
+
+
 def test_a_stopped_run_whose_progress_was_kept_is_told_as_moved() -> None:
     moves = [
         *_run(10.0, 13.0, "stopped"),
