Failing test: a task that crashes its workers is started for ever

A stand-in worker's task may crash it, and its machine starts it again after some seconds under a new id (standins/supervisor.py). Beside 100 ordinary jobs on six workers, the task of the test is started more than twice after three workers crashed by it, and its job is never shown as failed.

--- /dev/null
+++ b/pimentocross/standins/supervisor.py
@@ -0,0 +1,69 @@
+"""Starts stand-in workers again after a crash, as their machines do."""
+
+from collections.abc import Callable
+import random
+from typing import Final, NamedTuple
+
+import trio
+
+from pimentocross.standins.task_worker import TaskPlan, TaskWorkerStandin
+from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work.spec import TaskName
+
+# How often crashes are looked for, seconds.
+_LOOK: Final = 0.01
+
+
+class DownTime(NamedTuple):
+    """Bounds of the seconds for which a crashed worker is down."""
+
+    least: float = 1.0
+    most: float = 3.0
+
+
+USUAL_DOWN_TIME: Final = DownTime()
+
+
+class Supervisor:
+    """Brings crashed workers back, each under a new id.
+
+    Attributes:
+        crashes: Lives that have crashed.
+    """
+
+    def __init__(
+        self,
+        hall: WorkerHall,
+        plan: Callable[[TaskName], TaskPlan],
+        down: DownTime = USUAL_DOWN_TIME,
+        seed: int = 0,
+    ) -> None:
+        """Takes the workers and how their tasks behave."""
+        self.crashes = 0
+        self._hall = hall
+        self._plan = plan
+        self._down = down
+        self._random = random.Random(seed)
+
+    async def run(self) -> None:
+        """Looks for crashed workers, for ever."""
+        handled: set[TaskWorkerStandin] = set()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for worker in list(self._hall.workers.values()):
+                    worker.advance()
+                    if worker.down and worker not in handled:
+                        handled.add(worker)
+                        nursery.start_soon(self._restart, worker)
+                await trio.sleep(_LOOK)
+
+    async def _restart(self, old: TaskWorkerStandin) -> None:
+        self.crashes += 1
+        await trio.sleep(self._random.uniform(*self._down))
+        life = old.life._replace(id=f"{old.life.machine}-again{self.crashes}")
+        new = TaskWorkerStandin(
+            life, self._plan, self._hall.journal, seed=self.crashes
+        )
+        del self._hall.workers[old.life.id]
+        self._hall.add(new)
+        old.down = False
--- a/pimentocross/standins/task_worker.py
+++ b/pimentocross/standins/task_worker.py
@@ -16,11 +16,13 @@
     WorkerFencedError,
     WorkerLife,
     WorkerReplacedError,
+    WorkerUnreachableError,
 )
 from pimentocross.work.spec import NO_SIZE, Size, TaskName
 
 _PERCENT = 100
 LASTS = float("inf")
+NEVER = float("inf")
 
 
 class TaskPlan(NamedTuple):
@@ -30,11 +32,14 @@
         seconds: How long it takes; `LASTS` for ever.
         size: What it takes of the capacity.
         fails: Whether it fails at its end.
+        crashes_after: Seconds after its start at which it crashes its worker,
+            or `NEVER`.
     """
 
     seconds: float
     size: Size = NO_SIZE
     fails: bool = False
+    crashes_after: float = NEVER
 
 
 class RunEvent(NamedTuple):
@@ -81,6 +86,14 @@
     def ends(self) -> float:
         return self.began + self.plan.seconds
 
+    @property
+    def crashes(self) -> float:
+        return self.began + self.plan.crashes_after
+
+    @property
+    def changes(self) -> float:
+        return min(self.ends, self.crashes)
+
     def percent(self, now: float) -> int:
         if self.plan.seconds == LASTS:
             return _PERCENT
@@ -95,6 +108,7 @@
         life: As the directory lists it.
         faults: How it fails.
         dead: True once it has crashed.
+        down: True while nothing answers at its address after a crash.
     """
 
     def __init__(
@@ -110,6 +124,7 @@
         self.life = life
         self.faults = WorkerFaults(seed)
         self.dead = False
+        self.down = False
         self._plan = plan
         self._journal = journal
         self._guarded = guarded
@@ -139,15 +154,24 @@
     def crash(self) -> None:
         """Ends this life and all that runs."""
         self._advance()
+        self._lose_runs()
+
+    def advance(self) -> None:
+        """Brings it to the present time: ends runs, crashes if one says so."""
+        if not self.dead:
+            self._advance()
+
+    def _lose_runs(self, culprit: tuple[TaskName, int] | None = None) -> None:
         for task, run in list(self._runs):
-            self._note(task, run, "lost")
+            what = "crashed" if (task, run) == culprit else "lost"
+            self._note(task, run, what)
         self._runs.clear()
         self.dead = True
 
     def next_change(self) -> float:
         """Returns in how many seconds something here changes by itself."""
         now = self.clock()
-        ends = [running.ends for running in self._runs.values()]
+        ends = [running.changes for running in self._runs.values()]
         return max(min([*ends, self._lease_end], default=now) - now, 0.0)
 
     def figure(self, plan: TaskPlan) -> int:
@@ -212,6 +236,9 @@
             self._end(task, run, EndKind.STOPPED, self.clock())
 
     def _check(self, token: int) -> None:
+        self.advance()
+        if self.down:
+            raise WorkerUnreachableError("connection refused")
         if self.dead:
             raise WorkerReplacedError
         if token < self._token:
@@ -222,6 +249,11 @@
         """Ends what has ended by now."""
         now = self.clock()
         over = min(now, self._lease_end)
+        for key, running in self._runs.items():
+            if running.crashes <= min(over, running.ends):
+                self.down = True
+                self._lose_runs(key)
+                return
         for (task, run), running in list(self._runs.items()):
             if not self.faults.hangs and running.ends <= over:
                 failed = running.plan.fails or self.faults.fails_all
--- a/pimentocross/standins/worker_hall.py
+++ b/pimentocross/standins/worker_hall.py
@@ -49,6 +49,8 @@
         reply = worker.listing()
         while not reply.endings and trio.current_time() < until:
             await trio.sleep(_POLL)
+            if worker.dead:
+                raise WorkerUnreachableError("the connection was closed")
             reply = worker.listing()
         if self._unreachable():
             raise WorkerUnreachableError("no answer in time")
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -198,6 +198,21 @@
     return found
 
 
+def find_crash_loops(journal: list[RunEvent]) -> list[RunEvent]:
+    """Returns starts of a task beyond two after three workers crashed by it."""
+    crashes: Counter[TaskName] = Counter()
+    starts: Counter[TaskName] = Counter()
+    found = []
+    for event in journal:
+        if event.what == "crashed":
+            crashes[event.task] += 1
+        elif event.what == "start" and crashes[event.task] >= 3:
+            starts[event.task] += 1
+            if starts[event.task] >= 3:
+                found.append(event)
+    return found
+
+
 def ran_out(journal: list[RunEvent], job: str) -> bool:
     """True if a task of a job failed as often as its queue allows."""
     failures = Counter(
