Hold starts back where a worker's capacity isn't known or has shrunk

A worker that doesn't guard its capacity starts whatever it is told to, and its capacity may shrink while it runs. Starts were decided on the capacity as it was then and sent once their record was stored: after an outage of the store of 8 s a worker of 4 cores was told to start 8 tasks of one core each. With the directory out of sight for longer than users allow, capacities of any age were filled up.

A start that the worker no longer carries is given back before it is sent, and nothing is sent to a worker that doesn't guard itself while the directory hasn't been read for 2 s; users allow 3 s and one report.

--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -144,6 +144,7 @@
         judge,
         listed,
         Crashes(book, lambda: ()),
+        lambda _: True,
     )
 
 
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -65,6 +65,9 @@
 # is placed several times a second.
 PASS_REST_MOST: Final = 0.25
 ROSTER_INTERVAL: Final = 0.5
+# Capacities are trusted for this long after they were read. Users allow 3 s
+# and one report of a worker, which may be as old as that when it is read.
+ROSTER_TRUSTED: Final = 2.0
 ROSTER_TIMEOUT: Final = 1.5
 NEWEST_TIMEOUT: Final = 3.0
 # A new owner reads and adopts in slices of this: an answer to a heartbeat and
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -210,7 +210,11 @@
         return rank
 
     def _usable(self) -> list[Worker]:
-        return [w for w in self._roster.workers() if w.usable]
+        return [
+            worker
+            for worker in self._roster.workers()
+            if worker.usable and self._roster.knows_room(worker)
+        ]
 
     def _sound(self, workers: Sequence[Worker], now: float) -> list[Worker]:
         """Returns those that are in no trouble."""
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -56,6 +56,7 @@
         judge: Is told of each ending.
         listed: Is told of each listing.
         crashes: Is told of workers that have ended.
+        knows_room: Tells whether a worker's capacity is surely known.
     """
 
     token: int
@@ -68,6 +69,7 @@
     judge: Callable[[Worker, Task, Run | None, Ending], None]
     listed: Callable[[Worker], None]
     crashes: Crashes
+    knows_room: Callable[[Worker], bool]
 
 
 class Keeper:
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -97,7 +97,7 @@
         async with worker.calls:
             if run.state is not RunState.DECIDED:
                 return
-            if task.step.job.ended or not self._may_start(worker):
+            if task.step.job.ended or not self._may_start(task, worker):
                 self._drop(worker, task, run)
                 return
             now = trio.current_time()
@@ -122,9 +122,14 @@
                 return
         self._on_verdict(placement, reply)
 
-    def _may_start(self, worker: Worker) -> bool:
+    def _may_start(self, task: Task, worker: Worker) -> bool:
         if not worker.usable or not worker.clock.known:
             return False
+        # Its capacity may have shrunk while the record was on its way.
+        if not worker.carries(task.step.spec):
+            return False
+        if not self._parts.knows_room(worker):
+            return False
         return self._parts.ledger.age() < const.RENEWALS_WITHOUT_STORE
 
     def _on_unanswered(self, task: Task, run: Run, reason: str) -> None:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -145,6 +145,7 @@
                 self._learned.judge,
                 self._learned.on_listed,
                 Crashes(self._book, self._roster.workers),
+                self._roster.knows_room,
             )
             orders = Orders(nursery, parts, self._dispatcher.on_refused)
             runs = await self._collect_runs()
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -59,6 +59,8 @@
         self._idle_keepers: list[Keeper] = []
         self._next_number = 0
         self._away = False
+        # When the newest list that was read had been asked for, monotonic.
+        self._read_at = float("-inf")
 
     def __len__(self) -> int:
         """How many lives may still run something."""
@@ -68,6 +70,16 @@
         """Yields the lives that may still run something."""
         yield from self._by_life.values()
 
+    def knows_room(self, worker: Worker) -> bool:
+        """True if a worker's capacity is known well enough to fill it up.
+
+        One that guards its capacity refuses what doesn't fit any more.
+        """
+        pool = self._config().services.get(worker.life.service)
+        if pool is not None and pool.guarded:
+            return True
+        return trio.current_time() - self._read_at <= const.ROSTER_TRUSTED
+
     def restore(self, number: int, record: WorkerRecord) -> None:
         """Takes in a number that is in the store."""
         self._known[number] = record
@@ -93,6 +105,7 @@
         self, nursery: trio.Nursery, parts: CellParts, stops: Stops
     ) -> None:
         """Takes the directory's present list in."""
+        asked_at = trio.current_time()
         try:
             lives = await self._directory.poll(const.ROSTER_TIMEOUT)
         except StoreUnavailableError as error:
@@ -103,6 +116,7 @@
         if self._away:
             note("directory_regained", workers=len(lives))
         self._away = False
+        self._read_at = asked_at
         listed = {life.id: life for life in lives}
         services = self._config().services
         for life in lives:
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -10,7 +10,7 @@
 from pimentocross.contracts.worker_link import WorkerLife, WorkerLink
 from pimentocross.owner.clock import WorkerClock
 from pimentocross.placement.pacing import Reading
-from pimentocross.work.spec import NO_SIZE, Size
+from pimentocross.work.spec import NO_SIZE, Size, StepSpec
 from pimentocross.work.state import Job, Run, RunState, Step, Task
 from pimentocross.work.suspicion import PROVEN_AFTER
 
@@ -106,6 +106,11 @@
             self._free = self.life.capacity.minus(self.committed)
         return self._free
 
+    def carries(self, spec: StepSpec) -> bool:
+        """True if it carries what is committed, of all that a task takes."""
+        taken = zip(spec.committed, self.free, strict=True)
+        return all(part <= 0 or free >= 0 for part, free in taken)
+
     @property
     def usable(self) -> bool:
         """True if new runs may be sent to it."""
--- a/pimentocross/standins/worker_hall.py
+++ b/pimentocross/standins/worker_hall.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from pimentocross.contracts.store import StoreUnavailableError
 from pimentocross.contracts.worker_link import (
     HoldReply,
     StartOrder,
@@ -123,6 +124,7 @@
         workers: Lives that the directory lists or did list, by id.
         journal: What happened to runs.
         cut: Lives that a VM can't reach, by VM.
+        directory_away: Whether the directory answers nobody.
     """
 
     def __init__(self) -> None:
@@ -131,6 +133,7 @@
         self.unlisted: set[str] = set()
         self.journal: list[RunEvent] = []
         self.cut: dict[str, set[str]] = {}
+        self.directory_away = False
 
     def add(self, worker: TaskWorkerStandin) -> None:
         """Lists a worker."""
@@ -152,6 +155,8 @@
     async def poll(self, timeout: float) -> list[WorkerLife]:
         """Returns all workers listed."""
         await trio.sleep(0.004)
+        if self._hall.directory_away:
+            raise StoreUnavailableError("directory away", sent=True)
         return [
             worker.life
             for life_id, worker in self._hall.workers.items()
--- a/tests/pass_fixtures.py
+++ b/tests/pass_fixtures.py
@@ -73,6 +73,10 @@
         """Yields the workers."""
         yield from self._workers
 
+    def knows_room(self, worker: Worker) -> bool:
+        """True, as the capacities of these don't change."""
+        return True
+
 
 def make_worker(life: WorkerLife, number: int) -> Worker:
     """Returns a worker that is in use."""
