Log a worker whose clock or numbers of ends go back

Nothing told that a worker had started again under its id: its calls were answered within the time that they have, and its first ends were passed over in silence.

--- a/pimentocross/owner/clock.py
+++ b/pimentocross/owner/clock.py
@@ -1,9 +1,13 @@
 """A worker's steady clock, as bounded by its answers."""
 
 import math
+from typing import Final
 
 from pimentocross.owner import const
 
+# Answers on different connections may overtake each other by this, in seconds.
+_DISORDER: Final = 2.0
+
 
 class WorkerClock:
     """Bounds of a worker's clock; all times in seconds."""
@@ -18,6 +22,10 @@
         """True once the worker has told its clock."""
         return self._reading is not None
 
+    def is_behind(self, reading: float) -> bool:
+        """True for a reading well below one that was taken before."""
+        return self._reading is not None and reading < self._reading - _DISORDER
+
     def note(self, reading: float, now: float) -> None:
         """Takes a reading that came with an answer received now."""
         if self._reading is None or reading >= self._reading:
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -198,6 +198,8 @@
     def _on_heard(self, reply: HoldReply, sent_at: float) -> None:
         worker = self._worker
         now = trio.current_time()
+        if worker.clock.is_behind(reply.clock):
+            note("worker_clock_back", worker=worker.life.id, clock=reply.clock)
         worker.clock.note(reply.clock, now)
         worker.heard_at = now
         self._excused = False
@@ -282,6 +284,13 @@
     def _take_endings(
         self, endings: list[Ending], changed: dict[Job, None]
     ) -> None:
+        if endings and endings[0].number <= self._applied - len(endings):
+            note(
+                "endings_passed_over",
+                worker=self._worker.life.id,
+                first=endings[0].number,
+                applied=self._applied,
+            )
         for ending in endings:
             if ending.number <= self._applied:
                 continue
