Failing tests: ends of a worker that restarts under its id are dropped

The contract has the time at which a life started (born), read from a worker's entry and its lists of runs; nothing uses it yet. Stand-in workers can start again under the id that they had: they know nothing, their clock and their numbers of ends start anew.

--- a/pimentocross/contracts/worker_link.py
+++ b/pimentocross/contracts/worker_link.py
@@ -14,7 +14,7 @@
     """One life of a machine, as listed in the directory.
 
     Attributes:
-        id: The life's id, never used again.
+        id: Names the worker; the next life may have the same.
         machine: The machine, which outlives it.
         service: Service whose queues it runs.
         address: host:port.
@@ -23,6 +23,8 @@
         capacity: What it carries.
         draining: Whether it is about to leave.
         remaining: Seconds that are left at least while it drains.
+        born: When it started, milliseconds since 1970, or 0 if that isn't
+            told. Tells lives of one id apart.
     """
 
     id: str
@@ -34,6 +36,7 @@
     capacity: Size
     draining: bool
     remaining: float
+    born: int = 0
 
     @property
     def rack(self) -> str:
@@ -101,11 +104,13 @@
         clock: Its clock.
         running: All that runs.
         endings: Those that were not yet taken note of, maybe not all.
+        born: When the life that answers started, as in `WorkerLife`.
     """
 
     clock: float
     running: list[Listed]
     endings: list[Ending]
+    born: int = 0
 
 
 class StartOrder(NamedTuple):
--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -68,6 +68,8 @@
     # The kind, then the rack.
     labels: list[str]
     machine_id: str = ""
+    # When it started, in milliseconds since 1970.
+    born: int = 0
     # Only while it drains: the time that is left at least.
     remaining_ms: Annotated[
         float, msgspec.Meta(ge=0, le=_REMAINING_MS_MOST)
@@ -157,6 +159,7 @@
 
 class _HoldReply(msgspec.Struct):
     clock_ms: float
+    born: int = 0
     running: list[_Running] = []
     # Rows of number, task, run, how it ended and saved progress.
     completions: list[list[str | int | float]] = []
@@ -166,6 +169,7 @@
     """The same, with rows whose numbers may have another form."""
 
     clock_ms: float
+    born: int = 0
     # Rows of task, run, saved progress, percent and a figure.
     running: list[list[str | int | float]] = []
     completions: list[list[str | int | float]] = []
@@ -218,6 +222,7 @@
         Size(capacity.cpu, capacity.mem_mb, capacity.gpus),
         server.state == "draining",
         server.remaining_ms / _MS,
+        server.born,
     )
 
 
@@ -315,34 +320,32 @@
         WireError: It has another form.
     """
     try:
-        clock_ms, running, completions = _read_rows(body)
-        endings = [_ending(row) for row in completions]
+        return _read_hold(body)
     except (msgspec.DecodeError, IndexError, KeyError, ValueError) as error:
         raise WireError(f"worker's list: {error!r}") from error
-    return HoldReply(clock_ms / _MS, running, endings)
 
 
-def _read_rows(
-    body: bytes,
-) -> tuple[float, list[Listed], list[list[Any]]]:
+def _read_hold(body: bytes) -> HoldReply:
+    reply: _HoldReply | _LooseHoldReply
     try:
         reply = _decode_hold(body)
     except msgspec.ValidationError:
-        loose = _decode_loose_hold(body)
-        running = [_listed(row) for row in loose.running]
-        return loose.clock_ms, running, loose.completions
-    # Each row is made in one step: listings are most of what is decoded.
-    running = [
-        Listed(
-            read_task(row.task),
-            row.run,
-            row.checkpoint,
-            row.percent,
-            row.figure,
-        )
-        for row in reply.running
-    ]
-    return reply.clock_ms, running, reply.completions
+        reply = _decode_loose_hold(body)
+        running = [_listed(row) for row in reply.running]
+    else:
+        # Each row is made in one step: listings are most of what is decoded.
+        running = [
+            Listed(
+                read_task(row.task),
+                row.run,
+                row.checkpoint,
+                row.percent,
+                row.figure,
+            )
+            for row in reply.running
+        ]
+    endings = [_ending(row) for row in reply.completions]
+    return HoldReply(reply.clock_ms / _MS, running, endings, reply.born)
 
 
 def _listed(row: list[Any]) -> Listed:
--- a/pimentocross/standins/supervisor.py
+++ b/pimentocross/standins/supervisor.py
@@ -25,7 +25,7 @@
 
 
 class Supervisor:
-    """Brings crashed workers back, each under a new id.
+    """Brings crashed workers back, under the id that they had or a new one.
 
     Attributes:
         crashes: Lives that have crashed.
@@ -37,29 +37,37 @@
         plan: Callable[[TaskName], TaskPlan],
         down: DownTime = USUAL_DOWN_TIME,
         seed: int = 0,
+        *,
+        keeps_ids: bool = False,
     ) -> None:
         """Takes the workers and how their tasks behave."""
+        self._keeps_ids = keeps_ids
         self.crashes = 0
         self._hall = hall
+        self._restarting: set[TaskWorkerStandin] = set()
         self._plan = plan
         self._down = down
         self._random = random.Random(seed)
 
     async def run(self) -> None:
         """Looks for crashed workers, for ever."""
-        handled: set[TaskWorkerStandin] = set()
         async with trio.open_nursery() as nursery:
             while True:
                 for worker in list(self._hall.workers.values()):
                     worker.advance()
-                    if worker.down and worker not in handled:
-                        handled.add(worker)
+                    if worker.down and worker not in self._restarting:
+                        self._restarting.add(worker)
                         nursery.start_soon(self._restart, worker)
                 await trio.sleep(_LOOK)
 
     async def _restart(self, old: TaskWorkerStandin) -> None:
         self.crashes += 1
         await trio.sleep(self._random.uniform(*self._down))
+        self._restarting.discard(old)
+        if self._keeps_ids:
+            if old.dead:
+                old.restart()
+            return
         if self._hall.workers.pop(old.life.id, None) is None:
             # Its machine has another life already.
             return
--- a/pimentocross/standins/task_worker.py
+++ b/pimentocross/standins/task_worker.py
@@ -21,6 +21,7 @@
 from pimentocross.work.spec import NO_SIZE, Size, TaskName
 
 _PERCENT = 100
+_MS = 1000
 LASTS = float("inf")
 NEVER = float("inf")
 
@@ -130,6 +131,10 @@
         self._plan = plan
         self._journal = journal
         self._guarded = guarded
+        self._offset = random.Random(seed).uniform(0, 1000)
+        self._forget()
+
+    def _forget(self) -> None:
         self._token = 0
         self._lease_end = 0.0
         self._runs: dict[tuple[TaskName, int], _Running] = {}
@@ -139,7 +144,6 @@
         self._lapsed = True
         self._lapses = 0
         self._lapses_at_end: dict[int, int] = {}
-        self._offset = random.Random(seed).uniform(0, 1000)
 
     @property
     def committed(self) -> Size:
@@ -158,6 +162,16 @@
         self._advance()
         self._lose_runs()
 
+    def restart(self) -> None:
+        """Begins the next life under the same id, which knows nothing."""
+        if not self.dead:
+            self.crash()
+        now = trio.current_time()
+        self.life = self.life._replace(born=self.life.born + 1 + int(now * _MS))
+        self._offset = -now
+        self._forget()
+        self.dead = self.down = False
+
     def advance(self) -> None:
         """Brings it to the present time: ends runs, crashes if one says so."""
         if not self.dead:
@@ -206,7 +220,7 @@
             )
             for (task, run), running in self._runs.items()
         ]
-        return HoldReply(now, running, list(self._endings))
+        return HoldReply(now, running, list(self._endings), self.life.born)
 
     def take_start(self, order: StartOrder) -> StartVerdict:
         """Starts a run, or says why not."""
--- a/pimentocross/standins/worker_hall.py
+++ b/pimentocross/standins/worker_hall.py
@@ -125,6 +125,7 @@
         journal: What happened to runs.
         cut: Lives that a VM can't reach, by VM.
         directory_away: Whether the directory answers nobody.
+        stale: Entries that the directory still has of these ids.
     """
 
     def __init__(self) -> None:
@@ -134,6 +135,7 @@
         self.journal: list[RunEvent] = []
         self.cut: dict[str, set[str]] = {}
         self.directory_away = False
+        self.stale: dict[str, WorkerLife] = {}
 
     def add(self, worker: TaskWorkerStandin) -> None:
         """Lists a worker."""
@@ -158,7 +160,7 @@
         if self._hall.directory_away:
             raise StoreUnavailableError("directory away", sent=True)
         return [
-            worker.life
+            self._hall.stale.get(life_id, worker.life)
             for life_id, worker in self._hall.workers.items()
             if life_id not in self._hall.unlisted
         ]
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -48,6 +48,7 @@
         ROOM,
         False,
         0.0,
+        born=1,
     )
 
 
--- /dev/null
+++ b/tests/test_restarted_workers.py
@@ -0,0 +1,179 @@
+"""Workers that start again under the id that they had."""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+import random
+
+import trio
+
+from pimentocross.owner.owner import Owner
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import (
+    LASTS,
+    TaskPlan,
+    TaskWorkerStandin,
+)
+from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work.spec import StepSpec, TaskName
+from pimentocross.work.state import JobState
+from tests import run_virtual
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    chain,
+    count,
+    find_again,
+    find_twice,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+    wait_until,
+)
+
+_WORKERS = 6
+
+
+def _plan(name: TaskName) -> TaskPlan:
+    return TaskPlan(LASTS if name.job.startswith("last") else 0.6, SMALL)
+
+
+@asynccontextmanager
+async def _owned_cell(
+    store: StoreStandin | None = None,
+) -> AsyncIterator[tuple[Owner, WorkerHall]]:
+    hall = make_hall(_WORKERS, _plan)
+    async with running(make_owner(store or StoreStandin(), hall, 1)) as owner:
+        yield owner, hall
+
+
+async def _submit_stream(owner: Owner, first: int, count: int) -> list[str]:
+    """Submits jobs of two steps of three tasks, ten a second."""
+    jobs = [f"job{number}" for number in range(first, first + count)]
+    for job in jobs:
+        await owner.desk.submit(job, QUEUE, chain(3, 2))
+        await trio.sleep(0.1)
+    return jobs
+
+
+async def _wait_done(owner: Owner, jobs: Sequence[str], within: float) -> None:
+    await wait_until(
+        lambda: all(
+            owner.desk.state(job).state is JobState.COMPLETED for job in jobs
+        ),
+        within,
+    )
+
+
+def _check(hall: WorkerHall) -> None:
+    assert not find_twice(hall.journal), find_twice(hall.journal)[:3]
+    assert not find_again(hall.journal), find_again(hall.journal)[:3]
+
+
+async def test_ends_of_a_restarted_worker_are_not_dropped() -> None:
+    async with _owned_cell() as (owner, hall):
+        jobs = await _submit_stream(owner, 0, 40)
+        for worker in hall.workers.values():
+            worker.restart()
+        jobs += await _submit_stream(owner, 40, 40)
+        await trio.sleep(10)
+        _check(hall)
+        await _wait_done(owner, jobs, 1)
+
+
+async def test_what_lasts_is_back_soon_after_its_worker_restarted() -> None:
+    async with _owned_cell() as (owner, hall):
+        await _submit_stream(owner, 0, 20)
+        step = StepSpec(12, SMALL, lasting=True)
+        await owner.desk.submit("last", QUEUE, spec(step))
+        await trio.sleep(5)
+        worker = next(iter(hall.workers.values()))
+        started = count(hall.journal, "start")
+        lost = len(worker.listing().running)
+        worker.restart()
+        await wait_until(
+            lambda: count(hall.journal, "start") == started + lost, 2.0
+        )
+        await trio.sleep(10)
+        assert count(hall.journal, "lapsed") == 0
+        assert count(hall.journal, "start") == started + lost
+        _check(hall)
+
+
+async def test_a_restart_is_known_before_the_directory_tells() -> None:
+    async with _owned_cell() as (owner, hall):
+        jobs = await _submit_stream(owner, 0, 20)
+        for life_id, worker in hall.workers.items():
+            hall.stale[life_id] = worker.life
+            worker.restart()
+        jobs += await _submit_stream(owner, 20, 20)
+        await _wait_done(owner, jobs, 5)
+        hall.stale.clear()
+        jobs += await _submit_stream(owner, 40, 20)
+        await _wait_done(owner, jobs, 5)
+        _check(hall)
+
+
+async def test_a_new_owner_meets_the_next_lives_of_its_workers() -> None:
+    store = StoreStandin()
+    hall = make_hall(_WORKERS, _plan)
+    jobs: list[str] = []
+    for epoch in range(1, 6):
+        async with running(make_owner(store, hall, epoch)) as owner:
+            jobs += await _submit_stream(owner, 20 * epoch, 20)
+        for worker in hall.workers.values():
+            worker.restart()
+    async with running(make_owner(store, hall, 9)) as owner:
+        await _wait_done(owner, jobs, 15)
+    _check(hall)
+
+
+async def _restart_often(hall: WorkerHall, draw: random.Random) -> None:
+    while True:
+        await trio.sleep(draw.uniform(0.05, 1.0))
+        worker = draw.choice(list(hall.workers.values()))
+        if draw.random() < 0.5:
+            worker.restart()
+            continue
+        worker.crash()
+        worker.down = True
+        await trio.sleep(draw.uniform(0.05, 1.5))
+        worker.restart()
+
+
+async def _play(seed: int) -> None:
+    """Plays restarts in series, with orders that are carried out late."""
+    draw = random.Random(seed)
+    async with _owned_cell() as (owner, hall):
+        for worker in hall.workers.values():
+            worker.faults.late = worker.faults.lost = 0.05
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_restart_often, hall, draw)
+            jobs = await _submit_stream(owner, 0, 100)
+            nursery.cancel_scope.cancel()
+        for worker in hall.workers.values():
+            worker.faults.late = worker.faults.lost = 0.0
+            if worker.dead:
+                worker.restart()
+        await _wait_done(owner, jobs, 30)
+        _check(hall)
+
+
+def test_restarts_in_series_break_no_promise() -> None:
+    for seed in range(6):
+        run_virtual(lambda s=seed: _play(s), seed)  # type: ignore[misc]
+
+
+def test_a_restarted_worker_knows_nothing_of_its_former_life() -> None:
+    async def play() -> None:
+        hall = make_hall(1, _plan)
+        worker: TaskWorkerStandin = next(iter(hall.workers.values()))
+        born = worker.life.born
+        worker.take_hold(7, 0, None)
+        worker.restart()
+        assert worker.life.born > born
+        # A lower token is no longer refused, and the clock starts anew.
+        worker.take_hold(1, 0, None)
+        assert worker.listing().clock < 1.0
+
+    run_virtual(play)
