Start a suspect without a trial rather than late

Read in the code of the trials: a task under which a worker crashed waited for as long as no worker with room was quiet, which in a busy cell may be long; a lasting task has to be back within 6 s. And each such task looked at all runs of all workers, so that a rack's worth of suspects could hold up passes.

A task now waits 1.5 s for its trial and starts without one then, so that its next crash convicts nobody; of the workers with room the 32 that carry the least are looked at, and the other suspects of a step wait once one has found none.

The test failed before (the task never started while no worker was quiet).

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -24,6 +24,7 @@
 from pimentocross.owner.reclaimer import Reclaimer
 from pimentocross.owner.room import RoomKeeper, is_short
 from pimentocross.owner.roster import Roster
+from pimentocross.owner.trials import Trials
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.reclaim import TASKS_MOST
 from pimentocross.placement.urgency import Chance, Urgency, urgency
@@ -91,6 +92,7 @@
         self._reclaimer = Reclaimer()
         self._room = RoomKeeper()
         self._load_log = LoadLog()
+        self._trials = Trials()
         self._share = PassShare()
         self._round = Round()
         self._applied_version = -1
@@ -163,7 +165,13 @@
         self._arranger.pass_over(worth_a_place, sound, orders, now)
         self._arranger.renew_probes(sound, now)
         placer = Placer(
-            sound, usable, self._learned, self._arranger, self.advice, now
+            sound,
+            usable,
+            self._learned,
+            self._arranger,
+            self.advice,
+            self._trials,
+            now,
         )
         placements: list[Placement] = []
         missed_short = self._round.missed_short
--- a/pimentocross/owner/placer.py
+++ b/pimentocross/owner/placer.py
@@ -7,6 +7,7 @@
 from pimentocross.owner.arranger import Arranger
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.orders import Placement
+from pimentocross.owner.trials import Trials
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.field import Few, Field, Places
 from pimentocross.placement.host import allows
@@ -15,8 +16,6 @@
 
 # Workers with room and a ticket from which on no more are asked for.
 _ADVISED_ENOUGH: Final = 4
-# A task is tried alone on one of so many workers that would lose the least.
-_TRIED_AMONG: Final = 3
 
 
 class Placer:
@@ -29,6 +28,7 @@
         learned: Learned,
         arranger: Arranger,
         advice: AdviceDesk,
+        trials: Trials,
         now: float,
     ) -> None:
         """Takes the workers and what choosing among them goes by.
@@ -39,6 +39,7 @@
             learned: What was learned of workers.
             arranger: Knows what their room is worth.
             advice: Knows who may run some steps.
+            trials: Finds where tasks are tried alone.
             now: Present time.
         """
         self._sound = Field(sound, arranger.view)
@@ -49,6 +50,9 @@
         self._learned = learned
         self._arranger = arranger
         self._advice = advice
+        self._trials = trials
+        # Placements on trial of the step that is being placed.
+        self._tried: list[Placement] = []
         self._now = now
 
     def place(self, step: Step) -> list[Placement]:
@@ -69,7 +73,7 @@
             placed = self._place_gang(step, places)
         else:
             placed = self._place_each(step, places)
-        self._begin_trials(placed)
+        self._begin_trials()
         return placed
 
     def _place_each(
@@ -80,13 +84,16 @@
         if step.spec.same_rack:
             rack = common_rack(step.tasks, self._racks)
         placed = []
+        suspects_wait = False
         for task in step.waiting():
-            if task.not_before > self._now:
+            suspect = task.suspicion.needs_trial
+            if task.not_before > self._now or (suspect and suspects_wait):
                 continue
             where = _destination(task, places, self._now)
             placement = self._place(task, task.last_run + 1, where, rack)
             if placement is None:
-                if task.bound_for is not None or task.suspicion.needs_trial:
+                suspects_wait = suspects_wait or suspect
+                if task.bound_for is not None or suspect:
                     continue
                 break
             rack = rack or placement.worker.life.rack
@@ -133,7 +140,12 @@
         self, task: Task, number: int, places: Places[Worker], rack: str
     ) -> Placement | None:
         if task.suspicion.needs_trial:
-            places = self._proven(task, places)
+            return self._place_suspect(task, number, places, rack)
+        return self._place_on(task, number, places, rack)
+
+    def _place_on(
+        self, task: Task, number: int, places: Places[Worker], rack: str
+    ) -> Placement | None:
         worker = places.choose(task, rack)
         if worker is None:
             return None
@@ -152,27 +164,29 @@
         ticket = self._advice.tickets(task.step).get(worker.life.id, "")
         return Placement(task, run, worker, ticket)
 
-    def _proven(self, task: Task, places: Places[Worker]) -> Places[Worker]:
-        """Returns workers whose crash would speak against one task alone."""
-        step = task.step
-        able = [
-            worker
-            for worker in places.hosts
-            if allows(worker, step) and worker.is_proven(step.job)
-        ]
-        able.sort(key=lambda worker: len(worker.runs))
-        return Few(able[:_TRIED_AMONG], self._arranger.view)
-
-    def _begin_trials(self, placed: Sequence[Placement]) -> None:
-        """Keeps other starts off the workers on which tasks are tried.
-
-        Tasks of one step may share such a worker: their job is given up by
-        whichever of them crashes it.
-        """
-        for task, run, worker, _ in placed:
-            if task.suspicion.needs_trial:
-                worker.try_alone(task, run)
+    def _place_suspect(
+        self, task: Task, number: int, places: Places[Worker], rack: str
+    ) -> Placement | None:
+        """Places a task on trial, or without if that takes too long."""
+        found = self._trials.find(task, places.hosts)
+        if found:
+            places = Few(found, self._arranger.view)
+        elif not self._trials.is_due(task, self._now):
+            return None
+        placement = self._place_on(task, number, places, rack)
+        if placement is not None:
+            self._trials.note_placed(task)
+            if found:
+                self._tried.append(placement)
+        return placement
+
+    def _begin_trials(self) -> None:
+        """Keeps other steps off the workers on which tasks are tried."""
+        for task, run, worker, _ in self._tried:
+            if run.number in task.runs:
+                self._trials.begin(task, run, worker)
                 self._note_changed(worker)
+        self._tried = []
 
     def _note_changed(self, worker: Worker) -> None:
         self._sound.note_changed(worker)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -4,10 +4,13 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 import random
+from unittest import mock
 
 import trio
 
 from pimentocross.owner.owner import Owner
+from pimentocross.owner.trials import Trials
+from pimentocross.owner.worker import Worker
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.supervisor import Supervisor
 from pimentocross.standins.task_worker import (
@@ -19,7 +22,7 @@
 from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.records import SUSPICIONS
 from pimentocross.work.spec import JobSpec, StepSpec, TaskName
-from pimentocross.work.state import JobState
+from pimentocross.work.state import Job, JobState
 from pimentocross.work.suspicion import (
     CLEARED_AFTER,
     NO_SUSPICION,
@@ -42,6 +45,7 @@
     spec,
     wait_until,
 )
+from tests.pass_fixtures import make_step, make_worker
 
 # A task of a job of this name, the first of its step, crashes its worker ...
 _AT_ONCE = "crash"
@@ -202,6 +206,36 @@
         assert count(hall.journal, "crashed") <= 5
 
 
+async def test_a_suspect_is_not_kept_waiting_for_a_quiet_worker() -> None:
+    def busy(self: Worker, job: Job) -> bool:
+        return False
+
+    with mock.patch.object(Worker, "is_proven", busy):
+        async with _owned_cell(2) as (owner, hall):
+            step = _LASTING._replace(width=1)
+            await owner.desk.submit("0-lasting", QUEUE, spec(step))
+            await wait_until(lambda: _starts(hall, "0-lasting") == 1)
+            worker = hall.workers[hall.journal[0].worker]
+            worker.crash()
+            worker.restart()
+            crashed_at = trio.current_time()
+            await wait_until(lambda: _starts(hall, "0-lasting") == 2, 5.0)
+            # Else it would not have been held back at all.
+            assert trio.current_time() - crashed_at > 1.0
+
+
+def test_a_suspect_of_a_large_cell_looks_at_a_few_workers() -> None:
+    step = make_step("job", StepSpec(1, SMALL))
+    workers = [make_worker(life(number), number) for number in range(350)]
+    with mock.patch.object(Worker, "is_proven", return_value=False) as looked:
+        assert not Trials().find(step.tasks[0], workers)
+    assert looked.call_count <= 32
+
+
+def _starts(hall: WorkerHall, job: str) -> int:
+    return sum(e.what == "start" and e.task.job == job for e in hall.journal)
+
+
 async def test_a_worker_that_is_cut_off_or_leaves_is_no_crash() -> None:
     store = StoreStandin()
     async with _cell(4) as hall:
