--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -31,10 +31,11 @@
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.jobs import JobBook
-from pimentocross.owner.keeper import CellParts, Keeper
+from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.listing_pace import ListingPace
+from pimentocross.owner.parts import CellParts
 from pimentocross.owner.patience import CallPatience
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.worker import Worker
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -1,7 +1,6 @@
 """Keeps the lease of one worker and takes in what it lists."""
 
-from collections.abc import Callable
-from typing import Final, NamedTuple, Protocol
+from typing import Final
 
 import trio
 
@@ -17,85 +16,16 @@
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
-from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.endings import apply_ending, drop_run, note_lost
-from pimentocross.owner.jobs import JobBook
-from pimentocross.owner.ledger import Batch, Ledger
-from pimentocross.owner.listing_pace import ListingPace
-from pimentocross.owner.patience import CallPatience
-from pimentocross.owner.terms import OwnerTerms
+from pimentocross.owner.ledger import Batch
+from pimentocross.owner.parts import CellParts, Stops
 from pimentocross.owner.worker import Worker
-from pimentocross.work.spec import TaskName
 from pimentocross.work.state import TERMINAL, Job, Run, RunState, Task
 
-# Fencing tokens of one owner for lives of one id that follow each other.
-_LIVES_PER_EPOCH: Final = 1 << 16
 # Ends to which a run comes by itself: its task doesn't crash what starts it.
 _PROVE_HARMLESS: Final = frozenset({EndKind.DONE, EndKind.FAILED})
 
 
-class Stops(Protocol):
-    """Orders runs to stop."""
-
-    def stop(self, worker: Worker, task: Task, run: Run, reason: str) -> None:
-        """Stops a run, however often it has to be asked."""
-        ...
-
-    def stop_unknown(self, worker: Worker, name: TaskName, run: int) -> None:
-        """Stops a run of a task that isn't known."""
-        ...
-
-
-class Lives(Protocol):
-    """Follows the lives of workers."""
-
-    def note_born(self, worker: Worker, born: int) -> None:
-        """Notes when the life that answers for a worker started."""
-        ...
-
-
-class CellParts(NamedTuple):
-    """What the parts of an owner share.
-
-    Attributes:
-        epoch: The owner's.
-        terms: What the platform lets it do.
-        patience: How long calls to workers are waited for.
-        pace: How often workers are asked what runs there.
-        book: The jobs.
-        ledger: Where changes are recorded.
-        wake: Has decisions made anew.
-        judge: Is told of each ending.
-        listed: Is told of each listing.
-        crashes: Is told of workers that have ended.
-        knows_room: Tells whether a worker's capacity is surely known.
-        lives: Is told of lives that answer in place of others.
-    """
-
-    epoch: int
-    terms: OwnerTerms
-    patience: CallPatience
-    pace: ListingPace
-    book: JobBook
-    ledger: Ledger
-    wake: Callable[[], None]
-    judge: Callable[[Worker, Task, Run | None, Ending], None]
-    listed: Callable[[Worker], None]
-    crashes: Crashes
-    knows_room: Callable[[Worker], bool]
-    lives: Lives
-
-    def token_for(self, worker: Worker) -> int:
-        """Returns the fencing token of orders to a worker.
-
-        A life that started again under its id has seen no token: orders that
-        were meant for the former one and come late are refused by it from the
-        first order with its own token on.
-        """
-        restarts = min(worker.restarts, _LIVES_PER_EPOCH - 1)
-        return self.epoch * _LIVES_PER_EPOCH + restarts
-
-
 class Keeper:
     """Holds one worker until its life has ended."""
 
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -17,8 +17,8 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.endings import drop_run
-from pimentocross.owner.keeper import CellParts
 from pimentocross.owner.ledger import Batch
+from pimentocross.owner.parts import CellParts
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import TaskName
 from pimentocross.work.state import Run, RunState, Task
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -16,9 +16,10 @@
 from pimentocross.owner import const
 from pimentocross.owner.breather import Breather
 from pimentocross.owner.endings import drop_run, note_lost
-from pimentocross.owner.keeper import CellParts, Keeper, Stops
+from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.life_numbers import LifeNumbers
+from pimentocross.owner.parts import CellParts, Stops
 from pimentocross.owner.worker import Worker
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.spec import NO_SIZE
