Hold a task back while likely crashes under it are undecided

Read in the code: a crash is counted once its machine's next life is known, and a silent worker's tasks start again once its lease has lapsed, 5.5 s later. With workers down for longer than that, starts run ahead of the count, and a crashing task was started a third time more after three crashes (BUDGET).

A task with three crashes, counted or likely (its worker fell silent soon after its start and was neither heard nor replaced yet), waits until they are decided, 30 s at most. Test: down times of 6 to 20 s; it failed before, at 6 s already. The record of a task that was cleared is removed; it stayed for good before.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -1,6 +1,6 @@
 """Holds the crashes of workers against the tasks that ran there."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
@@ -12,6 +12,7 @@
 from pimentocross.owner.worker import Worker
 from pimentocross.work.state import Run, RunState, Task
 from pimentocross.work.suspicion import (
+    HELD_MOST,
     NO_SUSPICION,
     OUTAGE_SPAN,
     SURE_WITHIN,
@@ -61,32 +62,43 @@
         self._lapsed: dict[Worker, list[_Suspect]] = {}
         # Lives that are gone and have no successor yet, by machine.
         self._unreplaced: dict[str, tuple[WorkerLife, list[_Suspect]]] = {}
+        # Likely crashes of each task among those that lapsed.
+        self._undecided: Counter[Task] = Counter()
 
     def note_lapsed(self, worker: Worker) -> None:
         """Remembers what ran on a silent worker that may have crashed."""
-        self._lapsed.setdefault(worker, []).extend(_suspects(worker))
+        suspects = _suspects(worker)
+        self._lapsed.setdefault(worker, []).extend(suspects)
+        until = trio.current_time() + HELD_MOST
+        for task, crash in suspects:
+            if crash.is_early:
+                self._undecided[task] += 1
+            if task.suspicion.holds(self._undecided[task]):
+                task.not_before = until
 
     def note_heard(self, worker: Worker) -> None:
         """Notes that a worker which was silent lives."""
-        self._lapsed.pop(worker, None)
+        self._decide(self._lapsed.pop(worker, []))
 
     def note_replaced(self, worker: Worker) -> None:
         """Notes that a life has ended, as another one took its place.
 
         Its runs have to be tied to it still.
         """
-        suspects = [*self._lapsed.pop(worker, ()), *_suspects(worker)]
-        if worker.life.draining:
-            # It was expected to leave.
-            return
-        self._count(worker, suspects)
+        lapsed = self._lapsed.pop(worker, [])
+        # One that drained was expected to leave.
+        if not worker.life.draining:
+            self._count(worker, [*lapsed, *_suspects(worker)])
+        self._decide(lapsed)
 
     def note_absent(self, worker: Worker) -> None:
         """Notes that a life is given up, how it ended not being known."""
-        suspects = [*self._lapsed.pop(worker, ()), *_suspects(worker)]
+        lapsed = self._lapsed.pop(worker, [])
         machine = worker.life.machine
+        suspects = [*lapsed, *_suspects(worker)]
         if suspects and machine and not worker.life.draining:
             self._unreplaced[machine] = (worker.life, suspects)
+        self._decide(lapsed)
 
     def note_listed(self, life: WorkerLife) -> None:
         """Notes a life that is listed, maybe the next one of a machine."""
@@ -96,6 +108,18 @@
         if former.id != life.id or life.is_after(former.born):
             self._judge(former.id, suspects, in_outage=False)
 
+    def _decide(self, lapsed: list[_Suspect]) -> None:
+        """Lets tasks start that waited for what became of these."""
+        now = trio.current_time()
+        for task, crash in lapsed:
+            if not crash.is_early:
+                continue
+            self._undecided[task] -= 1
+            if not task.suspicion.holds(self._undecided[task]):
+                task.not_before = min(task.not_before, now)
+            if not self._undecided[task]:
+                del self._undecided[task]
+
     def note_ended(self, task: Task, run: Run | None) -> None:
         """Clears a task of which a run ended in another way than by a crash."""
         if run is not None and task.suspicion.crashes:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -20,11 +20,11 @@
 from pimentocross.owner.desk import Desk
 from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.jobs import JobBook
-from pimentocross.owner.keeper import CellParts
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.listing_pace import ListingPace
 from pimentocross.owner.orders import Orders
+from pimentocross.owner.parts import CellParts
 from pimentocross.owner.patience import CallPatience
 from pimentocross.owner.roster import Roster, RosterParts
 from pimentocross.owner.take_over_log import TakeOverLog
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -210,8 +210,8 @@
             raise RecordError("progress of a step unknown") from error
 
 
-def encode_suspicions(job: Job) -> bytes:
-    """Returns the record of crashes under a job's tasks."""
+def encode_suspicions(job: Job) -> bytes | None:
+    """Returns the record of crashes under a job's tasks, None for none."""
     rows = tuple(
         SuspicionRecord(
             task.name.occurrence,
@@ -222,7 +222,7 @@
         for task in job.tasks()
         if task.suspicion.crashes
     )
-    return _encode(SuspicionsRecord(FORM, rows))
+    return _encode(SuspicionsRecord(FORM, rows)) if rows else None
 
 
 def decode_suspicions(job: Job, value: bytes) -> None:
--- a/pimentocross/work/suspicion.py
+++ b/pimentocross/work/suspicion.py
@@ -27,6 +27,11 @@
 _CONVICTING: Final = 4
 # ... and without a trial from so many, whatever else may explain them.
 _CRASHES_MOST: Final = 5
+# With as many crashes, counted or likely, a task waits for what is likely to be
+# decided, for so many seconds at most: workers that stay down for long tell of
+# a crash only after the task could have started again.
+_HELD_AFTER: Final = 3
+HELD_MOST: Final = 30.0
 # A crash is sure if it came within this after the answer to the start, in
 # seconds, as far as can be told.
 SURE_WITHIN: Final = 0.25
@@ -110,6 +115,15 @@
             crash.run,
         )
 
+    def holds(self, undecided: int) -> bool:
+        """True if a task has to wait until likely crashes are decided.
+
+        Args:
+            undecided: Workers that fell silent soon after the task had started
+                there, and weren't heard or replaced yet.
+        """
+        return undecided > 0 and self.crashes + undecided >= _HELD_AFTER
+
     def after_trial(self) -> "Suspicion":
         """Returns what is left once a run has outlived its trial."""
         return self._replace(early=0)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -12,7 +12,11 @@
 from pimentocross.owner.trials import Trials
 from pimentocross.owner.worker import Worker
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.supervisor import Supervisor
+from pimentocross.standins.supervisor import (
+    USUAL_DOWN_TIME,
+    DownTime,
+    Supervisor,
+)
 from pimentocross.standins.task_worker import (
     LASTS,
     NEVER,
@@ -20,7 +24,7 @@
     TaskWorkerStandin,
 )
 from pimentocross.standins.worker_hall import WorkerHall
-from pimentocross.work.records import SUSPICIONS
+from pimentocross.work.records import SUSPICIONS, encode_suspicions
 from pimentocross.work.spec import JobSpec, StepSpec, TaskName
 from pimentocross.work.state import Job, JobState
 from pimentocross.work.suspicion import (
@@ -73,14 +77,16 @@
 
 
 @asynccontextmanager
-async def _cell(workers: int) -> AsyncIterator[WorkerHall]:
+async def _cell(
+    workers: int, down: DownTime = USUAL_DOWN_TIME
+) -> AsyncIterator[WorkerHall]:
     """Runs workers in racks that come back after a crash."""
     hall = WorkerHall()
     for number in range(workers):
         listed = life(number, rack=f"r{number // _RACK}")
         hall.add(TaskWorkerStandin(listed, _plan, hall.journal, seed=number))
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(Supervisor(hall, _plan).run)
+        nursery.start_soon(Supervisor(hall, _plan, down).run)
         yield hall
         nursery.cancel_scope.cancel()
 
@@ -190,6 +196,18 @@
         assert _states(owner, jobs) == {JobState.COMPLETED}
 
 
+async def test_workers_that_stay_down_for_long_hide_no_crash_loop() -> None:
+    # Each task is given up for lost before its worker is known to be back.
+    for least in (6.0, 8.0, 12.0, 20.0):
+        async with _cell(12, DownTime(least, least + 1.0)) as hall:
+            async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+                await owner.desk.submit("crash", QUEUE, chain(3, 1))
+                await trio.sleep(150)
+                _check(hall)
+                state = owner.desk.state("crash").state
+                assert state is JobState.FAILED, least
+
+
 async def test_crashes_are_counted_on_by_a_new_owner() -> None:
     store = StoreStandin()
     async with _cell(_RACK) as hall:
@@ -313,3 +331,12 @@
     spread = [0.5 * number for number in range(20)]
     assert is_outage(spread, 350) and not is_outage(spread, 500)
     assert not is_outage([], 4) and is_outage(rack, 4)
+
+
+def test_a_job_that_was_cleared_leaves_no_record() -> None:
+    job = make_step("job", StepSpec(1, SMALL)).job
+    task = next(job.tasks())
+    task.suspicion = NO_SUSPICION.after(_crash(1))
+    assert encode_suspicions(job) is not None
+    task.suspicion = NO_SUSPICION
+    assert encode_suspicions(job) is None
