--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -108,6 +108,19 @@
     assert told.parts[0].detail == "its worker was given up, on w1"
 
 
+def test_a_job_that_was_given_up_for_crashes_is_told_so() -> None:
+    told = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(10.1, None),
+        _line(
+            12.0, "task_given_up", task=["j", 0, 0, 0], worker="w1", crashes=2
+        ),
+        _line(12.0, "job_ended", job="j", state="failed", took=2.0),
+        *_loads(14),
+    )
+    assert told.cause == "given up: 2 workers crashed under a task of it"
+
+
 def test_a_stopped_run_whose_progress_was_kept_is_told_as_moved() -> None:
     moves = [
         *_run(10.0, 13.0, "stopped"),
