--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -69,7 +69,7 @@
     labels: list[str]
     machine_id: str = ""
     # When it started, in milliseconds since 1970.
-    born: int = 0
+    born: float = 0
     # Only while it drains: the time that is left at least.
     remaining_ms: Annotated[
         float, msgspec.Meta(ge=0, le=_REMAINING_MS_MOST)
@@ -159,7 +159,7 @@
 
 class _HoldReply(msgspec.Struct):
     clock_ms: float
-    born: int = 0
+    born: float = 0
     running: list[_Running] = []
     # Rows of number, task, run, how it ended and saved progress.
     completions: list[list[str | int | float]] = []
@@ -169,7 +169,7 @@
     """The same, with rows whose numbers may have another form."""
 
     clock_ms: float
-    born: int = 0
+    born: float = 0
     # Rows of task, run, saved progress, percent and a figure.
     running: list[list[str | int | float]] = []
     completions: list[list[str | int | float]] = []
@@ -222,7 +222,7 @@
         Size(capacity.cpu, capacity.mem_mb, capacity.gpus),
         server.state == "draining",
         server.remaining_ms / _MS,
-        server.born,
+        int(server.born),
     )
 
 
@@ -345,7 +345,7 @@
             for row in reply.running
         ]
     endings = [_ending(row) for row in reply.completions]
-    return HoldReply(reply.clock_ms / _MS, running, endings, reply.born)
+    return HoldReply(reply.clock_ms / _MS, running, endings, int(reply.born))
 
 
 def _listed(row: list[Any]) -> Listed:
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -4,9 +4,11 @@
 from contextlib import asynccontextmanager
 import random
 
+import msgspec
 import trio
 
 from pimentocross.owner.owner import Owner
+from pimentocross.platform.wire import read_hold, read_worker
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
     LASTS,
@@ -214,3 +216,23 @@
     # Nothing fences it there: the life has heard no token, and its clock is
     # behind every deadline.
     run_virtual(lambda: _play(31), 31)
+
+
+def test_the_birth_of_a_life_is_read_from_its_entry_and_its_lists() -> None:
+    born = 1_785_008_004_789
+    entry = {
+        "backend": "stock",
+        "address": "10.0.0.1:80",
+        "zone": "north",
+        "state": "ready",
+        "capacity": {"cpu": 8000, "mem_mb": 16000},
+        "labels": ["kind", "r1"],
+        "born": born,
+    }
+    assert read_worker("w1", msgspec.json.encode(entry)).born == born
+    for rows in ([["j.0.0.0", 1, "", 5, 0]], [["j.0.0.0", 1.0, "", 5]]):
+        listed = {"clock_ms": 5, "running": rows, "born": born}
+        assert read_hold(msgspec.json.encode(listed)).born == born
+    assert read_hold(b'{"clock_ms":5,"born":7.0}').born == 7
+    # A platform that doesn't tell has one life an id.
+    assert read_hold(b'{"clock_ms":5}').born == 0
