--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -210,8 +210,8 @@
                 note("record_unreadable", key=record.key, reason=str(error))
         for job in jobs.values():
             await breather.breathe()
-            self._load_progress(job, progress.get(job.id))
-            self._load_suspicions(job, suspicions.get(job.id))
+            _restore(job, progress.get(job.id), records.decode_progress)
+            _restore(job, suspicions.get(job.id), records.decode_suspicions)
             self._book.restore(job)
         self._log.note(
             "owner_read", records=len(page.records), jobs=len(self._book)
@@ -243,22 +243,6 @@
                 int(name), records.decode_born(value)
             )
 
-    def _load_progress(self, job: Job, value: bytes | None) -> None:
-        if value is None:
-            return
-        try:
-            records.decode_progress(job, value)
-        except RecordError as error:
-            note("record_unreadable", key=job.id, reason=str(error))
-
-    def _load_suspicions(self, job: Job, value: bytes | None) -> None:
-        if value is None:
-            return
-        try:
-            records.decode_suspicions(job, value)
-        except RecordError as error:
-            note("record_unreadable", key=job.id, reason=str(error))
-
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(const.SWEEP_INTERVAL)
@@ -266,6 +250,18 @@
             self._ledger.put(PlainRecord(records.LEARNED, self._learned.encode))
 
 
+def _restore(
+    job: Job, value: bytes | None, decode: Callable[[Job, bytes], None]
+) -> None:
+    """Brings a job to where one of its records says, if that can be read."""
+    if value is None:
+        return
+    try:
+        decode(job, value)
+    except RecordError as error:
+        note("record_unreadable", key=job.id, reason=str(error))
+
+
 def _former_lease(claim: Claim, terms: OwnerTerms) -> float:
     """Returns how long a former owner's leases may last from now on."""
     return terms.lease_most if claim.former_quiet else terms.loud_for
--- a/pimentocross/standins/users_platform.py
+++ b/pimentocross/standins/users_platform.py
@@ -29,6 +29,7 @@
     WorkerFencedError,
     WorkerLife,
     WorkerReplacedError,
+    WorkerUnreachableError,
 )
 from pimentocross.links.asgi import HttpReply, HttpRequest, json_reply
 from pimentocross.standins.store import StoreStandin
@@ -168,6 +169,9 @@
             return self._refuse("fence")
         except WorkerReplacedError:
             return json_reply({}, 421)
+        except WorkerUnreachableError:
+            # It has crashed.
+            return json_reply({}, 503)
         return json_reply({}, 404)
 
     async def _hold(self, body: dict[str, Any]) -> HttpReply:
@@ -185,6 +189,7 @@
         return json_reply(
             {
                 "clock_ms": int(listing.clock * 1000),
+                "born": listing.born,
                 "running": [
                     [_spell(r.task), r.run, r.checkpoint, r.percent, r.figure]
                     for r in listing.running
@@ -244,6 +249,7 @@
             "labels": list(life.labels),
             "machine_id": life.machine,
             "clock_ms": 0,
+            "born": life.born,
             "sequence": 1,
         }
     )
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -42,6 +42,7 @@
         store: The store.
         store_address: Where it listens.
         journal: What happened to runs.
+        workers: The workers.
     """
 
     def __init__(self) -> None:
@@ -49,6 +50,7 @@
         self.store = StoreStandin()
         self.store_address = ""
         self.journal: list[RunEvent] = []
+        self.workers: list[TaskWorkerStandin] = []
 
     async def configure(self, version: int, *prefixes: str) -> None:
         """Publishes a configuration as the operator does."""
@@ -87,6 +89,7 @@
             )
             address = await serve(WorkerSurface(worker).handle)
             worker.life = worker.life._replace(address=address)
+            platform.workers.append(worker)
             await platform.list_worker(worker)
         await platform.configure(1, PREFIX)
         yield platform
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -78,6 +78,25 @@
     assert count(platform.journal, "start") == 4
 
 
+@real_time
+async def test_workers_that_restart_under_their_ids_repeat_no_job() -> None:
+    async with loopback_platform() as platform:
+        async with running_node(platform, "vm1") as (_, values):
+            await until_ready(values)
+            caller = Caller(values["listen_addrs.frontend"])
+            for number in range(24):
+                job = f"aa{number:02}"
+                await _until_accepted(caller, job)
+                if number % 8 == 7:
+                    await _until_state(caller, job, "completed")
+                    for worker in platform.workers:
+                        worker.restart()
+            for number in range(24):
+                await _until_state(caller, f"aa{number:02}", "completed")
+    assert not find_twice(platform.journal)
+    assert not find_again(platform.journal)
+
+
 @real_time
 async def test_malformed_submissions_are_named_and_change_nothing() -> None:
     async with loopback_platform() as platform:
