Name crash histories and isolation by the field's terms

Trial, suspect and convict were a metaphor of their own; the log's task_suspect is task_crashed now, its field alone is isolated. No logic changed, but that a pass is asked for at each listing while a run is isolated.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -1,4 +1,4 @@
-"""Holds the crashes of workers against the tasks that ran there."""
+"""Puts crashes of workers down to the tasks that ran there."""
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
@@ -10,22 +10,22 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.worker import Worker
-from pimentocross.work.state import Run, RunState, Task
-from pimentocross.work.suspicion import (
+from pimentocross.work.crash_history import (
     HELD_MOST,
-    NO_SUSPICION,
+    NO_CRASHES,
     OUTAGE_SPAN,
     SURE_WITHIN,
     Crash,
     is_outage,
 )
+from pimentocross.work.state import Run, RunState, Task
 
 # Workers of a rack that went within this of each other, in seconds, went
 # together: their ends are learned of as each one's next life answers.
 _TOGETHER: Final = 4.0
 
 
-class _Suspect(NamedTuple):
+class _Affected(NamedTuple):
     """A task that may have crashed its worker, and what its run shows."""
 
     task: Task
@@ -59,21 +59,21 @@
         self._workers = workers
         self._unexplained: deque[_Unexplained] = deque()
         # Runs that lapsed on silent workers, until those are heard or replaced.
-        self._lapsed: dict[Worker, list[_Suspect]] = {}
+        self._lapsed: dict[Worker, list[_Affected]] = {}
         # Lives that are gone and have no successor yet, by machine.
-        self._unreplaced: dict[str, tuple[WorkerLife, list[_Suspect]]] = {}
+        self._unreplaced: dict[str, tuple[WorkerLife, list[_Affected]]] = {}
         # Likely crashes of each task among those that lapsed.
         self._undecided: Counter[Task] = Counter()
 
     def note_lapsed(self, worker: Worker) -> None:
         """Remembers what ran on a silent worker that may have crashed."""
-        suspects = _suspects(worker)
-        self._lapsed.setdefault(worker, []).extend(suspects)
+        affected = _affected(worker)
+        self._lapsed.setdefault(worker, []).extend(affected)
         until = trio.current_time() + HELD_MOST
-        for task, crash in suspects:
+        for task, crash in affected:
             if crash.is_early:
                 self._undecided[task] += 1
-            if task.suspicion.holds(self._undecided[task]):
+            if task.crash_history.holds(self._undecided[task]):
                 task.not_before = until
 
     def note_heard(self, worker: Worker) -> None:
@@ -88,64 +88,62 @@
         lapsed = self._lapsed.pop(worker, [])
         # One that drained was expected to leave.
         if not worker.life.draining:
-            self._count(worker, [*lapsed, *_suspects(worker)])
+            self._count(worker, [*lapsed, *_affected(worker)])
         self._decide(lapsed)
 
     def note_absent(self, worker: Worker) -> None:
         """Notes that a life is given up, how it ended not being known."""
         lapsed = self._lapsed.pop(worker, [])
         machine = worker.life.machine
-        suspects = [*lapsed, *_suspects(worker)]
-        if suspects and machine and not worker.life.draining:
-            self._unreplaced[machine] = (worker.life, suspects)
+        affected = [*lapsed, *_affected(worker)]
+        if affected and machine and not worker.life.draining:
+            self._unreplaced[machine] = (worker.life, affected)
         self._decide(lapsed)
 
     def note_listed(self, life: WorkerLife) -> None:
         """Notes a life that is listed, maybe the next one of a machine."""
         if life.machine not in self._unreplaced:
             return
-        former, suspects = self._unreplaced.pop(life.machine)
+        former, affected = self._unreplaced.pop(life.machine)
         if former.id != life.id or life.is_after(former.born):
-            self._judge(former.id, suspects, in_outage=False)
+            self._judge(former.id, affected, in_outage=False)
 
-    def _decide(self, lapsed: list[_Suspect]) -> None:
+    def _decide(self, lapsed: list[_Affected]) -> None:
         """Lets tasks start that waited for what became of these."""
         now = trio.current_time()
         for task, crash in lapsed:
             if not crash.is_early:
                 continue
             self._undecided[task] -= 1
-            if not task.suspicion.holds(self._undecided[task]):
+            if not task.crash_history.holds(self._undecided[task]):
                 task.not_before = min(task.not_before, now)
             if not self._undecided[task]:
                 del self._undecided[task]
 
     def note_ended(self, task: Task, run: Run | None) -> None:
         """Clears a task of which a run ended in another way than by a crash."""
-        if run is not None and task.suspicion.crashes:
-            task.suspicion = NO_SUSPICION
-            self._book.note_suspicion(task.step.job)
-
-    def end_trials(self, worker: Worker) -> bool:
-        """Ends the trials that runs have outlived; True if there were any."""
-        over = worker.end_trials()
-        for task in over:
-            task.suspicion = task.suspicion.after_trial()
-            self._book.note_suspicion(task.step.job)
-        return bool(over)
-
-    def _count(self, worker: Worker, suspects: list[_Suspect]) -> None:
+        if run is not None and task.crash_history.crashes:
+            task.crash_history = NO_CRASHES
+            self._book.note_crashes(task.step.job)
+
+    def end_isolation(self, worker: Worker) -> None:
+        """Lets others start beside runs that have outlived their isolation."""
+        for task in worker.end_isolation():
+            task.crash_history = task.crash_history.after_isolation()
+            self._book.note_crashes(task.step.job)
+
+    def _count(self, worker: Worker, affected: list[_Affected]) -> None:
         in_outage = self._is_outage(worker)
-        if not any(found.crash.is_early for found in suspects):
+        if not any(found.crash.is_early for found in affected):
             ended = _Unexplained(_gone_at(worker), worker.life.rack)
             self._unexplained.append(ended)
         note(
             "worker_crashed",
             worker=worker.life.id,
-            runs=len(suspects),
+            runs=len(affected),
             outage=in_outage,
         )
-        self._judge(worker.life.id, suspects, in_outage)
+        self._judge(worker.life.id, affected, in_outage)
 
     def _is_outage(self, worker: Worker) -> bool:
         """True if a worker may have crashed for another reason than its tasks.
@@ -169,41 +167,41 @@
             and not other.reached
             and not other.gone
             and other is not worker
-            and not any(found.crash.is_early for found in _suspects(other))
+            and not any(found.crash.is_early for found in _affected(other))
             for other in workers
         )
 
     def _judge(
-        self, life: str, suspects: list[_Suspect], in_outage: bool
+        self, life: str, affected: list[_Affected], in_outage: bool
     ) -> None:
-        for task, found in suspects:
+        for task, found in affected:
             job = task.step.job
             if task.done or job.ended:
                 continue
             crash = found._replace(in_outage=in_outage)
-            former, task.suspicion = (
-                task.suspicion,
-                task.suspicion.after(crash),
+            former, task.crash_history = (
+                task.crash_history,
+                task.crash_history.after(crash),
             )
-            if task.suspicion is former:
+            if task.crash_history is former:
                 continue
-            self._book.note_suspicion(job)
+            self._book.note_crashes(job)
             note(
-                "task_suspect",
+                "task_crashed",
                 task=task.name,
                 worker=life,
-                crashes=task.suspicion.crashes,
-                early=task.suspicion.early,
+                crashes=task.crash_history.crashes,
+                early=task.crash_history.early,
                 lived=round(crash.lived, 3),
-                alone=crash.tried_alone,
+                isolated=crash.isolated,
             )
             lasting = task.step.spec.lasting
-            if task.suspicion.convicts(crash, lasting=lasting):
+            if task.crash_history.gives_up(crash, lasting=lasting):
                 note(
                     "task_given_up",
                     task=task.name,
                     worker=life,
-                    crashes=task.suspicion.crashes,
+                    crashes=task.crash_history.crashes,
                 )
                 job.given_up = True
                 self._book.changed(job)
@@ -221,15 +219,15 @@
     return trio.current_time() if worker.reached else worker.silent_at
 
 
-def _suspects(worker: Worker) -> list[_Suspect]:
+def _affected(worker: Worker) -> list[_Affected]:
     return [
-        _Suspect(
+        _Affected(
             task,
             Crash(
                 number,
                 worker.lived(run),
                 _is_sure(worker, run),
-                (task, number) in worker.trials,
+                (task, number) in worker.isolated,
             ),
         )
         for (task, number), run in worker.runs.items()
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -14,6 +14,7 @@
 from pimentocross.owner.advice import AdviceDesk
 from pimentocross.owner.arranger import Arranger
 from pimentocross.owner.care import Care
+from pimentocross.owner.isolation import Isolation
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Batch
@@ -24,7 +25,6 @@
 from pimentocross.owner.reclaimer import Reclaimer
 from pimentocross.owner.room import RoomKeeper, is_short
 from pimentocross.owner.roster import Roster
-from pimentocross.owner.trials import Trials
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.reclaim import TASKS_MOST
 from pimentocross.placement.urgency import Chance, Urgency, urgency
@@ -92,7 +92,7 @@
         self._reclaimer = Reclaimer()
         self._room = RoomKeeper()
         self._load_log = LoadLog()
-        self._trials = Trials()
+        self._isolation = Isolation()
         self._share = PassShare()
         self._round = Round()
         self._applied_version = -1
@@ -170,7 +170,7 @@
             self._learned,
             self._arranger,
             self.advice,
-            self._trials,
+            self._isolation,
             now,
         )
         placements: list[Placement] = []
--- a/pimentocross/owner/trials.py
+++ b/pimentocross/owner/isolation.py
@@ -1,4 +1,4 @@
-"""Where tasks are tried alone under which workers have crashed."""
+"""Isolates tasks under which workers have crashed."""
 
 from collections.abc import Sequence
 import itertools
@@ -7,27 +7,27 @@
 
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.host import allows
-from pimentocross.work.state import Run, Task
+from pimentocross.work.state import Task
 
-# A task is tried on one of so many workers that would lose the least.
-_TRIED_AMONG: Final = 3
+# A task is isolated on one of so many workers that would lose the least.
+_CHOSEN_AMONG: Final = 3
 # So many workers with room are looked at for a task, so that a rack's worth of
-# suspects doesn't hold up a pass.
+# affected doesn't hold up a pass.
 _LOOKED_AT: Final = 32
-# A task that has waited for a trial for so long, in seconds, starts without:
+# A task that has waited to be isolated for so long, in seconds, starts without:
 # users count what lasts as lost if it is away for 6 s.
 _PATIENCE: Final = 1.5
 
 
-class Trials:
+class Isolation:
     """Finds workers whose crash would speak against one task alone."""
 
     def __init__(self) -> None:
-        """Has tried nothing yet."""
+        """Has isolated nothing yet."""
         self._wanted_since: WeakKeyDictionary[Task, float] = WeakKeyDictionary()
 
     def find(self, task: Task, workers: Sequence[Worker]) -> list[Worker]:
-        """Returns workers on which a task may be tried, the best first.
+        """Returns workers on which a task may be isolated, the best first.
 
         Nothing of another job may have only just started there.
         """
@@ -35,20 +35,12 @@
         able = [worker for worker in workers if allows(worker, step)]
         able.sort(key=lambda worker: len(worker.runs))
         proven = (w for w in able[:_LOOKED_AT] if w.is_proven(step.job))
-        return list(itertools.islice(proven, _TRIED_AMONG))
+        return list(itertools.islice(proven, _CHOSEN_AMONG))
 
     def is_due(self, task: Task, now: float) -> bool:
-        """True once a task has waited for its trial for too long."""
+        """True once a task has waited to be isolated for too long."""
         return now - self._wanted_since.setdefault(task, now) >= _PATIENCE
 
-    def begin(self, task: Task, run: Run, worker: Worker) -> None:
-        """Keeps other starts off a worker while a run is tried there.
-
-        Tasks of one step may share a worker: their job is given up by whichever
-        of them crashes it.
-        """
-        worker.try_alone(task, run)
-
     def note_placed(self, task: Task) -> None:
         """Notes that a task waits no longer."""
         self._wanted_since.pop(task, None)
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -118,12 +118,12 @@
                 self._open_turns(step.occurrence)
         return self._ledger.put(_Progress(job))
 
-    def note_suspicion(self, job: Job) -> None:
+    def note_crashes(self, job: Job) -> None:
         """Has what is held against a job's tasks recorded."""
         self._ledger.put(
             PlainRecord(
-                records.SUSPICIONS + job.id,
-                lambda: records.encode_suspicions(job),
+                records.CRASHES + job.id,
+                lambda: records.encode_crashes(job),
             )
         )
 
@@ -186,8 +186,8 @@
 def _prefixes(job: Job) -> list[str]:
     """Returns of what kinds a job has records."""
     kinds = [records.SUBMISSION, records.PROGRESS]
-    if any(task.suspicion.crashes for task in job.tasks()):
-        kinds.append(records.SUSPICIONS)
+    if any(task.crash_history.crashes for task in job.tasks()):
+        kinds.append(records.CRASHES)
     return kinds
 
 
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -225,7 +225,8 @@
         if len(reply.endings) < const.ENDINGS_PAGE:
             self._settle_missing(found, sent_at, changed)
         self._parts.listed(self._worker)
-        if self._worker.trials and self._parts.crashes.end_trials(self._worker):
+        if self._worker.isolated:
+            self._parts.crashes.end_isolation(self._worker)
             self._parts.wake()
         first_time = not self._worker.adopted
         self._worker.adopted = True
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -192,7 +192,7 @@
         breather = Breather()
         jobs: dict[str, Job] = {}
         progress: dict[str, bytes] = {}
-        suspicions: dict[str, bytes] = {}
+        histories: dict[str, bytes] = {}
         for record in page.records:
             await breather.breathe()
             kind, name = record.key[:1], record.key[1:]
@@ -201,8 +201,8 @@
             if kind == records.PROGRESS:
                 progress[name] = record.value
                 continue
-            if kind == records.SUSPICIONS:
-                suspicions[name] = record.value
+            if kind == records.CRASHES:
+                histories[name] = record.value
                 continue
             try:
                 self._load_record(kind, name, record.value, jobs)
@@ -211,7 +211,7 @@
         for job in jobs.values():
             await breather.breathe()
             _restore(job, progress.get(job.id), records.decode_progress)
-            _restore(job, suspicions.get(job.id), records.decode_suspicions)
+            _restore(job, histories.get(job.id), records.decode_crashes)
             self._book.restore(job)
         self._log.note(
             "owner_read", records=len(page.records), jobs=len(self._book)
--- a/pimentocross/owner/placer.py
+++ b/pimentocross/owner/placer.py
@@ -5,9 +5,9 @@
 
 from pimentocross.owner.advice import AdviceDesk
 from pimentocross.owner.arranger import Arranger
+from pimentocross.owner.isolation import Isolation
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.orders import Placement
-from pimentocross.owner.trials import Trials
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.field import Few, Field, Places
 from pimentocross.placement.host import allows
@@ -28,7 +28,7 @@
         learned: Learned,
         arranger: Arranger,
         advice: AdviceDesk,
-        trials: Trials,
+        isolation: Isolation,
         now: float,
     ) -> None:
         """Takes the workers and what choosing among them goes by.
@@ -39,7 +39,7 @@
             learned: What was learned of workers.
             arranger: Knows what their room is worth.
             advice: Knows who may run some steps.
-            trials: Finds where tasks are tried alone.
+            isolation: Finds where tasks are isolated.
             now: Present time.
         """
         self._sound = Field(sound, arranger.view)
@@ -50,9 +50,9 @@
         self._learned = learned
         self._arranger = arranger
         self._advice = advice
-        self._trials = trials
-        # Placements on trial of the step that is being placed.
-        self._tried: list[Placement] = []
+        self._isolation = isolation
+        # Isolated placements of the step that is being placed.
+        self._placed_alone: list[Placement] = []
         self._now = now
 
     def place(self, step: Step) -> list[Placement]:
@@ -73,7 +73,7 @@
             placed = self._place_gang(step, places)
         else:
             placed = self._place_each(step, places)
-        self._begin_trials()
+        self._begin_isolation()
         return placed
 
     def _place_each(
@@ -84,16 +84,16 @@
         if step.spec.same_rack:
             rack = common_rack(step.tasks, self._racks)
         placed = []
-        suspects_wait = False
+        isolated_wait = False
         for task in step.waiting():
-            suspect = task.suspicion.needs_trial
-            if task.not_before > self._now or (suspect and suspects_wait):
+            isolated = task.crash_history.needs_isolation
+            if task.not_before > self._now or (isolated and isolated_wait):
                 continue
             where = _destination(task, places, self._now)
             placement = self._place(task, task.last_run + 1, where, rack)
             if placement is None:
-                suspects_wait = suspects_wait or suspect
-                if task.bound_for is not None or suspect:
+                isolated_wait = isolated_wait or isolated
+                if task.bound_for is not None or isolated:
                     continue
                 break
             rack = rack or placement.worker.life.rack
@@ -139,8 +139,8 @@
     def _place(
         self, task: Task, number: int, places: Places[Worker], rack: str
     ) -> Placement | None:
-        if task.suspicion.needs_trial:
-            return self._place_suspect(task, number, places, rack)
+        if task.crash_history.needs_isolation:
+            return self._place_isolated(task, number, places, rack)
         return self._place_on(task, number, places, rack)
 
     def _place_on(
@@ -164,29 +164,33 @@
         ticket = self._advice.tickets(task.step).get(worker.life.id, "")
         return Placement(task, run, worker, ticket)
 
-    def _place_suspect(
+    def _place_isolated(
         self, task: Task, number: int, places: Places[Worker], rack: str
     ) -> Placement | None:
-        """Places a task on trial, or without if that takes too long."""
-        found = self._trials.find(task, places.hosts)
+        """Places a task in isolation, or without if that takes too long."""
+        found = self._isolation.find(task, places.hosts)
         if found:
             places = Few(found, self._arranger.view)
-        elif not self._trials.is_due(task, self._now):
+        elif not self._isolation.is_due(task, self._now):
             return None
         placement = self._place_on(task, number, places, rack)
         if placement is not None:
-            self._trials.note_placed(task)
+            self._isolation.note_placed(task)
             if found:
-                self._tried.append(placement)
+                self._placed_alone.append(placement)
         return placement
 
-    def _begin_trials(self) -> None:
-        """Keeps other steps off the workers on which tasks are tried."""
-        for task, run, worker, _ in self._tried:
+    def _begin_isolation(self) -> None:
+        """Keeps other steps off the workers of isolated tasks.
+
+        Tasks of one step may share such a worker: their job is given up by
+        whichever of them crashes it.
+        """
+        for task, run, worker, _ in self._placed_alone:
             if run.number in task.runs:
-                self._trials.begin(task, run, worker)
+                worker.isolate(task, run)
                 self._note_changed(worker)
-        self._tried = []
+        self._placed_alone = []
 
     def _note_changed(self, worker: Worker) -> None:
         self._sound.note_changed(worker)
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -10,9 +10,9 @@
 from pimentocross.contracts.worker_link import WorkerLife, WorkerLink
 from pimentocross.owner.clock import WorkerClock
 from pimentocross.placement.pacing import Reading
+from pimentocross.work.crash_history import PROVEN_AFTER
 from pimentocross.work.spec import NO_SIZE, Size, StepSpec
 from pimentocross.work.state import Job, Run, RunState, Step, Task
-from pimentocross.work.suspicion import PROVEN_AFTER
 
 RunKey = tuple[Task, int]
 # A lasting task that is at work is listed with this percentage.
@@ -63,8 +63,8 @@
         late_until: Until when a start that it didn't answer may begin there,
             monotonic.
         silent_at: When that was last so, monotonic.
-        trials: Runs that are tried here alone, and the seconds that each has
-            to live.
+        isolated: Runs that keep other starts off it, and the seconds that each
+            has to live.
         version: Rises with each run that is added or removed, and with each
             listing.
     """
@@ -76,7 +76,7 @@
         self.link = link
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
-        self.trials: dict[RunKey, float] = {}
+        self.isolated: dict[RunKey, float] = {}
         self.committed = NO_SIZE
         self.lease_end: float | None = None
         self.blind_until = 0.0
@@ -136,9 +136,9 @@
         )
 
     @property
-    def is_trying(self) -> bool:
-        """True while a run is tried here alone."""
-        return bool(self.trials)
+    def is_isolating(self) -> bool:
+        """True while an isolated run keeps others off."""
+        return bool(self.isolated)
 
     def count_of(self, step: Step) -> int:
         """Returns how many runs of a step may be on it."""
@@ -158,7 +158,7 @@
         if run is None:
             return
         self.version += 1
-        self.trials.pop((task, number), None)
+        self.isolated.pop((task, number), None)
         if task.step.spec.fills and run.figure:
             now = trio.current_time()
             image = task.step.spec.image
@@ -288,19 +288,19 @@
         since = run.state_at if running else run.began_at
         return max(self.heard_at - since, 0.0)
 
-    def try_alone(self, task: Task, run: Run) -> None:
+    def isolate(self, task: Task, run: Run) -> None:
         """Lets nothing else start here until a run has proved harmless."""
-        self.trials[(task, run.number)] = task.suspicion.trial
+        self.isolated[(task, run.number)] = task.crash_history.isolation
 
-    def end_trials(self) -> list[Task]:
-        """Ends the trials of runs that lived long enough; returns the tasks."""
+    def end_isolation(self) -> list[Task]:
+        """Ends isolation of runs that lived long enough; returns the tasks."""
         over = [
             key
-            for key, least in self.trials.items()
+            for key, least in self.isolated.items()
             if self.lived(self.runs[key]) >= least
         ]
         for key in over:
-            del self.trials[key]
+            del self.isolated[key]
         return [task for task, _ in over]
 
     def is_proven(self, job: Job) -> bool:
--- a/pimentocross/placement/host.py
+++ b/pimentocross/placement/host.py
@@ -50,8 +50,8 @@
         ...
 
     @property
-    def is_trying(self) -> bool:
-        """True while a run is tried there alone."""
+    def is_isolating(self) -> bool:
+        """True while an isolated run keeps others off."""
         ...
 
     def count_of(self, step: Step) -> int:
@@ -62,7 +62,7 @@
 def may_run(host: Host, step: Step) -> bool:
     """True if a worker may run one more task of a step, if it has room."""
     spec = step.spec
-    if host.is_trying:
+    if host.is_isolating:
         return False
     if host.life.service != step.job.queue.service:
         return False
--- a/pimentocross/work/suspicion.py
+++ b/pimentocross/work/crash_history.py
@@ -1,4 +1,4 @@
-"""Which task the crash of a worker speaks against.
+"""Which task a crash of a worker is put down to.
 
 Load pattern: a task crashes each worker that starts it, as a rule at once, and
 a dozen other runs go with each; workers crash for reasons of their own as well,
@@ -15,17 +15,17 @@
 PROVEN_AFTER: Final = 0.5
 # A run that lived this long clears its task of earlier crashes.
 CLEARED_AFTER: Final = 10.0
-# From this many crashes on a task is tried alone however long its runs lived.
-_TRIED_AFTER: Final = 3
-# A trial keeps other starts off a worker for no longer than this, in seconds.
-_TRIAL_MOST: Final = 5.0
-# A task is given up at a crash on trial from so many sure crashes on ...
-_SURE_CONVICTING: Final = 2
+# From this many crashes on a task is isolated however long its runs lived.
+_ISOLATED_AFTER: Final = 3
+# A worker is kept for an isolated run for no longer than this, in seconds.
+_ISOLATION_MOST: Final = 5.0
+# A task is given up at a crash of an isolated run from so many sure ones on ...
+_SURE_MOST: Final = 2
 # ... one that lasts from more, as all of its job goes with it ...
-_SURE_CONVICTING_LASTING: Final = 3
+_SURE_MOST_LASTING: Final = 3
 # ... or from so many of any kind ...
-_CONVICTING: Final = 4
-# ... and without a trial from so many, whatever else may explain them.
+_ISOLATED_MOST: Final = 4
+# ... and from so many, isolated or not, whatever else may explain them.
 _CRASHES_MOST: Final = 5
 # With as many crashes, counted or likely, a task waits for what is likely to be
 # decided, for so many seconds at most: workers that stay down for long tell of
@@ -42,7 +42,7 @@
 # ... those that go within this of each other, in seconds, being one event ...
 _EVENT_SPAN: Final = 1.0
 # ... and if they are this share of the workers, in so many events or as many as
-# that share is, one on which a task is tried may be hit by the next.
+# that share is, an isolated run may be hit by the next.
 _OUTAGE_EVENTS: Final = 3
 _OUTAGE_SHARE: Final = 0.05
 
@@ -54,14 +54,14 @@
         run: Number of the run.
         lived: Seconds for which it was seen to live.
         sure: Whether it had surely begun, and its worker was gone soon after.
-        tried_alone: Whether it was on trial: nothing else had just started.
+        isolated: Whether nothing else had just started on its worker.
         in_outage: Whether workers go for other reasons as well just now.
     """
 
     run: int
     lived: float
     sure: bool
-    tried_alone: bool
+    isolated: bool
     in_outage: bool = False
 
     @property
@@ -70,8 +70,8 @@
         return self.lived < PROVEN_AFTER
 
 
-class Suspicion(NamedTuple):
-    """What is held against a task.
+class CrashHistory(NamedTuple):
+    """Crashes of workers under a task.
 
     Attributes:
         crashes: Workers that crashed under it, or as it was sent there.
@@ -88,17 +88,17 @@
     run: int = 0
 
     @property
-    def needs_trial(self) -> bool:
-        """True if the next run has to be tried alone."""
-        return self.early > 0 or self.crashes >= _TRIED_AFTER
+    def needs_isolation(self) -> bool:
+        """True if the next run has to be isolated."""
+        return self.early > 0 or self.crashes >= _ISOLATED_AFTER
 
     @property
-    def trial(self) -> float:
-        """Seconds that a run has to live until its trial is over."""
-        return min(self.survived + PROVEN_AFTER, _TRIAL_MOST)
+    def isolation(self) -> float:
+        """Seconds that an isolated run has to live until others may join it."""
+        return min(self.survived + PROVEN_AFTER, _ISOLATION_MOST)
 
-    def after(self, crash: Crash) -> "Suspicion":
-        """Returns what is held against the task after one more crash.
+    def after(self, crash: Crash) -> "CrashHistory":
+        """Returns the history after one more crash.
 
         A run that may begin on the next life of a worker, or that a new owner
         finds in the records, meets several ends and counts once.
@@ -106,8 +106,8 @@
         if crash.run <= self.run:
             return self
         if crash.lived >= CLEARED_AFTER:
-            return Suspicion(1, 1, 0, crash.lived, crash.run)
-        return Suspicion(
+            return CrashHistory(1, 1, 0, crash.lived, crash.run)
+        return CrashHistory(
             self.crashes + 1,
             self.sure + crash.sure,
             self.early + 1 if crash.is_early else 0,
@@ -124,22 +124,22 @@
         """
         return undecided > 0 and self.crashes + undecided >= _HELD_AFTER
 
-    def after_trial(self) -> "Suspicion":
-        """Returns what is left once a run has outlived its trial."""
+    def after_isolation(self) -> "CrashHistory":
+        """Returns what is left once a run has outlived its isolation."""
         return self._replace(early=0)
 
-    def convicts(self, crash: Crash, *, lasting: bool) -> bool:
+    def gives_up(self, crash: Crash, *, lasting: bool) -> bool:
         """True if the task is given up, its newest crash being counted."""
         if self.crashes >= _CRASHES_MOST:
             return True
-        if not crash.tried_alone or crash.in_outage:
+        if not crash.isolated or crash.in_outage:
             return False
-        sure = _SURE_CONVICTING_LASTING if lasting else _SURE_CONVICTING
-        return self.sure >= sure or self.crashes >= _CONVICTING
+        sure = _SURE_MOST_LASTING if lasting else _SURE_MOST
+        return self.sure >= sure or self.crashes >= _ISOLATED_MOST
 
 
 def is_outage(unexplained: Iterable[float], workers: int) -> bool:
-    """True if workers go so often that a trial proves little.
+    """True if workers go so often that isolation proves little.
 
     Args:
         unexplained: When workers went within `OUTAGE_SPAN` on which nothing had
@@ -155,4 +155,4 @@
     return len(went) >= least and events >= min(least, _OUTAGE_EVENTS)
 
 
-NO_SUSPICION: Final = Suspicion()
+NO_CRASHES: Final = CrashHistory()
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
+from pimentocross.work.crash_history import CrashHistory
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec
 from pimentocross.work.state import Job, JobState, Run, RunState, Step, Task
-from pimentocross.work.suspicion import Suspicion
 
 FORM: Final = 1
 SUBMISSION: Final = "j"
@@ -23,7 +23,7 @@
 # Beside a worker's record, whose form a former version has to read.
 BORN: Final = "b"
 # Beside a job's progress, whose form a former version has to read.
-SUSPICIONS: Final = "c"
+CRASHES: Final = "c"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -105,8 +105,8 @@
     born: int
 
 
-class SuspicionRecord(NamedTuple):
-    """What crashes of workers say of one task; see `work.suspicion`."""
+class CrashRecord(NamedTuple):
+    """What crashes of workers say of one task; see `work.crash_history`."""
 
     occurrence: int
     step: int
@@ -118,11 +118,11 @@
     run: int
 
 
-class SuspicionsRecord(NamedTuple):
+class CrashHistoryRecord(NamedTuple):
     """Tasks of a job under which workers have crashed."""
 
     form: int
-    tasks: tuple[SuspicionRecord, ...]
+    tasks: tuple[CrashRecord, ...]
 
 
 class LearnedRecord(NamedTuple):
@@ -210,34 +210,34 @@
             raise RecordError("progress of a step unknown") from error
 
 
-def encode_suspicions(job: Job) -> bytes | None:
+def encode_crashes(job: Job) -> bytes | None:
     """Returns the record of crashes under a job's tasks, None for none."""
     rows = tuple(
-        SuspicionRecord(
+        CrashRecord(
             task.name.occurrence,
             task.name.step,
             task.name.position,
-            *task.suspicion,
+            *task.crash_history,
         )
         for task in job.tasks()
-        if task.suspicion.crashes
+        if task.crash_history.crashes
     )
-    return _encode(SuspicionsRecord(FORM, rows)) if rows else None
+    return _encode(CrashHistoryRecord(FORM, rows)) if rows else None
 
 
-def decode_suspicions(job: Job, value: bytes) -> None:
+def decode_crashes(job: Job, value: bytes) -> None:
     """Holds against a job's tasks what a record says.
 
     Raises:
         RecordError: It is of another form.
     """
-    for row in _decode(value, SuspicionsRecord).tasks:
+    for row in _decode(value, CrashHistoryRecord).tasks:
         try:
             step = job.occurrences[row.occurrence].steps[row.step]
             task = step.tasks[row.position]
         except IndexError as error:
-            raise RecordError("suspicion of a task unknown") from error
-        task.suspicion = Suspicion(
+            raise RecordError("crashes of a task unknown") from error
+        task.crash_history = CrashHistory(
             row.crashes, row.sure, row.early, row.survived, row.run
         )
 
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -4,9 +4,9 @@
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
+from pimentocross.work.crash_history import NO_CRASHES, CrashHistory
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, StepSpec, TaskName
-from pimentocross.work.suspicion import NO_SUSPICION, Suspicion
 
 
 class JobState(StrEnum):
@@ -106,7 +106,7 @@
         failed_on: Numbers of worker lives on which runs failed.
         not_before: Not started again before this time, monotonic.
         bound_for: Where it is being moved to, or None.
-        suspicion: What crashes of its workers say of it.
+        history: What crashes of its workers say of it.
     """
 
     def __init__(self, name: TaskName, step: "Step") -> None:
@@ -121,7 +121,7 @@
         self.failed_on: set[int] = set()
         self.not_before = 0.0
         self.bound_for: Destination | None = None
-        self.suspicion: Suspicion = NO_SUSPICION
+        self.crash_history: CrashHistory = NO_CRASHES
 
     @property
     def failures(self) -> int:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -8,8 +8,8 @@
 
 import trio
 
+from pimentocross.owner.isolation import Isolation
 from pimentocross.owner.owner import Owner
-from pimentocross.owner.trials import Trials
 from pimentocross.owner.worker import Worker
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.supervisor import (
@@ -24,16 +24,16 @@
     TaskWorkerStandin,
 )
 from pimentocross.standins.worker_hall import WorkerHall
-from pimentocross.work.records import SUSPICIONS, encode_suspicions
-from pimentocross.work.spec import JobSpec, StepSpec, TaskName
-from pimentocross.work.state import Job, JobState
-from pimentocross.work.suspicion import (
+from pimentocross.work.crash_history import (
     CLEARED_AFTER,
-    NO_SUSPICION,
+    NO_CRASHES,
     PROVEN_AFTER,
     Crash,
     is_outage,
 )
+from pimentocross.work.records import CRASHES, encode_crashes
+from pimentocross.work.spec import JobSpec, StepSpec, TaskName
+from pimentocross.work.state import Job, JobState
 from tests import run_virtual
 from tests.owner_fixtures import (
     QUEUE,
@@ -224,7 +224,7 @@
         assert count(hall.journal, "crashed") <= 5
 
 
-async def test_a_suspect_is_not_kept_waiting_for_a_quiet_worker() -> None:
+async def test_no_task_waits_long_to_be_isolated() -> None:
     def busy(self: Worker, job: Job) -> bool:
         return False
 
@@ -242,11 +242,11 @@
             assert trio.current_time() - crashed_at > 1.0
 
 
-def test_a_suspect_of_a_large_cell_looks_at_a_few_workers() -> None:
+def test_an_isolated_task_looks_at_a_few_workers_of_a_large_cell() -> None:
     step = make_step("job", StepSpec(1, SMALL))
     workers = [make_worker(life(number), number) for number in range(350)]
     with mock.patch.object(Worker, "is_proven", return_value=False) as looked:
-        assert not Trials().find(step.tasks[0], workers)
+        assert not Isolation().find(step.tasks[0], workers)
     assert looked.call_count <= 32
 
 
@@ -273,53 +273,53 @@
             leaving.down = True
             await trio.sleep(6)
     page = await store.client("b").newest("jobs", 1.0)
-    assert not [r for r in page.records if r.key[:1] == SUSPICIONS]
+    assert not [r for r in page.records if r.key[:1] == CRASHES]
 
 
 def _crash(run: int) -> Crash:
-    return Crash(run, lived=0.0, sure=True, tried_alone=False)
+    return Crash(run, lived=0.0, sure=True, isolated=False)
 
 
-def test_only_a_crash_on_trial_convicts_early() -> None:
-    once = NO_SUSPICION.after(_crash(1))
-    assert once.needs_trial and not once.convicts(_crash(1), lasting=False)
-    alone = _crash(2)._replace(tried_alone=True)
+def test_only_a_crash_on_trial_gives_up_early() -> None:
+    once = NO_CRASHES.after(_crash(1))
+    assert once.needs_isolation and not once.gives_up(_crash(1), lasting=False)
+    alone = _crash(2)._replace(isolated=True)
     twice = once.after(alone)
-    assert twice.convicts(alone, lasting=False)
+    assert twice.gives_up(alone, lasting=False)
     outage = alone._replace(in_outage=True)
-    assert not twice.convicts(outage, lasting=False)
-    assert not twice.convicts(_crash(2), lasting=False)
+    assert not twice.gives_up(outage, lasting=False)
+    assert not twice.gives_up(_crash(2), lasting=False)
 
 
 def test_what_lasts_is_given_up_a_crash_later() -> None:
-    suspicion, convicted = NO_SUSPICION, []
+    history, given_up = NO_CRASHES, []
     for number in range(1, 4):
-        crash = _crash(number)._replace(tried_alone=True)
-        suspicion = suspicion.after(crash)
-        convicted.append(suspicion.convicts(crash, lasting=True))
-    assert convicted == [False, False, True]
+        crash = _crash(number)._replace(isolated=True)
+        history = history.after(crash)
+        given_up.append(history.gives_up(crash, lasting=True))
+    assert given_up == [False, False, True]
 
 
-def test_a_run_that_may_not_have_begun_convicts_later() -> None:
-    suspicion, convicted = NO_SUSPICION, []
+def test_a_run_that_may_not_have_begun_gives_up_later() -> None:
+    history, given_up = NO_CRASHES, []
     for number in range(1, 5):
-        crash = Crash(number, lived=0.0, sure=False, tried_alone=True)
-        suspicion = suspicion.after(crash)
-        convicted.append(suspicion.convicts(crash, lasting=False))
-    assert convicted == [False, False, False, True]
+        crash = Crash(number, lived=0.0, sure=False, isolated=True)
+        history = history.after(crash)
+        given_up.append(history.gives_up(crash, lasting=False))
+    assert given_up == [False, False, False, True]
 
 
 def test_a_run_that_meets_several_ends_counts_once() -> None:
-    once = NO_SUSPICION.after(_crash(1))
+    once = NO_CRASHES.after(_crash(1))
     assert once.after(_crash(1)) is once
 
 
 def test_a_run_that_lived_clears_its_task() -> None:
-    twice = NO_SUSPICION.after(_crash(1)).after(_crash(2))
-    assert not twice.after_trial().needs_trial
+    twice = NO_CRASHES.after(_crash(1)).after(_crash(2))
+    assert not twice.after_isolation().needs_isolation
     assert not twice.after(_crash(3)._replace(lived=PROVEN_AFTER)).early
     settled = twice.after(_crash(3)._replace(lived=CLEARED_AFTER))
-    assert settled.crashes == 1 and not settled.needs_trial
+    assert settled.crashes == 1 and not settled.needs_isolation
 
 
 def test_a_few_crashes_elsewhere_are_no_outage() -> None:
@@ -336,7 +336,7 @@
 def test_a_job_that_was_cleared_leaves_no_record() -> None:
     job = make_step("job", StepSpec(1, SMALL)).job
     task = next(job.tasks())
-    task.suspicion = NO_SUSPICION.after(_crash(1))
-    assert encode_suspicions(job) is not None
-    task.suspicion = NO_SUSPICION
-    assert encode_suspicions(job) is None
+    task.crash_history = NO_CRASHES.after(_crash(1))
+    assert encode_crashes(job) is not None
+    task.crash_history = NO_CRASHES
+    assert encode_crashes(job) is None
--- a/tests/test_field.py
+++ b/tests/test_field.py
@@ -16,7 +16,7 @@
 
 from pimentocross.owner import placer, wall
 from pimentocross.owner.arranger import Arranger
-from pimentocross.owner.trials import Trials
+from pimentocross.owner.isolation import Isolation
 from pimentocross.owner.worker import Worker
 from pimentocross.placement import hosts
 from pimentocross.placement.disturbance import Disturbance, Pair
@@ -215,7 +215,7 @@
         lasting = StepSpec(2, Size(500, 500, 0), lasting=True)
         steps = [make_step(f"j{number}", lasting) for number in range(3)]
         placer_ = placer.Placer(
-            [worker], [worker], learned, view, advice, Trials(), 4.0
+            [worker], [worker], learned, view, advice, Isolation(), 4.0
         )
         # Left out of all steps that follow; but what has waited for long may
         # try it again.
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -62,7 +62,7 @@
         self.filling: Mapping[str, int] = {}
         self.filled = 0
         self.suffers = False
-        self.is_trying = False
+        self.is_isolating = False
         self.tasks = [
             Job(f"{number}.{i}", QUEUE, JobSpec("", (_serving(image),)), 0.0)
             .occurrences[0]
--- a/tests/test_owner_rules.py
+++ b/tests/test_owner_rules.py
@@ -7,8 +7,8 @@
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
 from pimentocross.work import records
+from pimentocross.work.crash_history import Crash, CrashHistory
 from pimentocross.work.state import Job, Run, RunState, Task
-from pimentocross.work.suspicion import Crash, Suspicion
 from tests import run_virtual
 from tests.test_owner_chaos import play
 
@@ -78,10 +78,10 @@
 
 
 def test_crashes_are_counted_against_tasks() -> None:
-    def acquit(self: Suspicion, crash: Crash, *, lasting: bool) -> bool:
+    def acquit(self: CrashHistory, crash: Crash, *, lasting: bool) -> bool:
         return False
 
-    with mock.patch.object(Suspicion, "convicts", acquit):
+    with mock.patch.object(CrashHistory, "gives_up", acquit):
         _broken_within_seeds("giving up tasks that crash their workers")
 
 
@@ -89,7 +89,7 @@
     def forget(job: Job, value: bytes) -> None:
         pass
 
-    with mock.patch.object(records, "decode_suspicions", forget):
+    with mock.patch.object(records, "decode_crashes", forget):
         _broken_within_seeds("reading what crashes say of a task")
 
 
--- a/tests/test_placement_under_load.py
+++ b/tests/test_placement_under_load.py
@@ -46,7 +46,7 @@
         self.serving = Counter(serving or {})
         self.filling = Counter(filling or {})
         self.suffers = False
-        self.is_trying = False
+        self.is_isolating = False
 
     @property
     def life(self) -> WorkerLife:
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -47,7 +47,7 @@
         self.filling: dict[str, int] = {}
         self.filled = 0
         self.suffers = False
-        self.is_trying = False
+        self.is_isolating = False
 
     def count_of(self, step: object) -> int:
         return 0
