A lasting run that lived for 3 s clears its task of earlier crashes

In the load at size one lasting job was given up that was only beside crashes. A lasting task meets every crash of its workers for as long as it runs, and four within 10 s of its starts counted as one row. Three seconds clear it now; a task that crashes its workers as they start it never lives that long.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -179,9 +179,10 @@
             if task.done or job.ended:
                 continue
             crash = found._replace(in_outage=in_outage)
+            lasting = task.step.spec.lasting
             former, task.crash_history = (
                 task.crash_history,
-                task.crash_history.after(crash),
+                task.crash_history.after(crash, lasting=lasting),
             )
             if task.crash_history is former:
                 continue
@@ -195,7 +196,6 @@
                 lived=round(crash.lived, 3),
                 isolated=crash.isolated,
             )
-            lasting = task.step.spec.lasting
             if task.crash_history.gives_up(crash, lasting=lasting):
                 note(
                     "task_given_up",
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -320,6 +320,9 @@
     assert not twice.after(_crash(3)._replace(lived=PROVEN_AFTER)).early
     settled = twice.after(_crash(3)._replace(lived=CLEARED_AFTER))
     assert settled.crashes == 1 and not settled.needs_isolation
+    lived = _crash(3)._replace(lived=4.0)
+    assert twice.after(lived).crashes == 3
+    assert twice.after(lived, lasting=True).crashes == 1
 
 
 def test_a_few_crashes_elsewhere_are_no_outage() -> None:
