Look for silent workers quickly for 2 s, not 5

Read in the code: with many workers that refuse connections, quick looks for 5 s cost the owner some 20 calls a second each. Two seconds cover a quick restart.

--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -51,7 +51,7 @@
 # has had an order with a token of its own: meanwhile it is looked for this
 # often, up to so long after it fell silent.
 HOLD_RETRY_QUICK: Final = 0.05
-HOLD_RETRY_QUICK_FOR: Final = 5.0
+HOLD_RETRY_QUICK_FOR: Final = 2.0
 # Endings wait at most this long for their record before the lease is renewed
 # without taking note of them.
 NOTE_WAIT: Final = 1.0
