Count the end of a worker's life once

Read in the change: the directory may list a machine's next life while a call to the former one is on its way, which the next life answers. The former life was then buried twice, and the second time, with no run left on it, it counted as a worker that went for no known reason. Too many of these make isolation prove little, so that a crashing task costs more crashes than it has to.

The test failed before with two ends for one. Nothing else that a second burial did is needed: all runs are dropped by the first.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -93,6 +93,8 @@
             replaced: Whether its machine is known to have another life.
         """
         worker = self._worker
+        if worker.gone:
+            return
         worker.gone = True
         if replaced:
             self._parts.crashes.note_replaced(worker)
@@ -108,6 +110,8 @@
             that this life never listed.
         """
         worker = self._worker
+        if worker.gone:
+            return []
         worker.gone = True
         self._parts.crashes.note_replaced(worker)
         unsure = [
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -8,7 +8,12 @@
 
 import trio
 
+from bench.wire_parts import make_parts
+from pimentocross.observe import decisions
 from pimentocross.owner.isolation import Isolation
+from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.keeper import Keeper
+from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.owner import Owner
 from pimentocross.owner.worker import Worker
 from pimentocross.standins.store import StoreStandin
@@ -276,6 +281,19 @@
     assert not [r for r in page.records if r.key[:1] == CRASHES]
 
 
+async def test_a_worker_that_two_parts_give_up_crashes_once() -> None:
+    # The directory lists its machine's next life while a call is on its way,
+    # which that life answers.
+    ledger = Ledger(StoreStandin().client("a"), "jobs", "owner", 1)
+    book = JobBook(ledger, 0.0)
+    parts = make_parts(book, ledger, lambda *_: None, lambda _: None)
+    keeper = Keeper(make_worker(life(1), 1), parts, mock.Mock())
+    before = decisions.counts()["worker_crashed"]
+    keeper.bury("its machine has another life", replaced=True)
+    keeper.bury("another life answers at its address", replaced=True)
+    assert decisions.counts()["worker_crashed"] == before + 1
+
+
 def _crash(run: int) -> Crash:
     return Crash(run, lived=0.0, sure=True, isolated=False)
 
