One place for a call that our own token fenced; usable workers once a pass

Found on reading the change. Which workers may be filled up was asked worker by worker in each pass: the roster's directory is current or not once. KnownLife's empty form, a worker's empty life and some doc comments that the renaming had left wrong are put right.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -156,7 +156,7 @@
         if not steps:
             return
         ranked = self._ranked(steps, now, today)
-        usable = self._usable()
+        usable = self._roster.usable()
         sound = self._sound(usable, now)
         spare = self._room.spare(sound, steps, now)
         worth_a_place = (
@@ -222,13 +222,6 @@
             return rank._replace(chance=Chance.TIGHT, spare=math.inf)
         return rank
 
-    def _usable(self) -> list[Worker]:
-        return [
-            worker
-            for worker in self._roster.workers()
-            if worker.usable and self._roster.knows_room(worker)
-        ]
-
     def _sound(self, workers: Sequence[Worker], now: float) -> list[Worker]:
         """Returns those that are in no trouble."""
         return [
@@ -242,7 +235,7 @@
         now = trio.current_time()
         if self._load_log.is_due(now):
             steps = self._book.open_steps(wall.now())
-            self._load_log.write(self._usable(), steps, self._room, now)
+            self._load_log.write(self._roster.usable(), steps, self._room, now)
 
     def _send(self, placements: list[Placement], orders: Orders) -> None:
         batch: Batch | None = None
--- a/pimentocross/owner/isolation.py
+++ b/pimentocross/owner/isolation.py
@@ -11,8 +11,8 @@
 
 # A task is isolated on one of so many workers that would lose the least.
 _CHOSEN_AMONG: Final = 3
-# So many workers with room are looked at for a task, so that a rack's worth of
-# affected doesn't hold up a pass.
+# So many workers with room are looked at for a task: after a rack's outage many
+# tasks wait to be isolated in one pass.
 _LOOKED_AT: Final = 32
 # A task that has waited to be isolated for so long, in seconds, starts without:
 # users count what lasts as lost if it is away for 6 s.
@@ -20,7 +20,7 @@
 
 
 class Isolation:
-    """Finds workers whose crash would speak against one task alone."""
+    """Finds workers whose crash would be the doing of one task."""
 
     def __init__(self) -> None:
         """Has isolated nothing yet."""
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -119,7 +119,7 @@
         return self._ledger.put(_Progress(job))
 
     def note_crashes(self, job: Job) -> None:
-        """Has what is held against a job's tasks recorded."""
+        """Has the crashes under a job's tasks recorded."""
         self._ledger.put(
             PlainRecord(
                 records.CRASHES + job.id,
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -64,9 +64,9 @@
                 await trio.sleep(self._retry_pause())
                 continue
             except WorkerFencedError:
+                # As `Worker.calling`, which would cost each listing.
                 if not worker.gone:
                     raise
-                # By our own token for the next life of its id.
                 break
             except WorkerReplacedError:
                 self.bury("another life answers at its address", replaced=True)
@@ -129,14 +129,10 @@
         deadline = self._next_deadline(now)
         if deadline is not None:
             worker.lease_end = max(worker.lease_end or 0.0, deadline)
-        return await worker.link.hold(
-            self._parts.token_for(worker),
-            # The ends of another life must not be forgotten unread.
-            0 if worker.doubtful else worker.seen,
-            deadline,
-            wait,
-            timeout,
-        )
+        # The ends of another life must not be forgotten unread.
+        seen = 0 if worker.doubtful else worker.seen
+        token = self._parts.token_for(worker)
+        return await worker.link.hold(token, seen, deadline, wait, timeout)
 
     def _timeout(self, wait: float, now: float) -> float:
         """Returns the timeout of a listing."""
--- a/pimentocross/owner/life_numbers.py
+++ b/pimentocross/owner/life_numbers.py
@@ -1,7 +1,7 @@
 """Numbers of worker lives, by which records name them."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.owner.ledger import Ledger, PlainRecord
@@ -23,6 +23,9 @@
     born: int
 
 
+_UNKNOWN: Final = KnownLife("", "", 0)
+
+
 class LifeNumbers:
     """Gives each life a number of its own, which is in the store."""
 
@@ -34,18 +37,17 @@
 
     def restore(self, number: int, record: WorkerRecord) -> None:
         """Takes in a number that is in the store."""
-        born = self._known[number].born if number in self._known else 0
+        born = self.find(number).born
         self._known[number] = KnownLife(record.life, record.machine, born)
         self._next = max(self._next, number + 1)
 
     def restore_born(self, number: int, born: int) -> None:
         """Takes in when the life of a number started."""
-        known = self._known.get(number, KnownLife("", "", 0))
-        self._known[number] = known._replace(born=born)
+        self._known[number] = self.find(number)._replace(born=born)
 
     def find(self, number: int) -> KnownLife:
         """Returns the life of a number, one without an id if it has none."""
-        return self._known.get(number, KnownLife("", "", 0))
+        return self._known.get(number, _UNKNOWN)
 
     def number_of(self, life: WorkerLife) -> int:
         """Returns a life's number, a new one if it has none."""
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -9,7 +9,6 @@
     StartOrder,
     StartReply,
     StartVerdict,
-    WorkerFencedError,
     WorkerReplacedError,
     WorkerUnreachableError,
 )
@@ -116,18 +115,15 @@
             )
             run.enter(RunState.SENT, now)
             try:
-                reply = await worker.link.start(
-                    order, self._parts.patience.for_call()
-                )
+                with worker.calling():
+                    reply = await worker.link.start(
+                        order, self._parts.patience.for_call()
+                    )
             except (WorkerUnreachableError, WorkerReplacedError) as error:
                 worker.doubtful = True
                 worker.late_until = trio.current_time() + const.LATE_START_MOST
                 self._on_unanswered(task, run, str(error))
                 return
-            except WorkerFencedError:
-                if not worker.gone:
-                    raise
-                return
         self._on_verdict(placement, reply)
 
     def _may_start(self, task: Task, worker: Worker) -> bool:
@@ -192,12 +188,13 @@
             while not worker.gone:
                 try:
                     async with worker.calls:
-                        await worker.link.stop(
-                            name,
-                            number,
-                            token,
-                            self._parts.patience.for_call(),
-                        )
+                        with worker.calling():
+                            await worker.link.stop(
+                                name,
+                                number,
+                                token,
+                                self._parts.patience.for_call(),
+                            )
                     if run is not None and self._on_worker(worker, run):
                         run.stopped_at = trio.current_time()
                     return
@@ -206,10 +203,6 @@
                     note("stop_unanswered", task=name, reason=str(error))
                 except WorkerReplacedError:
                     return
-                except WorkerFencedError:
-                    if not worker.gone:
-                        raise
-                    return
                 if run is not None and not self._on_worker(worker, run):
                     return
                 await trio.sleep(const.STOP_RETRY_PAUSE)
@@ -224,21 +217,18 @@
     ) -> None:
         try:
             async with worker.calls:
-                await worker.link.pace(
-                    task.name,
-                    run.number,
-                    percent,
-                    self._parts.token_for(worker),
-                    self._parts.patience.for_call(),
-                )
+                with worker.calling():
+                    await worker.link.pace(
+                        task.name,
+                        run.number,
+                        percent,
+                        self._parts.token_for(worker),
+                        self._parts.patience.for_call(),
+                    )
         except (WorkerUnreachableError, WorkerReplacedError) as error:
             meters.add_unanswered("pace")
             note("pace_unanswered", task=task.name, reason=str(error))
             return
-        except WorkerFencedError:
-            if not worker.gone:
-                raise
-            return
         run.pace = percent
         note(
             "run_paced", task=task.name, worker=worker.life.id, percent=percent
--- a/pimentocross/owner/placer.py
+++ b/pimentocross/owner/placer.py
@@ -84,15 +84,15 @@
         if step.spec.same_rack:
             rack = common_rack(step.tasks, self._racks)
         placed = []
-        isolated_wait = False
+        none_quiet = False
         for task in step.waiting():
             isolated = task.crash_history.needs_isolation
-            if task.not_before > self._now or (isolated and isolated_wait):
+            if task.not_before > self._now or (isolated and none_quiet):
                 continue
             where = _destination(task, places, self._now)
             placement = self._place(task, task.last_run + 1, where, rack)
             if placement is None:
-                isolated_wait = isolated_wait or isolated
+                none_quiet = none_quiet or isolated
                 if task.bound_for is not None or isolated:
                     continue
                 break
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -68,6 +68,8 @@
                 it doesn't name aren't called.
         """
         self.numbers = LifeNumbers(ledger)
+        # Given by `open`.
+        self._parts: RosterParts
         self._config = config
         self._directory = directory
         self._dialer = dialer
@@ -93,16 +95,25 @@
         """Yields the lives that may still run something."""
         yield from self._by_life.values()
 
+    def usable(self) -> list[Worker]:
+        """Returns the workers to which new runs may be sent."""
+        usable = [worker for worker in self.workers() if worker.usable]
+        if self._is_current():
+            return usable
+        return [worker for worker in usable if self._is_guarded(worker)]
+
     def knows_room(self, worker: Worker) -> bool:
-        """True if a worker's capacity is known well enough to fill it up.
+        """True if a worker's capacity is known well enough to fill it up."""
+        return self._is_current() or self._is_guarded(worker)
 
-        One that guards its capacity refuses what doesn't fit any more.
-        """
-        pool = self._config().services.get(worker.life.service)
-        if pool is not None and pool.guarded:
-            return True
+    def _is_current(self) -> bool:
         return trio.current_time() - self._read_at <= const.ROSTER_TRUSTED
 
+    def _is_guarded(self, worker: Worker) -> bool:
+        """True if a worker refuses what doesn't fit any more."""
+        pool = self._config().services.get(worker.life.service)
+        return pool is not None and pool.guarded
+
     def open(self, parts: RosterParts) -> None:
         """Takes what the owner's other parts do for it, before all else."""
         self._parts = parts
@@ -182,16 +193,16 @@
     def _absent_worker(self, number: int) -> Worker:
         known = self.numbers.find(number)
         life = WorkerLife(
-            known.id,
-            known.machine,
-            "",
-            "",
-            "",
-            (),
-            NO_SIZE,
-            False,
-            0.0,
-            known.born,
+            id=known.id,
+            machine=known.machine,
+            service="",
+            address="",
+            zone="",
+            labels=(),
+            capacity=NO_SIZE,
+            draining=False,
+            remaining=0.0,
+            born=known.born,
         )
         worker = Worker(life, number, self._dialer.link(life))
         worker.blind_until = self._blind_until
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -1,13 +1,19 @@
 """One worker life as the owner of a cell knows it."""
 
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 import statistics
 from typing import Final, NamedTuple
 
 import trio
 
-from pimentocross.contracts.worker_link import WorkerLife, WorkerLink
+from pimentocross.contracts.worker_link import (
+    WorkerFencedError,
+    WorkerLife,
+    WorkerLink,
+    WorkerReplacedError,
+)
 from pimentocross.owner.clock import WorkerClock
 from pimentocross.placement.pacing import Reading
 from pimentocross.work.crash_history import PROVEN_AFTER
@@ -58,11 +64,11 @@
         follows: Whether orders that were meant for a former life of its id
             may reach it.
         reached: False from the first call without an answer to the next.
+        silent_at: When that was last so, monotonic.
         doubtful: Whether another life of its id may have taken its place: a
             call failed, or its clock went back.
         late_until: Until when a start that it didn't answer may begin there,
             monotonic.
-        silent_at: When that was last so, monotonic.
         isolated: Runs that keep other starts off it, and the seconds that each
             has to live.
         version: Rises with each run that is added or removed, and with each
@@ -119,6 +125,20 @@
             self._free = self.life.capacity.minus(self.committed)
         return self._free
 
+    @contextmanager
+    def calling(self) -> Iterator[None]:
+        """Has a call that our own token for the next life fenced fail rightly.
+
+        Raises:
+            WorkerReplacedError: That life has taken this one's place.
+        """
+        try:
+            yield
+        except WorkerFencedError as error:
+            if not self.gone:
+                raise
+            raise WorkerReplacedError from error
+
     def carries(self, spec: StepSpec) -> bool:
         """True if it carries what is committed, of all that a task takes."""
         taken = zip(spec.committed, self.free, strict=True)
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -106,7 +106,7 @@
 
 
 class CrashRecord(NamedTuple):
-    """What crashes of workers say of one task; see `work.crash_history`."""
+    """Crashes under one task; see `work.crash_history`."""
 
     occurrence: int
     step: int
@@ -226,7 +226,7 @@
 
 
 def decode_crashes(job: Job, value: bytes) -> None:
-    """Holds against a job's tasks what a record says.
+    """Restores the crashes under a job's tasks.
 
     Raises:
         RecordError: It is of another form.
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -106,7 +106,7 @@
         failed_on: Numbers of worker lives on which runs failed.
         not_before: Not started again before this time, monotonic.
         bound_for: Where it is being moved to, or None.
-        history: What crashes of its workers say of it.
+        crash_history: Crashes of workers under it.
     """
 
     def __init__(self, name: TaskName, step: "Step") -> None:
--- a/tests/pass_fixtures.py
+++ b/tests/pass_fixtures.py
@@ -73,9 +73,9 @@
         """Yields the workers."""
         yield from self._workers
 
-    def knows_room(self, worker: Worker) -> bool:
-        """True, as the capacities of these don't change."""
-        return True
+    def usable(self) -> list[Worker]:
+        """Returns those to which new runs may be sent."""
+        return [worker for worker in self._workers if worker.usable]
 
 
 def make_worker(life: WorkerLife, number: int) -> Worker:
