--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -83,7 +83,10 @@
 
 @asynccontextmanager
 async def _cell(
-    workers: int, down: DownTime = USUAL_DOWN_TIME
+    workers: int,
+    down: DownTime = USUAL_DOWN_TIME,
+    *,
+    keeps_ids: bool = False,
 ) -> AsyncIterator[WorkerHall]:
     """Runs workers in racks that come back after a crash."""
     hall = WorkerHall()
@@ -91,15 +94,19 @@
         listed = life(number, rack=f"r{number // _RACK}")
         hall.add(TaskWorkerStandin(listed, _plan, hall.journal, seed=number))
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(Supervisor(hall, _plan, down).run)
+        nursery.start_soon(
+            Supervisor(hall, _plan, down, keeps_ids=keeps_ids).run
+        )
         yield hall
         nursery.cancel_scope.cancel()
 
 
 @asynccontextmanager
-async def _owned_cell(workers: int) -> AsyncIterator[tuple[Owner, WorkerHall]]:
+async def _owned_cell(
+    workers: int, *, keeps_ids: bool = False
+) -> AsyncIterator[tuple[Owner, WorkerHall]]:
     """Runs an owner over such workers."""
-    async with _cell(workers) as hall:
+    async with _cell(workers, keeps_ids=keeps_ids) as hall:
         async with running(make_owner(StoreStandin(), hall, 1)) as owner:
             yield owner, hall
 
@@ -124,7 +131,17 @@
 
 
 async def test_a_task_that_crashes_its_workers_is_given_up() -> None:
-    async with _owned_cell(6) as (owner, hall):
+    await _play_one_crashing_task(keeps_ids=False)
+
+
+async def test_a_task_whose_crashed_workers_keep_their_ids_is_given_up() -> (
+    None
+):
+    await _play_one_crashing_task(keeps_ids=True)
+
+
+async def _play_one_crashing_task(*, keeps_ids: bool) -> None:
+    async with _owned_cell(6, keeps_ids=keeps_ids) as (owner, hall):
         await owner.desk.submit("crash", QUEUE, chain(3, 2))
         jobs = await _submit_stream(owner, 100)
         await trio.sleep(_ENDED_AFTER)
