Start nothing in an availability zone that operators have evacuated

Cause: the topic of the operators was read for one key, the configuration; records that evacuate a zone were passed over.

Now they are read with it, as one state: removals take a zone back, a reader that begins anew starts from what is told now, a value that can't be read still evacuates its zone. An owner asks when it decides and again when an order leaves, after its record. While its copy is older than 0.6 of the time within which an evacuation has to be in force, no zone is open: a start can't be taken back. Deployments without such a bound are as before. What runs in the zone runs on.

Evidence: tests of first starts, repeats, gangs, orders that wait for their record, successors, two and all zones, and each phase of a wait with a store that is silent, slow or was away.

--- a/bench/large_owner.py
+++ b/bench/large_owner.py
@@ -24,6 +24,7 @@
 )
 from bench.wire_parts import make_parts, measure_calls, print_parts
 from pimentocross.contracts.worker_link import Ending, WorkerLife
+from pimentocross.contracts.zones import EveryZone
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
@@ -73,6 +74,7 @@
             self.ledger,
             trio.current_time(),
             lambda: CONFIG,
+            EveryZone(),
         )
         self.holds = 0
         self.entries = 0
--- a/pimentocross/cli/story.py
+++ b/pimentocross/cli/story.py
@@ -258,7 +258,7 @@
         return (
             f"{what} for {spec.size.cpu / 1000:g} cores: {share:.0%} of"
             f" {load['capacity'] // 1000} cores reserved,"
-            f" {load['waiting']} tasks waited"
+            f" {load['waiting']} tasks waited{_closed_zones(load)}"
         )
 
     def _owner_gap(self, began: float, ended: float) -> float:
@@ -286,7 +286,15 @@
             f"image {spec.image} was shut out or its workers full:"
             f" {left // 1000} cores were left over in all"
         )
-    return f"{what}, {waiting} filling tasks waited"
+    return f"{what}, {waiting} filling tasks waited{_closed_zones(load)}"
+
+
+def _closed_zones(load: dict[str, Any]) -> str:
+    """Returns what zones that take nothing new explain of a wait."""
+    closed = load.get("closed", 0)
+    if not closed:
+        return ""
+    return f", {closed // 1000} cores were in evacuated zones"
 
 
 def _find_cause(outcome: str, parts: Sequence[Part], work: Work) -> str:
--- a/pimentocross/gateway/config_follower.py
+++ b/pimentocross/gateway/config_follower.py
@@ -9,6 +9,7 @@
 from pimentocross.contracts.poll_pace import PollPace
 from pimentocross.contracts.store import StoreUnavailableError
 from pimentocross.gateway import const
+from pimentocross.gateway.evacuations import Evacuations
 from pimentocross.observe.decisions import note
 from pimentocross.work.queue import Queue, WorkConfig
 
@@ -24,11 +25,13 @@
         known_at: Until when nothing newer was there, monotonic; -inf if there
             may be something newer.
         asked_at: When the question that was answered was sent, monotonic.
+        evacuated: All availability zones that are evacuated.
     """
 
     config: WorkConfig | None
     known_at: float
     asked_at: float
+    evacuated: frozenset[str] = frozenset()
 
 
 class ConfigSource(Protocol):
@@ -60,17 +63,25 @@
 
     Attributes:
         away: Whether the source is known not to answer.
+        evacuations: The zones that operators have evacuated.
     """
 
-    def __init__(self, source: ConfigSource, within: float = _WITHIN) -> None:
+    def __init__(
+        self,
+        source: ConfigSource,
+        within: float = _WITHIN,
+        evacuated_within: float = float("inf"),
+    ) -> None:
         """Knows none yet; `run` follows the source.
 
         Args:
             source: Where it is published.
             within: Seconds after its acknowledgement within which a change
                 has to be in force.
+            evacuated_within: The same of an evacuation.
         """
         self.away = False
+        self.evacuations = Evacuations(evacuated_within)
         self._source = source
         self._pace = PollPace(
             min(const.FOLLOW_WAIT, within * const.CONFIG_WAIT_SHARE)
@@ -173,6 +184,7 @@
         self._pace.note_answer(news=news.config is not None)
         if news.config is not None:
             self._apply(news.config, news.asked_at)
+        self.evacuations.take(news.evacuated, news.known_at)
         self._known_at = max(self._known_at, news.known_at)
 
     def _apply(self, config: WorkConfig, asked_at: float) -> None:
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -24,6 +24,9 @@
 CONFIG_OVERDUE_SHARE: Final = 0.2
 CONFIG_CURRENT_SHARE: Final = 0.75
 CONFIG_FRESH_SHARE: Final = 0.05
+# Of the time within which an evacuation has to be in force: how old a copy may
+# be for starts that rely on it. The rest is left for a start to arrive.
+EVACUATION_CURRENT_SHARE: Final = 0.6
 # A caller waits this long for a look at the store, in which a slow one answers,
 # before it is told to come back.
 CONFIG_LOOK_UP: Final = 0.2
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -64,7 +64,10 @@
             process, settings.name, address, settings.zone
         )
         self._settings = settings
-        self._configs = ConfigFollower(configs, settings.config_within)
+        self._configs = ConfigFollower(
+            configs, settings.config_within, settings.evacuated_within
+        )
+        platform = platform._replace(zones=self._configs.evacuations)
         self._peer_heard_at = float("-inf")
         self._late_log = LateLog()
         self._cluster = Cluster(platform.store)
@@ -138,6 +141,7 @@
             "config_age_seconds": (
                 self._configs.age() if config is not None else 0
             ),
+            "evacuated_zones": len(self._configs.evacuations.zones),
             "owner_absent_seconds": self.owner_absent(),
             "owned_epoch": owner.epoch if owner is not None else 0,
             "store_age_seconds": self._election.standing().store_age,
--- a/pimentocross/gateway/settings.py
+++ b/pimentocross/gateway/settings.py
@@ -21,6 +21,8 @@
         ended_least: Seconds for which the state of an ended job is asked for.
         config_within: Seconds after its acknowledgement within which a change
             of the configuration has to be in force.
+        evacuated_within: The same of an evacuation of a zone; infinite where
+            none is ever asked for.
         grace: Seconds between a request to stop and a kill.
         cores: The VM's processor in cores, or 0 if it isn't told.
     """
@@ -37,5 +39,6 @@
     lease_most: float
     ended_least: float
     config_within: float
+    evacuated_within: float
     grace: float
     cores: float = 0.0
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -235,7 +235,13 @@
         now = trio.current_time()
         if self._load_log.is_due(now):
             steps = self._book.open_steps(wall.now())
-            self._load_log.write(self._roster.usable(), steps, self._room, now)
+            self._load_log.write(
+                self._roster.usable(),
+                self._roster.closed_capacity(),
+                steps,
+                self._room,
+                now,
+            )
 
     def _send(self, placements: list[Placement], orders: Orders) -> None:
         batch: Batch | None = None
--- a/pimentocross/owner/load_log.py
+++ b/pimentocross/owner/load_log.py
@@ -27,6 +27,7 @@
     def write(
         self,
         workers: Sequence[Worker],
+        closed: int,
         steps: Iterable[Step],
         room: RoomKeeper,
         now: float,
@@ -35,6 +36,7 @@
 
         Args:
             workers: Those in use.
+            closed: Capacity in zones that take nothing new, thousandths.
             steps: All that wait.
             room: Knows what short work has and may have.
             now: Present time.
@@ -45,6 +47,7 @@
         note(
             "load",
             capacity=sum(w.life.capacity.cpu for w in workers),
+            closed=closed,
             committed=sum(w.committed.cpu for w in workers),
             serving=sum(sum(w.serving.values()) for w in workers),
             filling=sum(w.filled for w in workers),
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -127,13 +127,12 @@
         self._on_verdict(placement, reply)
 
     def _may_start(self, task: Task, worker: Worker) -> bool:
-        if not worker.usable or not worker.clock.known:
+        # What allowed it when it was decided may have changed since.
+        if not self._parts.may_start_on(worker) or not worker.clock.known:
             return False
         # Its capacity may have shrunk while the record was on its way.
         if not worker.carries(task.step.spec):
             return False
-        if not self._parts.knows_room(worker):
-            return False
         return self._parts.ledger.age() < const.RENEWALS_WITHOUT_STORE
 
     def _on_unanswered(self, task: Task, run: Run, reason: str) -> None:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -11,6 +11,7 @@
     WorkerDialer,
     WorkerDirectory,
 )
+from pimentocross.contracts.zones import EveryZone, ZoneAccess
 from pimentocross.observe.decisions import note
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
@@ -45,6 +46,7 @@
     workers: WorkerDialer
     adviser: Adviser | None = None
     terms: OwnerTerms = OwnerTerms()
+    zones: ZoneAccess = EveryZone()
 
 
 class Claim(NamedTuple):
@@ -96,6 +98,7 @@
             self._ledger,
             trio.current_time() + _former_lease(claim, platform.terms),
             config,
+            platform.zones,
         )
         self._learned = Learned()
         self._dispatcher = Dispatcher(
@@ -146,7 +149,7 @@
                 self._learned.judge,
                 self._learned.on_listed,
                 Crashes(self._book, self._roster.workers),
-                self._roster.knows_room,
+                self._roster.may_start_on,
                 self._roster,
             )
             orders = Orders(nursery, parts, self._dispatcher.on_refused)
--- a/pimentocross/owner/parts.py
+++ b/pimentocross/owner/parts.py
@@ -52,7 +52,7 @@
         judge: Is told of each ending.
         listed: Is told of each listing.
         crashes: Is told of workers that have ended.
-        knows_room: Tells whether a worker's capacity is surely known.
+        may_start_on: Tells whether new runs may be sent to a worker now.
         lives: Is told of lives that answer in place of others.
     """
 
@@ -66,7 +66,7 @@
     judge: Callable[[Worker, Task, Run | None, Ending], None]
     listed: Callable[[Worker], None]
     crashes: Crashes
-    knows_room: Callable[[Worker], bool]
+    may_start_on: Callable[[Worker], bool]
     lives: Lives
 
     def token_for(self, worker: Worker) -> int:
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -12,6 +12,7 @@
     WorkerDirectory,
     WorkerLife,
 )
+from pimentocross.contracts.zones import ZoneAccess
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.breather import Breather
@@ -56,6 +57,7 @@
         ledger: Ledger,
         blind_until: float,
         config: Callable[[], WorkConfig],
+        zones: ZoneAccess,
     ) -> None:
         """Takes where workers are listed and how they are reached.
 
@@ -66,11 +68,13 @@
             blind_until: Until when leases of a former owner may last.
             config: Returns the configuration in force. Lives of services that
                 it doesn't name aren't called.
+            zones: Knows to which zones new runs may be sent.
         """
         self.numbers = LifeNumbers(ledger)
         # Given by `open`.
         self._parts: RosterParts
         self._config = config
+        self._zones = zones
         self._directory = directory
         self._dialer = dialer
         self._blind_until = blind_until
@@ -97,13 +101,21 @@
 
     def usable(self) -> list[Worker]:
         """Returns the workers to which new runs may be sent."""
-        usable = [worker for worker in self.workers() if worker.usable]
-        if self._is_current():
-            return usable
-        return [worker for worker in usable if self._is_guarded(worker)]
+        return [w for w in self.workers() if self.may_start_on(w)]
+
+    def closed_capacity(self) -> int:
+        """Returns thousandths of a core in zones that aren't open."""
+        return sum(
+            worker.life.capacity.cpu
+            for worker in self.workers()
+            if worker.usable and not self._zones.is_open(worker.life.zone)
+        )
 
-    def knows_room(self, worker: Worker) -> bool:
-        """True if a worker's capacity is known well enough to fill it up."""
+    def may_start_on(self, worker: Worker) -> bool:
+        """True if new runs may be sent to a worker now."""
+        if not worker.usable or not self._zones.is_open(worker.life.zone):
+            return False
+        # Its capacity is known well enough to fill it up.
         return self._is_current() or self._is_guarded(worker)
 
     def _is_current(self) -> bool:
--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -81,6 +81,10 @@
             values, "bounds.config_apply_ms", _CONFIG_APPLY_MS, findings
         )
         / 1000,
+        evacuated_within=_number(
+            values, "bounds.evacuate_ms", float("inf"), findings
+        )
+        / 1000,
         grace=_number(values, "bounds.grace_s", 6.0, findings),
         # So much of a core, which is so many times as fast as one.
         cores=_number(values, "limits.cpu_share", 0.0, findings)
--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -13,6 +13,8 @@
 
 _OPERATOR_TOPIC = "op"
 _CONFIG_KEY = "config"
+# What follows names a zone; the record's value tells nothing more.
+_EVACUATE_PREFIX = "evacuate/"
 _SERVERS_TOPIC = "servers"
 # Keys that are remembered as unreadable; others beyond are dropped unlogged, so
 # that a writer of ever new keys fills neither memory nor log.
@@ -20,11 +22,12 @@
 
 
 class OperatorTopic:
-    """The operator's configuration."""
+    """The operator's configuration and evacuations of zones."""
 
     def __init__(self, store: Store) -> None:
         """Takes the store."""
         self._reader = TopicReader(store, _OPERATOR_TOPIC)
+        self._evacuated: set[str] = set()
 
     async def next_config(
         self,
@@ -35,8 +38,12 @@
     ) -> ConfigNews:
         """Returns the newest configuration, if new; see `ConfigSource`."""
         news = await self._reader.read(wait, timeout, again_after, urgent)
+        if news.whole:
+            # Removals may have expired: what isn't told now isn't there.
+            self._evacuated.clear()
         found: WorkConfig | None = None
         for record in news.records:
+            self._take_evacuation(record)
             if record.key != _CONFIG_KEY or record.value is None:
                 continue
             try:
@@ -46,7 +53,18 @@
                 continue
             if found is None or config.version > found.version:
                 found = config
-        return ConfigNews(found, news.known_at, news.asked_at)
+        return ConfigNews(
+            found, news.known_at, news.asked_at, frozenset(self._evacuated)
+        )
+
+    def _take_evacuation(self, record: Record) -> None:
+        if not record.key.startswith(_EVACUATE_PREFIX):
+            return
+        zone = record.key.removeprefix(_EVACUATE_PREFIX)
+        if record.value is None:
+            self._evacuated.discard(zone)
+        else:
+            self._evacuated.add(zone)
 
 
 class ServerTopic:
--- /dev/null
+++ b/tests/operator_fixtures.py
@@ -0,0 +1,75 @@
+"""Fixtures of what operators write, and of a VM that follows it."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.gateway.config_follower import ConfigFollower
+from pimentocross.platform.topics import OperatorTopic
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.users_platform import operator_config
+
+# A change is in force everywhere this long after its acknowledgement, in
+# seconds, as the users' pages ask.
+APPLY_WITHIN = 2.0
+VM = "vm"
+
+
+class Followed:
+    """A store, its operator, and a VM that follows what it writes."""
+
+    def __init__(self, within: float, evacuated_within: float) -> None:
+        """Starts with an empty store."""
+        self.store = StoreStandin()
+        source = OperatorTopic(self.store.client(VM))
+        self.follower = ConfigFollower(source, within, evacuated_within)
+        self._version = 0
+
+    async def publish(self) -> int:
+        """Writes the next version and returns it once it is acknowledged."""
+        self._version += 1
+        value = operator_config(self._version, {f"/q{self._version}/": "stock"})
+        await self._write(Record("config", value))
+        return self._version
+
+    async def evacuate(self, zone: str) -> None:
+        """Asks that nothing more be sent to a zone."""
+        await self._write(Record(f"evacuate/{zone}", b"{}"))
+
+    async def restore(self, zone: str) -> None:
+        """Takes a zone back."""
+        await self._write(Record(f"evacuate/{zone}", None))
+
+    async def lag(self, version: int) -> float:
+        """Returns how long it takes from now until a version is in force."""
+        return await self.lag_until(lambda: self._in_force(version))
+
+    async def lag_until(self, condition: Callable[[], bool]) -> float:
+        """Returns how long it takes from now until something holds."""
+        began = trio.current_time()
+        with trio.fail_after(30):
+            while not condition():
+                await trio.sleep(0.005)
+        return trio.current_time() - began
+
+    async def _write(self, record: Record) -> None:
+        await self.store.client("operator").append("op", [record], 1.0)
+
+    def _in_force(self, version: int) -> bool:
+        config = self.follower.config
+        return config is not None and config.version >= version
+
+
+@asynccontextmanager
+async def followed_operator(
+    within: float = APPLY_WITHIN, evacuated_within: float = float("inf")
+) -> AsyncIterator[Followed]:
+    """A VM that has the first version."""
+    followed = Followed(within, evacuated_within)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(followed.follower.run)
+        await followed.lag(await followed.publish())
+        yield followed
+        nursery.cancel_scope.cancel()
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -3,12 +3,14 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+import random
 
 import trio
 
 from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import FencedError, StoreUnavailableError
 from pimentocross.contracts.worker_link import WorkerFencedError, WorkerLife
+from pimentocross.contracts.zones import EveryZone, ZoneAccess
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
@@ -34,6 +36,67 @@
 )
 SMALL = Size(1000, 1000, 0)
 ROOM = Size(8000, 16000, 0)
+# An order of a stand-in arrives within this, in seconds.
+_ON_ITS_WAY = 0.01
+
+
+ZONES = ("north", "south", "west")
+
+
+class ClosedZones:
+    """Zones that are closed as told; see `ZoneAccess`.
+
+    Attributes:
+        closed: Those that are closed, and since when.
+    """
+
+    def __init__(self) -> None:
+        """Starts with all zones open."""
+        self.closed: dict[str, float] = {}
+        self._spans: list[tuple[str, float, float]] = []
+
+    def is_open(self, zone: str) -> bool:
+        """Returns whether a zone isn't closed."""
+        return zone not in self.closed
+
+    def close(self, *zones: str) -> None:
+        """Closes zones from now on."""
+        for zone in zones:
+            self.closed.setdefault(zone, trio.current_time())
+
+    def open(self, zone: str) -> None:
+        """Opens a zone again, if it was closed."""
+        since = self.closed.pop(zone, None)
+        if since is not None:
+            self._spans.append((zone, since, trio.current_time()))
+
+    def open_all(self) -> None:
+        """Opens all zones."""
+        for zone in list(self.closed):
+            self.open(zone)
+
+    def change(self, draw: random.Random) -> None:
+        """Closes an open zone or opens a closed one, as drawn."""
+        zone = draw.choice(ZONES)
+        if self.is_open(zone):
+            self.close(zone)
+        else:
+            self.open(zone)
+
+    def was_closed(self, zone: str, at: float) -> bool:
+        """Returns whether a zone was closed for a while before a moment.
+
+        An order that was on its way as it was closed arrives within that.
+        """
+        now = trio.current_time()
+        spans = [
+            *self._spans,
+            *((zone, since, now) for zone, since in self.closed.items()),
+        ]
+        return any(
+            zone == closed and since + _ON_ITS_WAY < at < until
+            for closed, since, until in spans
+        )
 
 
 def life(number: int, generation: int = 0, rack: str = "r1") -> WorkerLife:
@@ -93,10 +156,13 @@
     former_quiet: bool = True,
     config: WorkConfig = CONFIG,
     adviser: Adviser | None = None,
+    zones: ZoneAccess | None = None,
 ) -> Owner:
     """Returns an owner under an epoch."""
     access = hall.access(vm)
-    platform = CellPlatform(store.client(vm), access, access, adviser)
+    platform = CellPlatform(
+        store.client(vm), access, access, adviser, zones=zones or EveryZone()
+    )
     return Owner(Claim("jobs", epoch, former_quiet), platform, lambda: config)
 
 
--- a/tests/pass_fixtures.py
+++ b/tests/pass_fixtures.py
@@ -73,6 +73,10 @@
         """Yields the workers."""
         yield from self._workers
 
+    def closed_capacity(self) -> int:
+        """Returns 0: every zone is open."""
+        return 0
+
     def usable(self) -> list[Worker]:
         """Returns those to which new runs may be sent."""
         return [worker for worker in self._workers if worker.usable]
--- a/tests/test_config_current.py
+++ b/tests/test_config_current.py
@@ -19,19 +19,22 @@
 In another play of the same day the 404 was given at 57.094.
 """
 
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 import random
 
 import trio
 
-from pimentocross.contracts.store import Record
 from pimentocross.gateway.cluster import Cluster
 from pimentocross.gateway.config_follower import ConfigFollower
 from pimentocross.platform.topics import OperatorTopic
 from pimentocross.standins.store import StoreStandin
-from pimentocross.standins.users_platform import operator_config
 from tests import run_virtual
+from tests.operator_fixtures import (
+    APPLY_WITHIN,
+    VM,
+    Followed,
+    followed_operator,
+)
 from tests.platform_fixtures import (
     Caller,
     loopback_platform,
@@ -40,60 +43,11 @@
 )
 from tests.test_http import real_time
 
-# A change is in force everywhere this long after its acknowledgement, in
-# seconds, as the users' pages ask.
-_APPLY_WITHIN = 2.0
-_VM = "vm"
-
-
-class _Followed:
-    """A store, its operator, and a VM that follows the configuration."""
-
-    def __init__(self, within: float) -> None:
-        self.store = StoreStandin()
-        source = OperatorTopic(self.store.client(_VM))
-        self.follower = ConfigFollower(source, within)
-        self._version = 0
-
-    async def publish(self) -> int:
-        """Writes the next version and returns it once it is acknowledged."""
-        self._version += 1
-        value = operator_config(self._version, {f"/q{self._version}/": "stock"})
-        await self.store.client("operator").append(
-            "op", [Record("config", value)], 1.0
-        )
-        return self._version
-
-    async def lag(self, version: int) -> float:
-        """Returns how long it takes from now until a version is in force."""
-        began = trio.current_time()
-        with trio.fail_after(30):
-            while not self._in_force(version):
-                await trio.sleep(0.005)
-        return trio.current_time() - began
-
-    def _in_force(self, version: int) -> bool:
-        config = self.follower.config
-        return config is not None and config.version >= version
-
-
-@asynccontextmanager
-async def _followed(
-    within: float = _APPLY_WITHIN,
-) -> AsyncIterator[_Followed]:
-    """A VM that has the first version."""
-    followed = _Followed(within)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(followed.follower.run)
-        await followed.lag(await followed.publish())
-        yield followed
-        nursery.cancel_scope.cancel()
-
 
 async def test_a_change_is_in_force_in_time_whatever_went_unanswered() -> None:
     """An outage ends, or a connection goes silent, at any moment of a wait."""
-    assert await _most_lag(_store_away) < _APPLY_WITHIN
-    assert await _most_lag(_connections_silent) < _APPLY_WITHIN
+    assert await _most_lag(_store_away) < APPLY_WITHIN
+    assert await _most_lag(_connections_silent) < APPLY_WITHIN
 
 
 async def test_a_deployment_may_ask_for_changes_sooner() -> None:
@@ -103,25 +57,25 @@
 
 
 async def _most_lag(
-    fault: Callable[[_Followed, float], Awaitable[None]],
-    within: float = _APPLY_WITHIN,
+    fault: Callable[[Followed, float], Awaitable[None]],
+    within: float = APPLY_WITHIN,
 ) -> float:
     lags = []
     for step in range(40):
-        async with _followed(within) as followed:
+        async with followed_operator(within) as followed:
             await trio.sleep(1.03)
             await fault(followed, step * 0.1)
             lags.append(await followed.lag(await followed.publish()))
     return max(lags)
 
 
-async def _store_away(followed: _Followed, moment: float) -> None:
+async def _store_away(followed: Followed, moment: float) -> None:
     followed.store.faults.away = True
     await trio.sleep(4.0 + moment)
     followed.store.faults.away = False
 
 
-async def _connections_silent(followed: _Followed, moment: float) -> None:
+async def _connections_silent(followed: Followed, moment: float) -> None:
     await trio.sleep(moment)
     followed.store.faults.silenced += 1
 
@@ -135,14 +89,14 @@
 def _faults_then_calm(seed: int) -> Callable[[], Awaitable[None]]:
     async def run() -> None:
         draw = random.Random(seed)
-        async with _followed() as followed:
+        async with followed_operator() as followed:
             faults = followed.store.faults
             for _ in range(6):
                 kind = draw.choice(("away", "refused", "silent", "slow"))
                 if kind == "away":
                     faults.away = True
                 elif kind == "refused":
-                    faults.refused = {_VM}
+                    faults.refused = {VM}
                 elif kind == "silent":
                     faults.silenced += 1
                 else:
@@ -151,7 +105,7 @@
                 faults.away, faults.refused, faults.delay = False, set(), 0.004
                 await trio.sleep(draw.choice((0.0, draw.uniform(0.0, 1.0))))
                 lag = await followed.lag(await followed.publish())
-                assert lag < _APPLY_WITHIN, (seed, kind, lag)
+                assert lag < APPLY_WITHIN, (seed, kind, lag)
 
     return run
 
@@ -165,13 +119,13 @@
             assert node.get_config() is not None
             platform.store.faults.refused = {"wire"}
             await platform.configure(5, "/new/")
-            await trio.sleep(_APPLY_WITHIN)
+            await trio.sleep(APPLY_WITHIN)
             caller = Caller(values["listen_addrs.frontend"])
             reply = await caller.call("GET", "/new/")
             assert reply.status == 503, reply
             assert int(dict(reply.headers)[b"retry-after"]) >= 1
             platform.store.faults.refused = set()
-            await trio.sleep(_APPLY_WITHIN)
+            await trio.sleep(APPLY_WITHIN)
             reply = await caller.call("GET", "/never/")
             assert reply.status == 404, reply
             with trio.fail_after(10):
@@ -183,7 +137,7 @@
 
 async def test_an_answer_from_an_old_copy_is_looked_up_anew() -> None:
     """Once the copy is too old, one question for all who wait."""
-    async with _followed() as followed:
+    async with followed_operator() as followed:
         follower, store = followed.follower, followed.store
         store.faults.silenced += 1
         await trio.sleep(0.95)
@@ -198,7 +152,7 @@
 
 
 async def test_nobody_waits_for_a_store_that_is_known_to_be_away() -> None:
-    async with _followed() as followed:
+    async with followed_operator() as followed:
         followed.store.faults.away = True
         await trio.sleep(3.0)
         began = trio.current_time()
@@ -208,7 +162,7 @@
 
 async def test_an_owner_judges_queues_by_the_newest_configuration() -> None:
     """Whatever the VM knows that sends a job."""
-    async with _followed() as followed:
+    async with followed_operator() as followed:
         config = followed.follower.config
         assert config is not None
         first = config.queues[0]
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,339 @@
+"""Nothing starts in an availability zone that operators have evacuated.
+
+Operators ask for it with a record of their own, which nobody read: thousands of
+tasks began on workers that were about to be switched off.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+import random
+
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.contracts.zones import ZoneAccess
+from pimentocross.owner.owner import Owner
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import (
+    LASTS,
+    RunEvent,
+    TaskPlan,
+    TaskWorkerStandin,
+)
+from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work.spec import StepSpec, TaskName
+from tests import run_virtual
+from tests.operator_fixtures import VM, Followed, followed_operator
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    ZONES,
+    ClosedZones,
+    chain,
+    life,
+    make_owner,
+    running,
+    spec,
+    wait_until,
+)
+
+# After its acknowledgement nothing starts in a zone for longer than this, in
+# seconds, as the users' pages ask.
+_WITHIN = 5.0
+# ... with a store that answers, as the project asks of itself.
+_SOON = 1.0
+_NORTH = ZONES[0]
+
+
+def _hall(plan: Callable[[TaskName], TaskPlan], each: int = 2) -> WorkerHall:
+    """Returns workers in three zones."""
+    hall = WorkerHall()
+    for number in range(each * len(ZONES)):
+        zone = ZONES[number % len(ZONES)]
+        entry = life(number)._replace(zone=zone, labels=("kind", zone))
+        hall.add(TaskWorkerStandin(entry, plan, hall.journal, seed=number))
+    return hall
+
+
+def _owner(
+    store: StoreStandin, hall: WorkerHall, zones: ZoneAccess, epoch: int = 1
+) -> Owner:
+    return make_owner(store, hall, epoch, vm=VM, zones=zones)
+
+
+def _starts_in(
+    hall: WorkerHall, zone: str, since: float, until: float = float("inf")
+) -> list[RunEvent]:
+    """Returns the starts in a zone within a time."""
+    return [
+        event
+        for event in hall.journal
+        if event.what == "start"
+        and since < event.at <= until
+        and _zone_of(hall, event) == zone
+    ]
+
+
+def _zone_of(hall: WorkerHall, event: RunEvent) -> str:
+    return hall.workers[event.worker].life.zone
+
+
+def _short(_: TaskName) -> TaskPlan:
+    return TaskPlan(0.5, SMALL)
+
+
+def _lasting(_: TaskName) -> TaskPlan:
+    return TaskPlan(LASTS, SMALL)
+
+
+async def test_first_starts_leave_an_evacuated_zone_out() -> None:
+    hall, zones = _hall(_short), ClosedZones()
+    zones.close(_NORTH)
+    async with running(_owner(StoreStandin(), hall, zones)) as owner:
+        for number in range(6):
+            await owner.desk.submit(f"j{number}", QUEUE, chain(4, 2))
+        await wait_until(lambda: len(hall.journal) >= 96)
+        assert not _starts_in(hall, _NORTH, 0.0)
+        zones.open_all()
+        for number in range(6, 12):
+            await owner.desk.submit(f"j{number}", QUEUE, chain(4, 2))
+        await wait_until(lambda: bool(_starts_in(hall, _NORTH, 0.0)))
+
+
+async def test_repeats_and_moved_tasks_leave_an_evacuated_zone_out() -> None:
+    """What fails, and what its worker loses, starts in another zone."""
+    draw = random.Random(1)
+
+    def plan(_: TaskName) -> TaskPlan:
+        return TaskPlan(0.3, SMALL, fails=draw.random() < 0.4)
+
+    hall, zones = _hall(plan, each=3), ClosedZones()
+    async with running(_owner(StoreStandin(), hall, zones)) as owner:
+        for number in range(12):
+            await owner.desk.submit(f"j{number}", QUEUE, chain(4, 2))
+        await trio.sleep(0.4)
+        zones.close(_NORTH)
+        closed_at = trio.current_time()
+        for worker in list(hall.workers.values())[1::3]:
+            worker.crash()
+        await trio.sleep(10.0)
+        assert not _starts_in(hall, _NORTH, closed_at)
+        assert [e for e in hall.journal if e.at > closed_at + 1.0]
+
+
+async def test_a_start_that_waits_for_its_record_is_dropped() -> None:
+    """The zone is evacuated between the decision and its order."""
+    hall, zones, store = _hall(_short), ClosedZones(), StoreStandin()
+    async with running(_owner(store, hall, zones)) as owner:
+        store.faults.delay = 0.6
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(owner.desk.submit, "j", QUEUE, chain(24, 1))
+            await trio.sleep(0.3)
+            assert not hall.journal, "no order waited"
+            zones.close(_NORTH)
+        await trio.sleep(8.0)
+        assert not _starts_in(hall, _NORTH, 0.0)
+        assert len({e.task for e in hall.journal if e.what == "done"}) == 24
+
+
+async def test_gangs_leave_an_evacuated_zone_out() -> None:
+    hall, zones = _hall(_short), ClosedZones()
+    zones.close(_NORTH)
+    gang = spec(StepSpec(8, SMALL, 0.5, gang=True))
+    async with running(_owner(StoreStandin(), hall, zones)) as owner:
+        for number in range(3):
+            await owner.desk.submit(f"g{number}", QUEUE, gang)
+        await trio.sleep(5.0)
+        assert not _starts_in(hall, _NORTH, 0.0)
+        assert any(e.what == "start" for e in hall.journal)
+
+
+async def test_what_runs_in_an_evacuated_zone_runs_on() -> None:
+    """Its lease is renewed: only starts are refused."""
+    hall, zones = _hall(_lasting), ClosedZones()
+    lasting = spec(StepSpec(12, SMALL, 0.5, lasting=True))
+    async with running(_owner(StoreStandin(), hall, zones)) as owner:
+        await owner.desk.submit("w", QUEUE, lasting)
+        await wait_until(lambda: len(hall.journal) == 12)
+        before = len(_starts_in(hall, _NORTH, 0.0))
+        zones.close(_NORTH)
+        await trio.sleep(30.0)
+        assert before and len(hall.journal) == 12
+
+
+async def test_two_zones_and_all_zones_can_be_evacuated() -> None:
+    hall, zones = _hall(_short), ClosedZones()
+    zones.close(*ZONES)
+    async with running(_owner(StoreStandin(), hall, zones)) as owner:
+        await owner.desk.submit("j", QUEUE, chain(4, 1))
+        await trio.sleep(5.0)
+        assert not hall.journal
+        zones.open("west")
+        await wait_until(lambda: len(hall.journal) >= 8)
+        assert {_zone_of(hall, event) for event in hall.journal} == {"west"}
+
+
+class _Cell:
+    """An owner that follows an operator's evacuations by itself."""
+
+    def __init__(self, followed: Followed, hall: WorkerHall) -> None:
+        self.followed = followed
+        self.hall = hall
+        self._epoch = 0
+
+    @asynccontextmanager
+    async def owned(self) -> AsyncIterator[Owner]:
+        """Lets an owner run whose VM follows the operator."""
+        self._epoch += 1
+        zones = self.followed.follower.evacuations
+        owner = _owner(self.followed.store, self.hall, zones, self._epoch)
+        async with running(owner):
+            yield owner
+
+    async def submit_for_ever(self, owner: Owner) -> None:
+        """Submits jobs at a steady rate."""
+        number = 0
+        while True:
+            number += 1
+            job = f"e{self._epoch}-{number}"
+            with trio.move_on_after(0.2):
+                await owner.desk.submit(job, QUEUE, chain(3, 1))
+            await trio.sleep(0.1)
+
+
+async def _latest_start(
+    fault: Callable[[Followed, float], Awaitable[None]], moment: float
+) -> float:
+    """Returns the seconds from an evacuation to the last start in its zone."""
+    async with followed_operator(3.0, _WITHIN) as followed:
+        cell = _Cell(followed, _hall(_short))
+        async with cell.owned() as owner, trio.open_nursery() as nursery:
+            nursery.start_soon(cell.submit_for_ever, owner)
+            await trio.sleep(1.0 + moment)
+            await fault(followed, moment)
+            await followed.evacuate(_NORTH)
+            acked_at = trio.current_time()
+            await trio.sleep(7.0)
+            nursery.cancel_scope.cancel()
+        late = _starts_in(cell.hall, _NORTH, acked_at)
+        others = [e for e in cell.hall.journal if e.at > acked_at + 5.0]
+        assert others, "nothing started elsewhere either"
+    return max((event.at - acked_at for event in late), default=0.0)
+
+
+async def _nothing(followed: Followed, moment: float) -> None:
+    await trio.lowlevel.checkpoint()
+
+
+async def _silent(followed: Followed, moment: float) -> None:
+    followed.store.faults.silenced += 1
+    await trio.lowlevel.checkpoint()
+
+
+async def _slow(followed: Followed, moment: float) -> None:
+    followed.store.faults.delay = 0.4
+    await trio.lowlevel.checkpoint()
+
+
+async def _away_and_back(followed: Followed, moment: float) -> None:
+    followed.store.faults.away = True
+    await trio.sleep(2.0 + moment)
+    followed.store.faults.away = False
+
+
+def test_an_evacuation_is_in_force_in_time_at_any_phase_of_a_wait() -> None:
+    """Whatever the store did before, and whenever the record came."""
+    for fault, bound in (
+        (_nothing, _SOON),
+        (_silent, _WITHIN),
+        (_slow, _WITHIN),
+        (_away_and_back, _WITHIN),
+    ):
+        for step in range(6):
+            latest: list[float] = []
+
+            async def play(
+                fault: Callable[[Followed, float], Awaitable[None]] = fault,
+                step: int = step,
+                latest: list[float] = latest,
+            ) -> None:
+                latest.append(await _latest_start(fault, step * 0.27))
+
+            run_virtual(play, step)
+            assert latest[0] < bound, (fault.__name__, step, latest)
+
+
+async def test_a_vm_that_can_not_read_starts_nothing() -> None:
+    """Its copy may lack an evacuation that has to be in force by now."""
+    async with followed_operator(3.0, _WITHIN) as followed:
+        zones = followed.follower.evacuations
+        assert zones.is_open(_NORTH)
+        followed.store.faults.refused = {VM}
+        await followed.lag_until(lambda: not zones.is_open(_NORTH))
+        refused_for = trio.current_time()
+        await trio.sleep(3.0)
+        assert not any(zones.is_open(zone) for zone in ZONES)
+        followed.store.faults.refused = set()
+        await followed.lag_until(lambda: zones.is_open(_NORTH))
+        assert refused_for < _WITHIN + 1.0
+
+
+async def test_a_process_that_has_read_nothing_starts_nothing() -> None:
+    async with followed_operator(3.0, _WITHIN) as followed:
+        await followed.evacuate(_NORTH)
+        fresh = Followed(3.0, _WITHIN)
+        assert not fresh.follower.evacuations.is_open("south")
+
+
+async def test_a_removal_takes_an_evacuation_back() -> None:
+    async with followed_operator(3.0, _WITHIN) as followed:
+        zones = followed.follower.evacuations
+        await followed.evacuate(_NORTH)
+        await followed.evacuate("south")
+        await followed.evacuate("no zone of ours")
+        await followed.lag_until(lambda: len(zones.zones) == 3)
+        assert not zones.is_open(_NORTH) and zones.is_open("west")
+        await followed.restore(_NORTH)
+        assert await followed.lag_until(lambda: zones.is_open(_NORTH)) < _SOON
+        assert not zones.is_open("south")
+
+
+async def test_a_reader_that_begins_anew_knows_what_is_evacuated() -> None:
+    """Records and removals may have expired while it was cut off."""
+    async with followed_operator(3.0, _WITHIN) as followed:
+        zones = followed.follower.evacuations
+        await followed.evacuate(_NORTH)
+        await followed.lag_until(lambda: not zones.is_open(_NORTH))
+        followed.store.faults.refused = {VM}
+        await followed.restore(_NORTH)
+        await followed.evacuate("south")
+        followed.store.forget_history("op")
+        await trio.sleep(2.0)
+        followed.store.faults.refused = set()
+        await followed.lag_until(lambda: zones.is_open(_NORTH))
+        assert not zones.is_open("south")
+
+
+async def test_a_record_without_a_readable_value_evacuates_its_zone() -> None:
+    async with followed_operator(3.0, _WITHIN) as followed:
+        record = Record(f"evacuate/{_NORTH}", b"\xff{")
+        await followed.store.client("operator").append("op", [record], 1.0)
+        zones = followed.follower.evacuations
+        await followed.lag_until(lambda: not zones.is_open(_NORTH))
+        assert await followed.lag(await followed.publish()) < _SOON
+
+
+async def test_a_successor_leaves_the_zone_out_from_its_first_start() -> None:
+    async with followed_operator(3.0, _WITHIN) as followed:
+        cell = _Cell(followed, _hall(_short))
+        async with cell.owned() as owner:
+            await owner.desk.submit("first", QUEUE, chain(60, 1))
+            await trio.sleep(0.5)
+        await followed.evacuate(_NORTH)
+        acked_at = trio.current_time()
+        async with cell.owned():
+            await trio.sleep(20.0)
+        late = _starts_in(cell.hall, _NORTH, acked_at)
+        assert max((e.at - acked_at for e in late), default=0.0) < _SOON
+        done = {e.task for e in cell.hall.journal if e.what == "done"}
+        assert len(done) == 60
--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -2,8 +2,8 @@
 
 The real owner classes run in virtual time against stand-ins. Whatever comes
 together, no two runs of a task are on workers at once, none starts after one
-ended well, none goes on crashing its workers, and all jobs end once the faults
-are over.
+ended well, none goes on crashing its workers, none starts in a zone that is
+evacuated, and all jobs end once the faults are over.
 """
 
 from collections.abc import Iterator
@@ -12,6 +12,7 @@
 
 import trio
 
+from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.owner import Owner
 from pimentocross.standins.store import StoreStandin
@@ -28,6 +29,8 @@
 from tests.owner_fixtures import (
     QUEUE,
     SMALL,
+    ZONES,
+    ClosedZones,
     OwnerEndedError,
     chain,
     crashed_under,
@@ -57,12 +60,15 @@
 class _World:
     """One random history."""
 
-    def __init__(self, seed: int, *, restarts: bool = False) -> None:
+    def __init__(self, seed: int, *, restarts: bool, evacuations: bool) -> None:
         self.random = random.Random(seed)
         self._restarts = restarts
+        self._evacuations = evacuations
         # A start that the next life of an id carries out late is told apart by
-        # nothing; `test_restarted_workers` has that case.
-        self._late = 0.0 if restarts else 0.1
+        # nothing; `test_restarted_workers` has that case. One that was sent
+        # before its zone was evacuated neither.
+        self._late = 0.0 if restarts or evacuations else 0.1
+        self.zones = ClosedZones()
         self.store = StoreStandin(seed)
         self.hall: WorkerHall = make_hall(_WORKERS, self.plan)
         self.accepted: set[str] = set()
@@ -71,6 +77,7 @@
         for worker in self.hall.workers.values():
             worker.faults.late = self._late
             worker.faults.lost = 0.1
+            worker.life = _zoned(worker.life)
         self.store.faults.lost = 0.1
 
     def plan(self, name: TaskName) -> TaskPlan:
@@ -108,7 +115,11 @@
         if self._restarts and self.random.random() < 0.6:
             lives = sorted(self.hall.workers)
             self.hall.workers[self.random.choice(lives)].restart()
-        await trio.sleep(self.random.uniform(0.5, 5.0))
+        if not self._evacuations:
+            await trio.sleep(self.random.uniform(0.5, 5.0))
+        for _ in range(3 if self._evacuations else 0):
+            self.zones.change(self.random)
+            await trio.sleep(self.random.uniform(0.1, 3.0))
         self.store.faults.away = False
 
     def _replace(self, life_id: str) -> None:
@@ -117,7 +128,7 @@
         old.crash()
         old.down = False
         number = int(old.life.machine[1:])
-        new = life(number, self.generation)
+        new = _zoned(life(number, self.generation))
         worker = TaskWorkerStandin(
             new, self.plan, self.hall.journal, seed=self.generation
         )
@@ -126,6 +137,7 @@
 
     def calm(self) -> None:
         """Ends all faults."""
+        self.zones.open_all()
         self.store.faults.away = False
         self.store.faults.lost = 0.0
         for cut in self.hall.cut.values():
@@ -143,17 +155,20 @@
         pass
 
 
-async def play(seed: int, *, restarts: bool = False) -> None:
+async def play(
+    seed: int, *, restarts: bool = False, evacuations: bool = False
+) -> None:
     """Plays one random history.
 
     Args:
         seed: What it is drawn from.
         restarts: Whether workers also start again under the id that they had.
+        evacuations: Whether zones are also evacuated and taken back.
 
     Raises:
         AssertionError: A promise was broken.
     """
-    world = _World(seed, restarts=restarts)
+    world = _World(seed, restarts=restarts, evacuations=evacuations)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(Supervisor(world.hall, world.plan, seed=seed).run)
         states = await _run_owners(world)
@@ -166,7 +181,12 @@
     for epoch in range(1, _ROUNDS + 1):
         vm = f"vm{epoch % 3}"
         owner = make_owner(
-            world.store, world.hall, epoch, vm=vm, former_quiet=False
+            world.store,
+            world.hall,
+            epoch,
+            vm=vm,
+            former_quiet=False,
+            zones=world.zones,
         )
         # An owner that can't read its state gives the cell to the next one.
         with suppress_early_end():
@@ -199,6 +219,13 @@
     assert not find_again(journal), (seed, find_again(journal)[:3])
     assert not find_over_budget(journal), (seed, find_over_budget(journal)[:3])
     assert not find_crash_loops(journal), (seed, find_crash_loops(journal)[:3])
+    in_closed = [
+        event
+        for event in journal
+        if event.what == "start"
+        and world.zones.was_closed(_zone_of(event.worker), event.at)
+    ]
+    assert not in_closed, (seed, in_closed[:3])
     not_ended = [j for j, state in states.items() if state not in TERMINAL]
     assert not not_ended, (seed, not_ended)
     failed = [
@@ -212,6 +239,16 @@
     assert not without_cause, (seed, without_cause)
 
 
+def _zoned(entry: WorkerLife) -> WorkerLife:
+    return entry._replace(zone=_zone_of(entry.id))
+
+
+def _zone_of(worker: str) -> str:
+    """Returns the zone of a life's id or its machine's, by its number."""
+    machine = worker.lstrip("wm").partition("-")[0]
+    return ZONES[int(machine) % len(ZONES)]
+
+
 def test_random_faults_break_no_promise() -> None:
     for seed in SEEDS:
         run_virtual(lambda seed=seed: play(seed), seed)  # type: ignore[misc]
@@ -220,3 +257,8 @@
 def test_random_faults_and_restarts_break_no_promise() -> None:
     for seed in SEEDS:
         run_virtual(lambda s=seed: play(s, restarts=True), seed)  # type: ignore[misc]
+
+
+def test_random_faults_and_evacuations_break_no_promise() -> None:
+    for seed in SEEDS:
+        run_virtual(lambda s=seed: play(s, evacuations=True), seed)  # type: ignore[misc]
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -66,6 +66,17 @@
     assert told.cause == "4.0 of 5.0 s waited: no room for 1.5 cores"
 
 
+def test_a_wait_while_a_zone_is_evacuated_names_its_room() -> None:
+    told = _told(
+        _accepted(StepSpec(1, _SIZE)),
+        *_run(14.0, 15.0),
+        *_loads(16, closed=50_000),
+    )
+    assert "50 cores were in evacuated zones" in told.parts[0].detail
+    told = _told(_accepted(StepSpec(1, _SIZE)), *_run(14.0, 15.0), *_loads(16))
+    assert "evacuated" not in told.parts[0].detail
+
+
 def test_a_filler_that_is_shut_out_is_told_from_full_workers() -> None:
     filler = StepSpec(1, _SIZE, image="x", fills=True)
     shut = _told(_accepted(filler), *_run(14.0, 15.0), *_loads(17))
