Meet no worker again whose end is known, and know it while it is listed

Callers saw submissions given up that were only beside crashing tasks, and each crashing task took five workers down before it was given up.

Cause: the entry of a crashed worker stays in the directory for seconds. A life that had been buried, as its machine had another one, was listed still and met as a new one; it never answered, and a silent worker of the rack on which nothing had started counts as an outage that explains every crash. And with the new life at another address the end of the old one was learned of only once its entry had gone.

Now a life that surely ended is not met again while it is listed, and one ends as soon as a life born later is listed with its machine. A new owner ties the recorded runs to their workers before it buries any.

The new test fails before, and so does one of bystanders.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -96,6 +96,7 @@
         if worker.gone:
             return
         worker.gone = True
+        worker.replaced = replaced
         if replaced:
             self._parts.crashes.note_replaced(worker)
         else:
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -1,7 +1,7 @@
 """The workers of a cell: follows the directory, keeps one keeper for each."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 import trio
@@ -85,9 +85,13 @@
         self._keepers: dict[str, Keeper] = {}
         # Keepers that don't run yet.
         self._idle_keepers: list[Keeper] = []
+        # Lives that have ended and are still listed, by id and birth.
+        self._ended: set[tuple[str, int]] = set()
         # Lives of each id that were met.
         self._met: Counter[str] = Counter()
         self._away = False
+        # Whether runs of before were tied to their workers.
+        self._has_adopted = False
         # When the newest list that was read had been asked for, monotonic.
         self._read_at = float("-inf")
 
@@ -158,12 +162,17 @@
             note("directory_regained", workers=len(lives))
         self._away = False
         self._read_at = asked_at
+        self._ended &= {(life.id, life.born) for life in lives}
+        lives = [
+            life for life in lives if (life.id, life.born) not in self._ended
+        ]
         listed = {life.id: life for life in lives}
         services = self._config().services
         for life in lives:
             if life.service in services or life.id in self._by_life:
                 self._take(life)
-        self._drop_replaced(lives)
+        if self._has_adopted:
+            self._drop_replaced(lives)
         for worker in self._by_life.values():
             worker.listed = worker.life.id in listed
         self._bury_absent()
@@ -172,6 +181,9 @@
                 del self._by_life[life_id]
                 self._keepers.pop(life_id)
                 self._leave(worker)
+                if worker.replaced:
+                    # Its entry outlives it by seconds.
+                    self._ended.add((life_id, worker.life.born))
 
     def adopt(self, runs: Iterable[tuple[Task, Run]]) -> None:
         """Ties restored runs to their workers, listed or not."""
@@ -186,6 +198,7 @@
             successor = self._by_life.get(worker.life.id)
             if successor is not None:
                 self._replace_absent(worker, successor)
+        self._has_adopted = True
 
     def note_born(self, worker: Worker, born: int) -> None:
         """Notes when the life that answers for a worker started.
@@ -328,14 +341,25 @@
         self._parts.nursery.start_soon(worker.link.aclose)
 
     def _drop_replaced(self, lives: list[WorkerLife]) -> None:
-        """Buries lives whose machine is listed with another one."""
-        newest: Mapping[str, str] = {life.machine: life.id for life in lives}
+        """Buries lives whose machine is listed with another one.
+
+        An entry outlives its worker by seconds: a life that is still listed has
+        ended if one that was born after it is listed with its machine.
+        """
+        newest: dict[str, WorkerLife] = {}
+        for life in lives:
+            known = newest.get(life.machine)
+            if known is None or not known.is_after(life.born):
+                newest[life.machine] = life
         listed = {life.id for life in lives}
         for life_id, worker in self._by_life.items():
             machine = worker.life.machine
-            if life_id in listed or worker.gone or not machine:
+            if worker.gone or not machine or machine not in newest:
+                continue
+            successor = newest[machine]
+            if successor.id == life_id:
                 continue
-            if newest.get(machine, life_id) != life_id:
+            if life_id not in listed or successor.is_after(worker.life.born):
                 self._keepers[life_id].bury(
                     "its machine has another life", replaced=True
                 )
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -60,6 +60,7 @@
         adopted: Whether it has listed what runs to this owner.
         listed: Whether the directory lists it.
         gone: Whether this life has surely ended.
+        replaced: Whether its machine is known to have another life.
         restarts: Lives of its id before it that this owner had met.
         follows: Whether orders that were meant for a former life of its id
             may reach it.
@@ -91,6 +92,7 @@
         self.adopted = False
         self.listed = True
         self.gone = False
+        self.replaced = False
         self.reached = True
         self.silent_at = 0.0
         self.late_until = float("-inf")
--- a/pimentocross/standins/supervisor.py
+++ b/pimentocross/standins/supervisor.py
@@ -10,6 +10,8 @@
 from pimentocross.standins.worker_hall import WorkerHall
 from pimentocross.work.spec import TaskName
 
+# A worker's entry is removed this long after its last report, in seconds.
+_LISTED_FOR: Final = 4.5
 # How often crashes are looked for, seconds.
 _LOOK: Final = 0.02
 
@@ -62,6 +64,7 @@
 
     async def _restart(self, old: TaskWorkerStandin) -> None:
         self.crashes += 1
+        crashed_at = trio.current_time()
         await trio.sleep(self._random.uniform(*self._down))
         self._restarting.discard(old)
         if not old.dead:
@@ -73,9 +76,16 @@
         if self._hall.workers.pop(old.life.id, None) is None:
             # Its machine has another life already.
             return
-        life = old.life._replace(id=f"{old.life.machine}-again{self.crashes}")
+        life = old.life._replace(
+            id=f"{old.life.machine}-again{self.crashes}",
+            born=old.life.born + 1,
+        )
         new = TaskWorkerStandin(
             life, self._plan, self._hall.journal, seed=self.crashes
         )
         self._hall.add(new)
         old.down = False
+        self._hall.left_over[old.life.id] = old.life
+        left = crashed_at + _LISTED_FOR - trio.current_time()
+        await trio.sleep(max(left, 0.0))
+        del self._hall.left_over[old.life.id]
--- a/pimentocross/standins/worker_hall.py
+++ b/pimentocross/standins/worker_hall.py
@@ -125,6 +125,7 @@
         journal: What happened to runs.
         cut: Lives that a VM can't reach, by VM.
         directory_away: Whether the directory answers nobody.
+        left_over: Entries of lives that have ended, listed on for a while.
         stale: Entries that the directory still has of these ids.
     """
 
@@ -135,6 +136,7 @@
         self.journal: list[RunEvent] = []
         self.cut: dict[str, set[str]] = {}
         self.directory_away = False
+        self.left_over: dict[str, WorkerLife] = {}
         self.stale: dict[str, WorkerLife] = {}
 
     def add(self, worker: TaskWorkerStandin) -> None:
@@ -159,11 +161,12 @@
         await trio.sleep(0.004)
         if self._hall.directory_away:
             raise StoreUnavailableError("directory away", sent=True)
-        return [
+        living = [
             self._hall.stale.get(life_id, worker.life)
             for life_id, worker in self._hall.workers.items()
             if life_id not in self._hall.unlisted
         ]
+        return [*living, *self._hall.left_over.values()]
 
     def link(self, life: WorkerLife) -> TaskWorkerLink:
         """Returns a link; to a life that never was, one that is silent."""
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -140,6 +140,26 @@
     await _play_one_crashing_task(keeps_ids=True)
 
 
+def test_entries_of_crashed_workers_hide_no_crash_loop() -> None:
+    """Half of a small cell is down at any moment, each under its old entry."""
+    for seed in range(3):
+        run_virtual(_play_small_cell, seed)
+
+
+async def _play_small_cell() -> None:
+    async with _owned_cell(12) as (owner, hall):
+        crashing = [f"crash-{number}" for number in range(6)]
+        for job in crashing:
+            await owner.desk.submit(job, QUEUE, chain(3, 1))
+        jobs = await _submit_stream(owner, 60)
+        await trio.sleep(_ENDED_AFTER)
+        _check(hall)
+        assert _states(owner, crashing) == {JobState.FAILED}
+        assert _states(owner, jobs) == {JobState.COMPLETED}
+    crashes = Counter(e.task for e in hall.journal if e.what == "crashed")
+    assert max(crashes.values()) <= 3, crashes
+
+
 async def _play_one_crashing_task(*, keeps_ids: bool) -> None:
     async with _owned_cell(6, keeps_ids=keeps_ids) as (owner, hall):
         await owner.desk.submit("crash", QUEUE, chain(3, 2))
--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -128,7 +128,8 @@
         old.crash()
         old.down = False
         number = int(old.life.machine[1:])
-        new = _zoned(life(number, self.generation))
+        born = old.life.born + 1
+        new = _zoned(life(number, self.generation)._replace(born=born))
         worker = TaskWorkerStandin(
             new, self.plan, self.hall.journal, seed=self.generation
         )
