Let an owner answer every VM of a large cluster

At 299 VMs some 43 of them refused every caller with 503 while workers were free, and looked at the owner as silent for ever.

Cause: an owner answered 256 peers and closed every further connection without a word.

Now a quarter of the process's descriptors may be peers' connections, and one that is refused is logged. The bound still keeps a runaway out.

Evidence: 300 links to one listener all get answers; with the former bound the new test fails.

--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -8,6 +8,9 @@
 # Peers prove only that they are of the same cluster: the platform gives no
 # secret that they could share.
 PEER_CLUSTER: Final = "pimentocross"
+# One in so many descriptors may be a peer's connection: an owner has one of
+# every other VM, and several of every worker.
+PEERS_SHARE: Final = 4
 
 # Longest wait for news: a connection that has gone silent is noticed within
 # this and the timeout.
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -97,8 +97,14 @@
         """Runs until a stop was requested and the drain is over."""
         callers = HttpListener(surfaces.callers, self._limits)
         ready = HttpListener(surfaces.ready, ListenerLimits)
-        peers = PeerListener(self._mine, CREDENTIALS, self, GATEWAY_MESSAGES)
         settings = self._settings
+        peers = PeerListener(
+            self._mine,
+            CREDENTIALS,
+            self,
+            GATEWAY_MESSAGES,
+            settings.descriptors // const.PEERS_SHARE,
+        )
         note("start", process=self._mine.process, zone=settings.zone)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(write_lines, self._late_log.take)
--- a/pimentocross/gateway/settings.py
+++ b/pimentocross/gateway/settings.py
@@ -24,6 +24,7 @@
         evacuated_within: The same of an evacuation of a zone; infinite where
             none is ever asked for.
         grace: Seconds between a request to stop and a kill.
+        descriptors: File descriptors that the process may have open.
         cores: The VM's processor in cores, or 0 if it isn't told.
     """
 
@@ -41,4 +42,5 @@
     config_within: float
     evacuated_within: float
     grace: float
+    descriptors: int
     cores: float = 0.0
--- a/pimentocross/links/const.py
+++ b/pimentocross/links/const.py
@@ -13,7 +13,8 @@
 DIAL_TIMEOUT: Final = 2.0
 REDIAL_FIRST: Final = 0.2
 REDIAL_MOST: Final = 2.0
-PEER_CONNECTIONS_MOST: Final = 256
+# Where nobody tells how many descriptors a process has.
+PEER_CONNECTIONS_MOST: Final = 1024
 ANSWERS_AT_ONCE: Final = 128
 # A peer that asks nothing for this long is taken for silent.
 PEER_IDLE_TIMEOUT: Final = 10.0
--- a/pimentocross/links/peer.py
+++ b/pimentocross/links/peer.py
@@ -16,6 +16,7 @@
     answer_greeting,
     greet,
 )
+from pimentocross.observe.decisions import note
 
 _GONE = (
     OSError,
@@ -222,9 +223,19 @@
         credentials: Credentials,
         answerer: PeerAnswerer[MessageT],
         messages: MessageTags[MessageT],
+        connections_most: int = const.PEER_CONNECTIONS_MOST,
     ) -> None:
-        """Takes who this is and what answers."""
+        """Takes who this is and what answers.
+
+        Args:
+            mine: This process.
+            credentials: What peers have to prove.
+            answerer: Answers them.
+            messages: How messages are packed.
+            connections_most: Connections that are answered at once.
+        """
         self._messages = messages
+        self._connections_most = connections_most
         self.refused = 0
         self._closed_bytes = 0
         self._open: set[FrameStream] = set()
@@ -245,7 +256,8 @@
         self._connections += 1
         self._open.add(frames)
         try:
-            if self._connections > const.PEER_CONNECTIONS_MOST:
+            if self._connections > self._connections_most:
+                note("peer_refused", connections=self._connections)
                 return
             with trio.fail_after(const.GREETING_TIMEOUT):
                 peer = await answer_greeting(
--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -14,6 +14,7 @@
 _MAX_HOLD_MS: Final = 6000.0
 _STATUS_S: Final = 120.0
 _CONFIG_APPLY_MS: Final = 2000.0
+_MAX_FDS: Final = 4096.0
 _PATH_VARIABLE: Final = "PIMENTOCROSS_BOOT"
 _COMMENT: Final = "#"
 
@@ -86,6 +87,7 @@
         )
         / 1000,
         grace=_number(values, "bounds.grace_s", 6.0, findings),
+        descriptors=int(_number(values, "limits.max_fds", _MAX_FDS, findings)),
         # So much of a core, which is so many times as fast as one.
         cores=_number(values, "limits.cpu_share", 0.0, findings)
         * _number(values, "limits.cpu_cores", 1.0, findings),
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -186,3 +186,32 @@
         assert trio.current_time() - lost < 6
         assert link.silences == 1
         nursery.cancel_scope.cancel()
+
+
+async def test_every_vm_of_a_large_cluster_reaches_the_owner() -> None:
+    """Beyond 256 VMs the rest refused all callers, and held it for silent."""
+    listener, _ = _listener(_NEW)
+    async with trio.open_nursery() as nursery:
+
+        async def dial(address: str) -> trio.abc.Stream:
+            ours, theirs = memory_stream_pair()
+            nursery.start_soon(listener.serve_connection, theirs)
+            await trio.lowlevel.checkpoint()
+            return ours
+
+        async def ask(link: EntryLink) -> None:
+            assert await link.ask(WaitConfig(0, 1.0), 1.0) == Done()
+            answered.append(link)
+            await trio.sleep_forever()
+
+        answered: list[EntryLink] = []
+        for number in range(300):
+            mine = PeerIdentity(f"v{number}:1:x", "v", "v:1", "north")
+            link = EntryLink(
+                "b:1", mine, Credentials("test", [_NEW]), PEER_MESSAGES, dial
+            )
+            nursery.start_soon(link.run, ask)
+        with trio.move_on_after(10.0):
+            await wait_for(lambda: len(answered) == 300)
+        assert len(answered) == 300
+        nursery.cancel_scope.cancel()
