Hand the cell from a weak owner to a strong VM that is back

Callers saw a lasting task away for 12 s, and work refused with workers free.

Cause: the strongest VM claims first, but once a weak one owns it does so to the end.

Now an owner that has settled and owned for 5 s gives the cell back if it hears a VM of twice its processor or more, whose turn is the first. Among equals nothing moves.

--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -78,6 +78,13 @@
 CLAIM_TIMEOUT: Final = 1.5
 READ_TIMEOUT: Final = 1.0
 
+# A weak VM that owns hands the cell to one that has so many times its processor
+# and was heard within this. Not sooner after its claim than this: a take-over
+# has to be worth it.
+HAND_OVER_FACTOR: Final = 2.0
+HAND_OVER_AFTER: Final = 5.0
+HEARD_LATELY: Final = 1.0
+
 # An owner that hears no peer for this long gives the cell back.
 ALONE_AFTER: Final = 2.0
 # ... and waits this long before it claims again itself.
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -31,6 +31,7 @@
     claim_record,
     release_record,
 )
+from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.messages import Standing
 from pimentocross.gateway.own_time import OwnAge, OwnTime
 from pimentocross.gateway.owner_link import OwnerLink
@@ -59,7 +60,7 @@
         cluster: Cluster,
         platform: CellPlatform,
         config: Callable[[], WorkConfig | None],
-        heard_peer_at: Callable[[], float],
+        heard: HeardPeers,
     ) -> None:
         """Takes who this is and what it decides by.
 
@@ -68,7 +69,7 @@
             cluster: Members and claims.
             platform: What an owner needs.
             config: The configuration in force.
-            heard_peer_at: When a peer was last heard, monotonic.
+            heard: Peers that were heard.
         """
         self.link: OwnerLink | None = None
         self.owner: Owner | None = None
@@ -76,7 +77,7 @@
         self._cluster = cluster
         self._platform = platform
         self._config = config
-        self._heard_peer_at = heard_peer_at
+        self._heard = heard
         self._time = OwnTime()
         self._patience = OwnerPatience(self._time)
         # Time since the owner here has written, if there is one.
@@ -183,7 +184,7 @@
 
     async def _watch_standing(self, owner: Owner, claim: OwnerClaim) -> None:
         """Gives the cell up once it is claimed by another, or nobody hears."""
-        heard = OwnAge(self._time, self._heard_peer_at)
+        heard = OwnAge(self._time, lambda: self._heard.newest_at)
         while True:
             await trio.sleep(const.ELECTION_TICK)
             self.standing()
@@ -201,6 +202,32 @@
                 self._not_before = trio.current_time() + const.ALONE_PAUSE
                 owner.release()
                 return
+            stronger = self._find_stronger(owner)
+            if stronger:
+                note("owner_hands_over", epoch=claim.epoch, to=stronger)
+                owner.release()
+                return
+
+    def _find_stronger(self, owner: Owner) -> str:
+        """Returns a VM that carries the cell much better than this one, or "".
+
+        The strong ones may have been down when the cell was claimed.
+        """
+        now = trio.current_time()
+        if not owner.settled.is_set():
+            return ""
+        if now - self._owned_since < const.HAND_OVER_AFTER:
+            return ""
+        members = self._cluster.members
+        mine = members.get(self._mine.name)
+        if mine is None or not mine.cores:
+            return ""
+        least = mine.cores * const.HAND_OVER_FACTOR
+        lately = self._heard.since(now - const.HEARD_LATELY)
+        stronger = (
+            vm for vm in lately if vm in members and members[vm].cores >= least
+        )
+        return next(stronger, "")
 
     async def _give_back(self, claim: OwnerClaim) -> None:
         """Appends that the cell has no owner, unless another has it."""
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -11,6 +11,7 @@
 from pimentocross.gateway.cluster import Cluster, Member, member_record
 from pimentocross.gateway.config_follower import ConfigFollower, ConfigSource
 from pimentocross.gateway.election import Election
+from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
     AskPending,
@@ -68,7 +69,7 @@
             configs, settings.config_within, settings.evacuated_within
         )
         platform = platform._replace(zones=self._configs.evacuations)
-        self._peer_heard_at = float("-inf")
+        self._heard = HeardPeers()
         self._late_log = LateLog()
         self._cluster = Cluster(platform.store)
         self._election = Election(
@@ -76,7 +77,7 @@
             self._cluster,
             platform,
             self.get_config,
-            lambda: self._peer_heard_at,
+            self._heard,
         )
         self.desk = CallerDesk(self._configs, self)
         self._stop = trio.Event()
@@ -213,7 +214,7 @@
         self, peer: PeerIdentity, message: GatewayMessage
     ) -> GatewayMessage:
         """Answers a peer; see `PeerAnswerer`."""
-        self._peer_heard_at = trio.current_time()
+        self._heard.note(peer.name)
         owner = self._election.owner
         if isinstance(message, AskStanding):
             return self._election.standing()
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -18,6 +18,7 @@
 from pimentocross.gateway import const
 from pimentocross.gateway.cluster import ClaimRecord, Cluster
 from pimentocross.gateway.election import Election
+from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
     AskStanding,
@@ -143,7 +144,7 @@
         self._process = f"{name}:{generation}"
         self._address = f"{name}:7720"
         self._store = VmStore(cell, cell.store.client(name))
-        self._heard_at = float("-inf")
+        self._heard = HeardPeers()
         access = cell.hall.access(name)
         platform = CellPlatform(self._store, access, access)
         mine = PeerIdentity(self._process, name, self._address, "z")
@@ -153,7 +154,7 @@
             self._cluster,
             platform,
             lambda: CONFIG,
-            lambda: self._heard_at,
+            self._heard,
         )
         self._listener = PeerListener(mine, CREDENTIALS, self, GATEWAY_MESSAGES)
         self._nursery: trio.Nursery | None = None
@@ -189,7 +190,7 @@
         self, peer: PeerIdentity, message: GatewayMessage
     ) -> GatewayMessage:
         """Answers a heartbeat."""
-        self._heard_at = trio.current_time()
+        self._heard.note(peer.name)
         await self._store.wait_while_busy()
         await trio.sleep(self._cell.answers_after)
         if not self._cell.former:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,6 +11,7 @@
 from pimentocross.gateway.caller_desk import Answer, AnswerKind, CallerDesk
 from pimentocross.gateway.cluster import Cluster, claim_record, member_record
 from pimentocross.gateway.election import Election
+from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.messages import (
     AskState,
     GatewayMessage,
@@ -36,6 +37,15 @@
 )
 
 
+class _AlwaysHeard(HeardPeers):
+    """Peers that are heard all the time."""
+
+    @property
+    def newest_at(self) -> float:
+        """Returns the present time."""
+        return trio.current_time()
+
+
 class _Vm:
     """An entry VM without its listeners: members, claims and the owner.
 
@@ -55,7 +65,7 @@
             self.cluster,
             platform,
             lambda: CONFIG,
-            trio.current_time,
+            _AlwaysHeard(),
         )
 
     async def run(self) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -302,3 +302,20 @@
         assert members < 90 or members / late <= const.HEARTBEATS_MOST
         early = heartbeat_interval(members, early=True)
         assert early == const.HEARTBEAT_INTERVAL
+
+
+async def test_a_weak_owner_hands_the_cell_to_a_strong_vm_that_is_back() -> (
+    None
+):
+    """All strong ones had been killed at once; a weak one owned to the end."""
+    cell = VmCell()
+    async with cell.running():
+        weak = cell.start("weak-1", WEAK)
+        cell.start("weak-2", WEAK)
+        await wait_until(lambda: len(cell.owners()) == 1)
+        await trio.sleep(8.0)
+        assert len(cell.claims()) == 1, "among equals there is no reason to"
+        cell.start("strong", STRONG)
+        await wait_until(lambda: [v.name for v in cell.owners()] == ["strong"])
+        await trio.sleep(30.0)
+        assert weak.name != "strong" and len(cell.claims()) == 2
