Leave an owner of many workers descriptors to work with

Callers of a cluster of 299 VMs and 1,500 workers saw little served, and leases lapsed while workers were free.

Suspected cause: an owner keeps a connection for a listing and up to four for orders to each worker. Without descriptors no call connects.

Now a worker gets as many orders at once, four at most and one at least, as 0.6 of the descriptors allow for all of them. Up to 490 workers nothing changes on 4,100.

Evidence: a test of the counts; no run shows yet that this was what bound.

--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -55,6 +55,15 @@
 # Endings wait at most this long for their record before the lease is renewed
 # without taking note of them.
 NOTE_WAIT: Final = 1.0
+# Orders that are on their way to one worker, each on a connection of its own.
+ORDERS_AT_ONCE: Final = 4
+# Beside them a listing waits there for news.
+LISTING_CONNECTIONS: Final = 1
+# What of the descriptors connections to workers may take; the rest is for
+# peers, callers, the store and files.
+WORKERS_SHARE: Final = 0.6
+# Where nobody tells how many descriptors a process has.
+DESCRIPTORS: Final = 4096
 CALL_TIMEOUT: Final = 0.8
 # After this a start that the worker gets late is refused by it.
 START_VALIDITY: Final = 1.5
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -87,6 +87,8 @@
         self._idle_keepers: list[Keeper] = []
         # Lives that have ended and are still listed, by id and birth.
         self._ended: set[tuple[str, int]] = set()
+        # How many lives the directory listed last.
+        self._listed = 0
         # Lives of each id that were met.
         self._met: Counter[str] = Counter()
         self._away = False
@@ -167,6 +169,7 @@
             life for life in lives if (life.id, life.born) not in self._ended
         ]
         listed = {life.id: life for life in lives}
+        self._listed = len(listed)
         services = self._config().services
         for life in lives:
             if life.service in services or life.id in self._by_life:
@@ -314,7 +317,8 @@
 
     def _add(self, life: WorkerLife) -> Worker:
         number = self.numbers.number_of(life)
-        worker = Worker(life, number, self._dialer.link(life))
+        at_once = self._parts.cell.terms.orders_at_once(self._listed)
+        worker = Worker(life, number, self._dialer.link(life), at_once)
         worker.blind_until = self._blind_until
         if life.draining:
             worker.draining_since = trio.current_time()
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -14,6 +14,7 @@
     WorkerLink,
     WorkerReplacedError,
 )
+from pimentocross.owner import const
 from pimentocross.owner.clock import WorkerClock
 from pimentocross.placement.pacing import Reading
 from pimentocross.work.crash_history import PROVEN_AFTER
@@ -76,7 +77,13 @@
             listing.
     """
 
-    def __init__(self, life: WorkerLife, number: int, link: WorkerLink) -> None:
+    def __init__(
+        self,
+        life: WorkerLife,
+        number: int,
+        link: WorkerLink,
+        orders_at_once: int = const.ORDERS_AT_ONCE,
+    ) -> None:
         """Makes a worker that was not heard yet."""
         self.life = life
         self.number = number
@@ -101,7 +108,7 @@
         self.follows = False
         self.version = 0
         self.draining_since: float | None = None
-        self.calls = trio.Semaphore(4)
+        self.calls = trio.Semaphore(orders_at_once)
         self.paced_at = 0.0
         self.unsound_until = float("-inf")
         self._left: deque[Departure] = deque()
--- a/pimentocross/platform/__main__.py
+++ b/pimentocross/platform/__main__.py
@@ -45,7 +45,9 @@
         ServerTopic(store),
         HttpWorkerDialer(),
         adviser,
-        make_terms(settings.lease_most, settings.ended_least),
+        make_terms(
+            settings.lease_most, settings.ended_least, settings.descriptors
+        ),
     )
     node = GatewayNode(settings, platform, OperatorTopic(store))
     surfaces = Surfaces(
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -224,6 +224,18 @@
     assert usual.loud_for > const.RENEWALS_WITHOUT_STORE + const.LEASE
 
 
+def test_orders_to_many_workers_leave_descriptors_of_a_small_vm() -> None:
+    """Five connections to each of 1,500 workers were more than it had."""
+    small = make_terms(6.0, 120.0, 4_100)
+    for workers in (48, 176, 350, 750, 1_500, 2_000):
+        most = small.orders_at_once(workers)
+        assert 1 <= most <= const.ORDERS_AT_ONCE
+        connections = workers * (most + const.LISTING_CONNECTIONS)
+        assert connections < small.descriptors, workers
+    assert small.orders_at_once(350) == const.ORDERS_AT_ONCE
+    assert make_terms(6.0, 120.0, 8_192).orders_at_once(1_500) == 2
+
+
 async def test_a_job_fails_after_its_attempts_and_not_before() -> None:
     store = StoreStandin()
     hall = make_hall(plan=lambda _: TaskPlan(0.2, SMALL, fails=True))
