--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -107,7 +107,15 @@
 
     def usable(self) -> list[Worker]:
         """Returns the workers to which new runs may be sent."""
-        return [w for w in self.workers() if self.may_start_on(w)]
+        usable = [worker for worker in self.workers() if worker.usable]
+        # Each zone is asked for once, not for each of its workers.
+        zones = {worker.life.zone for worker in usable}
+        closed = {zone for zone in zones if not self._zones.is_open(zone)}
+        if closed:
+            usable = [w for w in usable if w.life.zone not in closed]
+        if self._is_current():
+            return usable
+        return [worker for worker in usable if self._is_guarded(worker)]
 
     def closed_capacity(self) -> int:
         """Returns thousandths of a core in zones that aren't open."""
