--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -85,8 +85,9 @@
         self._keepers: dict[str, Keeper] = {}
         # Keepers that don't run yet.
         self._idle_keepers: list[Keeper] = []
-        # Lives that have ended and are still listed, by id and birth.
-        self._ended: set[tuple[str, int]] = set()
+        # Lives that have ended and may still be listed: when they were born,
+        # by id.
+        self._ended: dict[str, int] = {}
         # How many lives the directory listed last.
         self._listed = 0
         # Lives of each id that were met.
@@ -172,10 +173,7 @@
             note("directory_regained", workers=len(lives))
         self._away = False
         self._read_at = asked_at
-        self._ended &= {(life.id, life.born) for life in lives}
-        lives = [
-            life for life in lives if (life.id, life.born) not in self._ended
-        ]
+        lives = self._without_ended(lives)
         listed = {life.id: life for life in lives}
         self._listed = len(listed)
         services = self._config().services
@@ -194,7 +192,18 @@
                 self._leave(worker)
                 if worker.replaced:
                     # Its entry outlives it by seconds.
-                    self._ended.add((life_id, worker.life.born))
+                    self._ended[life_id] = worker.life.born
+
+    def _without_ended(self, lives: Iterable[WorkerLife]) -> list[WorkerLife]:
+        """Leaves out lives that have ended; forgets those listed no more."""
+        listed = list(lives)
+        ids = {life.id for life in listed}
+        self._ended = {i: born for i, born in self._ended.items() if i in ids}
+        return [
+            life
+            for life in listed
+            if life.id not in self._ended or life.is_after(self._ended[life.id])
+        ]
 
     def adopt(self, runs: Iterable[tuple[Task, Run]]) -> None:
         """Ties restored runs to their workers, listed or not."""
