Hand a cell over once a minute, and keep links of very large clusters open

Reading the diff: a strong VM that is cut off from the store is heard and can't claim, so that a weak owner would have given its cell back every 5 s; and from 3,000 VMs on heartbeats would have come later than the 10 s after which a link counts as idle.

Now a VM that has handed the cell over and owns again keeps it for 60 s, and an interval is 3 s at most.

--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -39,6 +39,8 @@
 # All VMs together ask the owner this often a second at most, but for the few
 # that are the first to replace it.
 HEARTBEATS_MOST: Final = 300.0
+# A link without a question for three times as long is taken for silent.
+HEARTBEAT_INTERVAL_MOST: Final = 3.0
 # A heartbeat comes this often within the time after which silence counts.
 HEARTBEATS_IN_SILENCE: Final = 3.0
 SILENCE: Final = 1.0
@@ -84,6 +86,9 @@
 HAND_OVER_FACTOR: Final = 2.0
 HAND_OVER_AFTER: Final = 5.0
 HEARD_LATELY: Final = 1.0
+# A VM that has handed the cell over and owns again keeps it for this long: the
+# strong one could not claim, as while it is cut off from the store.
+HAND_OVER_PAUSE: Final = 60.0
 
 # An owner that hears no peer for this long gives the cell back.
 ALONE_AFTER: Final = 2.0
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -85,6 +85,8 @@
         self._served_epoch = 0
         self._leaving = False
         self._not_before = 0.0
+        # Until when a cell that is owned here isn't handed to a stronger VM.
+        self._keeps_until = 0.0
         # The interval of heartbeats, and for which epoch and members it is.
         self._pace = const.HEARTBEAT_INTERVAL
         self._paced_for = (-1, 0)
@@ -205,6 +207,7 @@
             stronger = self._find_stronger(owner)
             if stronger:
                 note("owner_hands_over", epoch=claim.epoch, to=stronger)
+                self._keeps_until = trio.current_time() + const.HAND_OVER_PAUSE
                 owner.release()
                 return
 
@@ -218,6 +221,8 @@
             return ""
         if now - self._owned_since < const.HAND_OVER_AFTER:
             return ""
+        if now < self._keeps_until:
+            return ""
         members = self._cluster.members
         mine = members.get(self._mine.name)
         if mine is None or not mine.cores:
--- a/pimentocross/gateway/turns.py
+++ b/pimentocross/gateway/turns.py
@@ -76,4 +76,6 @@
     if early:
         return const.HEARTBEAT_INTERVAL
     fair = members / const.HEARTBEATS_MOST
-    return max(const.HEARTBEAT_INTERVAL, fair)
+    return min(
+        max(const.HEARTBEAT_INTERVAL, fair), const.HEARTBEAT_INTERVAL_MOST
+    )
