--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -311,7 +311,7 @@
 async def test_a_weak_owner_hands_the_cell_to_a_strong_vm_that_is_back() -> (
     None
 ):
-    """All strong ones had been killed at once; a weak one owned to the end."""
+    """A weak one that had once claimed owned a large cell to the end."""
     cell = VmCell()
     async with cell.running():
         weak = cell.start("weak-1", WEAK)
