--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -36,7 +36,12 @@
 from pimentocross.gateway.own_time import OwnAge, OwnTime
 from pimentocross.gateway.owner_link import OwnerLink
 from pimentocross.gateway.patience import OwnerPatience
-from pimentocross.gateway.turns import Turn, find_turn, heartbeat_interval
+from pimentocross.gateway.turns import (
+    Turn,
+    find_stronger,
+    find_turn,
+    heartbeat_interval,
+)
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
@@ -212,10 +217,7 @@
                 return
 
     def _find_stronger(self, owner: Owner) -> str:
-        """Returns a VM that carries the cell much better than this one, or "".
-
-        The strong ones may have been down when the cell was claimed.
-        """
+        """Returns a VM to which the cell should be handed now, or ""."""
         now = trio.current_time()
         if not owner.settled.is_set():
             return ""
@@ -223,16 +225,8 @@
             return ""
         if now < self._keeps_until:
             return ""
-        members = self._cluster.members
-        mine = members.get(self._mine.name)
-        if mine is None or not mine.cores:
-            return ""
-        least = mine.cores * const.HAND_OVER_FACTOR
         lately = self._heard.since(now - const.HEARD_LATELY)
-        stronger = (
-            vm for vm in lately if vm in members and members[vm].cores >= least
-        )
-        return next(stronger, "")
+        return find_stronger(self._mine.name, self._cluster.members, lately)
 
     async def _give_back(self, claim: OwnerClaim) -> None:
         """Appends that the cell has no owner, unless another has it."""
--- a/pimentocross/gateway/turns.py
+++ b/pimentocross/gateway/turns.py
@@ -8,7 +8,7 @@
 one refused append.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import xxhash
@@ -62,11 +62,34 @@
     return Turn(False, const.LATE_TURNS_AFTER + late * step)
 
 
+def find_stronger(
+    name: str, members: Mapping[str, Member], heard: Iterable[str]
+) -> str:
+    """Returns a VM that carries a cell much better than another, or "".
+
+    Load pattern: all strong VMs are down as the cell is claimed, and a weak one
+    owns hundreds of workers when they are back.
+
+    Args:
+        name: The VM that owns.
+        members: All members by VM.
+        heard: VMs that were heard lately.
+    """
+    mine = members.get(name)
+    if mine is None or not mine.cores:
+        return ""
+    least = mine.cores * const.HAND_OVER_FACTOR
+    return next(
+        (vm for vm in heard if vm in members and members[vm].cores >= least),
+        "",
+    )
+
+
 def heartbeat_interval(members: int, *, early: bool) -> float:
     """Returns the seconds from one heartbeat to the owner to the next.
 
     Load pattern: hundreds of VMs, whose heartbeats would take an owner on a
-    small VM most of its processor. Those with an early turn notice its end as
+    small VM much of its processor. Those with an early turn notice its end as
     soon as ever, and the others learn from the store who replaced it.
 
     Args:
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -109,9 +109,7 @@
     def usable(self) -> list[Worker]:
         """Returns the workers to which new runs may be sent."""
         usable = [worker for worker in self.workers() if worker.usable]
-        # Each zone is asked for once, not for each of its workers.
-        zones = {worker.life.zone for worker in usable}
-        closed = {zone for zone in zones if not self._zones.is_open(zone)}
+        closed = self._closed_zones(usable)
         if closed:
             usable = [w for w in usable if w.life.zone not in closed]
         if self._is_current():
@@ -120,11 +118,17 @@
 
     def closed_capacity(self) -> int:
         """Returns thousandths of a core in zones that aren't open."""
-        return sum(
-            worker.life.capacity.cpu
-            for worker in self.workers()
-            if worker.usable and not self._zones.is_open(worker.life.zone)
-        )
+        usable = [worker for worker in self.workers() if worker.usable]
+        closed = self._closed_zones(usable)
+        return sum(w.life.capacity.cpu for w in usable if w.life.zone in closed)
+
+    def _closed_zones(self, workers: Iterable[Worker]) -> set[str]:
+        """Returns those zones of workers that take nothing new.
+
+        Each zone is asked for once, not for each of its workers.
+        """
+        zones = {worker.life.zone for worker in workers}
+        return {zone for zone in zones if not self._zones.is_open(zone)}
 
     def may_start_on(self, worker: Worker) -> bool:
         """True if new runs may be sent to a worker now."""
