Hold a task until its unanswered start can't come late

Cause: a start that wasn't answered was stopped at the worker's present life, and its task went elsewhere. The stop and our token bind that life only. The next life under the id knows neither, its clock is behind the order's deadline, and the order names its id: it carries the start out until our first call, 0.024 s after its birth in the trace.

What lasts is started again at the same worker and number.

--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -32,6 +32,7 @@
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import Keeper
+from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.listing_pace import ListingPace
@@ -63,6 +64,9 @@
     def stop_unknown(self, *_: object) -> None:
         """Stops nothing."""
 
+    def start_again(self, *_: object) -> None:
+        """Repeats nothing."""
+
 
 class _NoRestarts:
     def note_born(self, *_: object) -> None:
@@ -153,6 +157,7 @@
         Crashes(book, lambda: ()),
         lambda _: True,
         _NoRestarts(),
+        LateStarts(book, ledger, lambda: None),
     )
 
 
--- a/pimentocross/cli/told_runs.py
+++ b/pimentocross/cli/told_runs.py
@@ -124,3 +124,6 @@
         run.reason = "its worker was given up"
     elif line.kind == "start_unanswered":
         run.reason = "its start was not answered"
+    elif line.kind == "start_held":
+        seconds = line.fields["seconds"]
+        run.reason = f"its start may come late, for {seconds} s"
--- a/pimentocross/contracts/worker_link.py
+++ b/pimentocross/contracts/worker_link.py
@@ -149,7 +149,16 @@
 
 
 class WorkerUnreachableError(Exception):
-    """A worker did not answer; the order may still be carried out."""
+    """A worker did not answer.
+
+    Attributes:
+        sent: Whether the order may have been carried out, or may yet.
+    """
+
+    def __init__(self, reason: str, *, sent: bool = True) -> None:
+        """Notes the reason and whether the order may have left."""
+        super().__init__(reason)
+        self.sent = sent
 
 
 class WorkerFencedError(Exception):
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -16,7 +16,8 @@
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
-from pimentocross.owner.endings import apply_ending, drop_run, note_lost
+from pimentocross.owner.endings import apply_ending, note_lost
+from pimentocross.owner.late_starts import may_be_repeated
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.parts import CellParts, Stops
 from pimentocross.owner.worker import Worker
@@ -98,6 +99,10 @@
         worker.gone = True
         worker.replaced = replaced
         if replaced:
+            # Orders that name an id which its machine no longer has are
+            # refused.
+            for run in worker.runs.values():
+                run.late_until = 0.0
             self._parts.crashes.note_replaced(worker)
         else:
             self._parts.crashes.note_absent(worker)
@@ -108,17 +113,20 @@
 
         Returns:
             Runs that may begin on the next life: those whose start was sent and
-            that this life never listed.
+            that this life never listed, or of which another start is still
+            under way.
         """
         worker = self._worker
         if worker.gone:
             return []
         worker.gone = True
         self._parts.crashes.note_replaced(worker)
+        now = trio.current_time()
         unsure = [
             (task, run)
             for (task, _), run in worker.runs.items()
-            if not run.began_at and run.state is not RunState.DECIDED
+            if run.state is not RunState.DECIDED
+            and (not run.began_at or run.late_until > now)
         ]
         for task, run in unsure:
             worker.remove(task, run.number)
@@ -272,6 +280,9 @@
     def _take_unexpected(self, task: Task, number: int) -> Run:
         """Takes in a run that is listed though it was not expected there."""
         worker = self._worker
+        held = self._parts.late_starts.find(task, number, worker)
+        if held is not None:
+            return held
         wanted = task.waiting and not task.step.job.ended
         run = Run(number, worker.number, trio.current_time())
         run.enter(RunState.RUNNING, trio.current_time())
@@ -305,7 +316,11 @@
             task = self._parts.book.find_task(ending.task)
             if task is None:
                 continue
+            self._parts.late_starts.find(task, ending.run, self._worker)
             run = apply_ending(task, ending, self._worker)
+            if run is not None:
+                run.note_start_settled()
+                self._parts.late_starts.hold(task, run)
             self._parts.judge(self._worker, task, run, ending)
             if ending.how in _PROVE_HARMLESS:
                 self._parts.crashes.note_ended(task, run)
@@ -322,15 +337,29 @@
             if key in found or run.state_at >= sent_at:
                 continue
             task, number = key
-            if run.state in (RunState.RUNNING, RunState.UNSURE):
-                # It may begin yet: once its stop is answered, it can't.
+            if self._may_repeat(task, run):
+                self._stops.start_again(self._worker, task, run)
+            elif run.state in (RunState.RUNNING, RunState.UNSURE):
+                # It may begin yet: once its stop is answered, this life won't.
                 self._stops.stop(self._worker, task, run, "not listed")
             elif (
                 run.state is RunState.STOPPING and 0 < run.stopped_at < sent_at
             ):
-                drop_run(task, number, self._worker)
+                self._parts.late_starts.drop(task, number, self._worker)
                 changed[task.step.job] = None
 
+    def _may_repeat(self, task: Task, run: Run) -> bool:
+        """True if an unanswered start is repeated where it was sent."""
+        return (
+            run.state is RunState.UNSURE
+            and run.late_until > trio.current_time()
+            and may_be_repeated(task)
+            and not run.is_adopted
+            # It may have crashed the former life, which would count once only.
+            and not self._worker.follows
+            and self._parts.may_start_on(self._worker)
+        )
+
     async def _note_endings(self, newest: int, batch: Batch | None) -> None:
         """Waits until endings are recorded; only then they're taken note of."""
         if batch is None:
@@ -351,7 +380,7 @@
         note_lost(worker, reason)
         jobs: dict[Job, None] = {}
         for task, number in list(worker.runs):
-            drop_run(task, number, worker)
+            self._parts.late_starts.drop(task, number, worker)
             jobs[task.step.job] = None
         for job in jobs:
             self._parts.book.changed(job)
@@ -362,6 +391,7 @@
     if run.state is RunState.SENT or run.state is RunState.UNSURE:
         run.enter(RunState.RUNNING, now)
     if not run.began_at:
+        run.note_start_settled()
         run.began_at = now
         run.percent_at = now
     if entry.percent != run.percent:
--- /dev/null
+++ b/pimentocross/owner/late_starts.py
@@ -0,0 +1,180 @@
+"""Keeps a task from running twice when its start is carried out late.
+
+Failure pattern: a worker leaves a start unanswered, crashes and starts again
+under the id that it had. The new life has heard no fencing token, its clock is
+behind every deadline and nothing in the order tells lives of one id apart. So
+until the new life has had an order of its owner, it carries the old one out,
+also if the task has run elsewhere meanwhile. Such a task starts nowhere else
+before the order can't be carried out any more.
+
+Where workers don't tell when they were born, an id names one life, and nothing
+of this is needed.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from pimentocross.contracts.worker_link import WorkerLife
+from pimentocross.observe.decisions import note
+from pimentocross.owner import const, wall
+from pimentocross.owner.endings import drop_run
+from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.ledger import Ledger, PlainRecord
+from pimentocross.owner.worker import RunKey, Worker
+from pimentocross.work import records
+from pimentocross.work.records import LateStart
+from pimentocross.work.spec import TaskName
+from pimentocross.work.state import Run, RunState, Task
+
+_ON_ITS_WAY = (RunState.DECIDED, RunState.SENT)
+
+
+def may_be_repeated(task: Task) -> bool:
+    """True if a start that wasn't answered may be sent again.
+
+    What lasts would else be away until the first one can't come late any more.
+    Where that comes all the same, the run is there already. Other runs end, and
+    one that comes after the end was taken note of would do all again.
+    """
+    spec = task.step.spec
+    asks_adviser = task.step.job.queue.asks_adviser
+    return spec.lasting and not spec.gang and not asks_adviser
+
+
+class LateStarts:
+    """Follows starts from their decision on until they can't be carried out."""
+
+    def __init__(
+        self,
+        book: JobBook,
+        ledger: Ledger,
+        wake: Callable[[], None],
+    ) -> None:
+        """Takes the jobs, where to record, and what has decisions made anew."""
+        self._book = book
+        self._wake = wake
+        self._ledger = ledger
+        self._record = PlainRecord(records.LATE_STARTS, self._encode)
+        # Runs whose starts may be carried out yet, and some that are settled.
+        self._open: dict[RunKey, Run] = {}
+        # What a former owner has recorded, or None if it hasn't.
+        self._former: dict[tuple[TaskName, int], float] | None = None
+        # Given by `open`.
+        self._start_soon: Callable[..., None]
+
+    def open(self, start_soon: Callable[..., None]) -> None:
+        """Takes what runs the owner's tasks, before all else."""
+        self._start_soon = start_soon
+
+    def restore(self, value: bytes) -> None:
+        """Takes in what a former owner has recorded.
+
+        Raises:
+            RecordError: It is of another form.
+        """
+        rows = records.decode_late_starts(value)
+        self._former = {(row.task, row.run): row.until for row in rows}
+
+    def adopt(self, task: Task, run: Run, life: WorkerLife) -> None:
+        """Takes over a run that a former owner had decided on.
+
+        Args:
+            task: The run's task.
+            run: The run, as it was recorded.
+            life: Where it was to start; without an id if that isn't known.
+        """
+        until = 0.0
+        if self._former is not None:
+            key = (task.name, run.number)
+            if key not in self._former:
+                return
+            until = self._former[key]
+        if not life.born and life.id:
+            return
+        left = const.ADOPTED_LATE_MOST
+        if until:
+            left = min(left, until + const.CLOCK_SLACK - wall.now())
+        run.late_until = trio.current_time() + max(left, 0.0)
+        run.starts_sent = 2 if may_be_repeated(task) else 1
+        self._open[task, run.number] = run
+        self._ledger.put_with_next(self._record)
+
+    def note_decided(self, task: Task, run: Run, life: WorkerLife) -> None:
+        """Has a start recorded with its decision, before it is sent."""
+        if life.born:
+            self._open[task, run.number] = run
+            self._ledger.put(self._record)
+
+    def note_sent(self, run: Run, life: WorkerLife, timeout: float) -> None:
+        """Notes that a start is on its way.
+
+        Args:
+            run: The run.
+            life: Where it is sent.
+            timeout: Seconds for which the answer is waited for.
+        """
+        run.starts_sent += 1
+        if life.born:
+            until = trio.current_time() + timeout + const.LATE_START_MOST
+            run.late_until = max(run.late_until, until)
+
+    def note_answered(self) -> None:
+        """Has it recorded that no answer to a start is waited for any more."""
+        if self._open:
+            self._ledger.put_with_next(self._record)
+
+    def drop(self, task: Task, number: int, worker: Worker) -> None:
+        """Drops a run that isn't on a worker, once it can't begin any more."""
+        run = drop_run(task, number, worker)
+        if run is not None:
+            self.hold(task, run)
+
+    def hold(self, task: Task, run: Run) -> None:
+        """Keeps a task waiting while a run that was dropped may begin."""
+        now = trio.current_time()
+        if run.late_until <= now or task.done or task.step.job.ended:
+            return
+        run.enter(RunState.HELD, now)
+        task.add_run(run)
+        note(
+            "start_held",
+            task=task.name,
+            run=run.number,
+            seconds=round(run.late_until - now, 3),
+        )
+        self._start_soon(self._release, task, run)
+
+    def find(self, task: Task, number: int, worker: Worker) -> Run | None:
+        """Ties a held run to a worker that tells of it, if there is one."""
+        run = task.runs.get(number)
+        if run is None or run.state is not RunState.HELD:
+            return None
+        run.worker = worker.number
+        run.enter(RunState.UNSURE, trio.current_time())
+        worker.add(task, run)
+        task.step.record = None
+        return run
+
+    async def _release(self, task: Task, run: Run) -> None:
+        while trio.current_time() < run.late_until:
+            await trio.sleep_until(run.late_until)
+        if run.state is RunState.HELD and task.runs.get(run.number) is run:
+            task.drop_run(run.number)
+            self._book.changed(task.step.job)
+            self._wake()
+
+    def _encode(self) -> bytes:
+        """Returns the record of what may be carried out yet."""
+        now, ahead = trio.current_time(), wall.now() - trio.current_time()
+        rows = []
+        for (task, number), run in list(self._open.items()):
+            on_its_way = run.state in _ON_ITS_WAY
+            if task.runs.get(number) is not run or not (
+                on_its_way or run.late_until > now
+            ):
+                del self._open[task, number]
+                continue
+            until = 0.0 if on_its_way else run.late_until + ahead
+            rows.append(LateStart(task.name, number, until))
+        return records.encode_late_starts(rows)
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -98,6 +98,10 @@
         self._changed.set()
         return self._open
 
+    def put_with_next(self, item: Recordable) -> None:
+        """Has an item's newest form written with the next append."""
+        self._open.items[item.key] = item
+
     def barrier(self) -> Batch:
         """Returns a batch that is stored after all changes so far."""
         self._changed.set()
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -15,7 +15,6 @@
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
-from pimentocross.owner.endings import drop_run
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.parts import CellParts
 from pimentocross.owner.worker import Worker
@@ -57,6 +56,8 @@
 
     def start(self, placements: Sequence[Placement], batch: Batch) -> None:
         """Starts runs once their records are stored."""
+        for task, run, worker, _ in placements:
+            self._parts.late_starts.note_decided(task, run, worker.life)
         self._nursery.start_soon(self._start_all, placements, batch)
 
     def stop(self, worker: Worker, task: Task, run: Run, reason: str) -> None:
@@ -82,6 +83,11 @@
         """Stops a run of a task that isn't known."""
         self._begin_stop(worker, name, run, None)
 
+    def start_again(self, worker: Worker, task: Task, run: Run) -> None:
+        """Repeats a start that wasn't answered, under the same number."""
+        placement = Placement(task, run, worker)
+        self._nursery.start_soon(self._start_again, placement)
+
     def pace(self, worker: Worker, task: Task, run: Run, percent: int) -> None:
         """Lets a run work at a share of its speed."""
         self._nursery.start_soon(self._pace, worker, task, run, percent)
@@ -94,37 +100,61 @@
             self._nursery.start_soon(self._start, placement)
 
     async def _start(self, placement: Placement) -> None:
-        task, run, worker, ticket = placement
+        task, run, worker, _ = placement
         async with worker.calls:
             if run.state is not RunState.DECIDED:
                 return
             if task.step.job.ended or not self._may_start(task, worker):
                 self._drop(worker, task, run)
                 return
-            now = trio.current_time()
-            deadline = worker.clock.after(const.START_VALIDITY, now)
-            worker.lease_end = max(worker.lease_end or 0.0, deadline)
-            order = StartOrder(
-                task.name,
-                run.number,
-                task.step.job.spec.payload,
-                deadline,
-                self._parts.token_for(worker),
-                task.checkpoint,
-                ticket,
-            )
-            run.enter(RunState.SENT, now)
-            try:
-                with worker.calling():
-                    reply = await worker.link.start(
-                        order, self._parts.patience.for_call()
-                    )
-            except (WorkerUnreachableError, WorkerReplacedError) as error:
-                worker.doubtful = True
-                worker.late_until = trio.current_time() + const.LATE_START_MOST
-                self._on_unanswered(task, run, str(error))
+            reply = await self._send(placement)
+        if reply is not None:
+            self._on_verdict(placement, reply)
+
+    async def _start_again(self, placement: Placement) -> None:
+        task, run, worker, _ = placement
+        async with worker.calls:
+            if run.state is not RunState.UNSURE or worker.gone:
                 return
-        self._on_verdict(placement, reply)
+            if task.step.job.ended or not self._may_start(task, worker):
+                return
+            reply = await self._send(placement)
+        if reply is not None:
+            self._on_verdict(placement, reply)
+
+    async def _send(self, placement: Placement) -> StartReply | None:
+        """Sends a start; returns the answer, None without one."""
+        task, run, worker, ticket = placement
+        now = trio.current_time()
+        deadline = worker.clock.after(const.START_VALIDITY, now)
+        worker.lease_end = max(worker.lease_end or 0.0, deadline)
+        order = StartOrder(
+            task.name,
+            run.number,
+            task.step.job.spec.payload,
+            deadline,
+            self._parts.token_for(worker),
+            task.checkpoint,
+            ticket,
+        )
+        run.enter(RunState.SENT, now)
+        timeout = self._parts.patience.for_call()
+        late_starts = self._parts.late_starts
+        late_starts.note_sent(run, worker.life, timeout)
+        try:
+            with worker.calling():
+                reply = await worker.link.start(order, timeout)
+        except (WorkerUnreachableError, WorkerReplacedError) as error:
+            worker.doubtful = True
+            worker.late_until = trio.current_time() + const.LATE_START_MOST
+            if not _may_come_late(error):
+                run.note_start_settled()
+            self._on_unanswered(task, run, str(error))
+            return None
+        finally:
+            late_starts.note_answered()
+        run.note_start_settled()
+        return reply
 
     def _may_start(self, task: Task, worker: Worker) -> bool:
         # What allowed it when it was decided may have changed since.
@@ -166,7 +196,7 @@
         self._on_refused(worker, task, reply.verdict)
 
     def _drop(self, worker: Worker, task: Task, run: Run) -> None:
-        drop_run(task, run.number, worker)
+        self._parts.late_starts.drop(task, run.number, worker)
         self._parts.book.changed(task.step.job)
         self._parts.wake()
 
@@ -232,3 +262,8 @@
         note(
             "run_paced", task=task.name, worker=worker.life.id, percent=percent
         )
+
+
+def _may_come_late(error: Exception) -> bool:
+    """True if an order that failed so may be carried out yet."""
+    return isinstance(error, WorkerUnreachableError) and error.sent
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -21,6 +21,7 @@
 from pimentocross.owner.desk import Desk
 from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.listing_pace import ListingPace
@@ -104,6 +105,9 @@
         self._dispatcher = Dispatcher(
             self._book, self._roster, self._learned, config, platform.adviser
         )
+        self._late_starts = LateStarts(
+            self._book, self._ledger, self._dispatcher.wake
+        )
         self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
         self._release = trio.Event()
 
@@ -151,7 +155,9 @@
                 Crashes(self._book, self._roster.workers),
                 self._roster.may_start_on,
                 self._roster,
+                self._late_starts,
             )
+            self._late_starts.open(nursery.start_soon)
             orders = Orders(nursery, parts, self._dispatcher.on_refused)
             runs = await self._collect_runs()
             self._roster.open(
@@ -237,6 +243,8 @@
             jobs[name] = records.decode_submission(name, value)
         elif kind == records.LEARNED:
             self._learned.restore(records.decode_learned(value))
+        elif kind == records.LATE_STARTS:
+            self._late_starts.restore(value)
         elif kind == records.WORKER:
             self._roster.numbers.restore(
                 int(name), records.decode_worker(value)
--- a/pimentocross/owner/parts.py
+++ b/pimentocross/owner/parts.py
@@ -6,6 +6,7 @@
 from pimentocross.contracts.worker_link import Ending
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.listing_pace import ListingPace
 from pimentocross.owner.patience import CallPatience
@@ -29,6 +30,10 @@
         """Stops a run of a task that isn't known."""
         ...
 
+    def start_again(self, worker: Worker, task: Task, run: Run) -> None:
+        """Repeats a start that wasn't answered."""
+        ...
+
 
 class Lives(Protocol):
     """Follows the lives of workers."""
@@ -54,6 +59,7 @@
         crashes: Is told of workers that have ended.
         may_start_on: Tells whether new runs may be sent to a worker now.
         lives: Is told of lives that answer in place of others.
+        late_starts: Drops runs that may begin yet.
     """
 
     epoch: int
@@ -68,6 +74,7 @@
     crashes: Crashes
     may_start_on: Callable[[Worker], bool]
     lives: Lives
+    late_starts: LateStarts
 
     def token_for(self, worker: Worker) -> int:
         """Returns the fencing token of orders to a worker.
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -16,7 +16,7 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.breather import Breather
-from pimentocross.owner.endings import drop_run, note_lost
+from pimentocross.owner.endings import note_lost
 from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.life_numbers import LifeNumbers
@@ -217,6 +217,7 @@
             if worker is None:
                 worker = self._absent_worker(run.worker)
                 by_number[run.worker] = worker
+            self._parts.cell.late_starts.adopt(task, run, worker.life)
             worker.add(task, run)
         for worker in list(self._absent.values()):
             successor = self._by_life.get(worker.life.id)
@@ -271,13 +272,15 @@
             del self._absent[number]
             self.numbers.forget(number)
             if replaced:
+                for run in worker.runs.values():
+                    run.late_until = 0.0
                 parts.crashes.note_replaced(worker)
             else:
                 parts.crashes.note_absent(worker)
             note_lost(worker, "never listed")
             jobs: dict[Job, None] = {}
             for task, run_number in list(worker.runs):
-                drop_run(task, run_number, worker)
+                parts.late_starts.drop(task, run_number, worker)
                 jobs[task.step.job] = None
             for job in jobs:
                 parts.book.changed(job)
@@ -332,6 +335,7 @@
         for task, run in runs:
             run.worker = worker.number
             run.enter(RunState.UNSURE, now)
+            run.began_at = 0.0
             worker.add(task, run)
             task.step.record = None
             self._parts.cell.book.changed(task.step.job)
--- a/pimentocross/platform/workers.py
+++ b/pimentocross/platform/workers.py
@@ -142,7 +142,8 @@
                 self._headers,
             )
         except HttpCallError as error:
-            raise WorkerUnreachableError(f"{name}: {error}") from error
+            reason = f"{name}: {error}"
+            raise WorkerUnreachableError(reason, sent=error.sent) from error
         if reply.status == _OTHER_LIFE:
             raise WorkerReplacedError
         if reply.status == _CONFLICT and _is_fenced(reply):
--- a/pimentocross/standins/task_worker.py
+++ b/pimentocross/standins/task_worker.py
@@ -263,7 +263,7 @@
     def _check(self, token: int) -> None:
         self.advance()
         if self.down:
-            raise WorkerUnreachableError("connection refused")
+            raise WorkerUnreachableError("connection refused", sent=False)
         if self.dead:
             raise WorkerReplacedError
         if token < self._token:
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -12,7 +12,7 @@
 
 from pimentocross.work.crash_history import CrashHistory
 from pimentocross.work.queue import Queue
-from pimentocross.work.spec import JobSpec
+from pimentocross.work.spec import JobSpec, TaskName
 from pimentocross.work.state import Job, JobState, Run, RunState, Step, Task
 
 FORM: Final = 1
@@ -24,6 +24,7 @@
 BORN: Final = "b"
 # Beside a job's progress, whose form a former version has to read.
 CRASHES: Final = "c"
+LATE_STARTS: Final = "h"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -125,6 +126,27 @@
     tasks: tuple[CrashRecord, ...]
 
 
+class LateStart(NamedTuple):
+    """A start that may be carried out yet.
+
+    Attributes:
+        task: The task.
+        run: The run's number.
+        until: Until when, seconds since 1970, or 0 while it is on its way.
+    """
+
+    task: TaskName
+    run: int
+    until: float
+
+
+class LateStartsRecord(NamedTuple):
+    """Starts that may be carried out though nobody waits for the answer."""
+
+    form: int
+    starts: tuple[LateStart, ...]
+
+
 class LearnedRecord(NamedTuple):
     """What an owner has learned, so that its successor needn't anew.
 
@@ -242,6 +264,20 @@
         )
 
 
+def encode_late_starts(starts: Sequence[LateStart]) -> bytes:
+    """Returns the record of starts that may be carried out yet."""
+    return _encode(LateStartsRecord(FORM, tuple(starts)))
+
+
+def decode_late_starts(value: bytes) -> tuple[LateStart, ...]:
+    """Reads which starts may be carried out yet.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, LateStartsRecord).starts
+
+
 def encode_worker(life: str, machine: str) -> bytes:
     """Returns the record of a worker's number."""
     return _encode(WorkerRecord(FORM, life, machine))
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -26,6 +26,7 @@
     """How far a run is.
 
     `UNSURE`: its start was not answered; it may run, or begin later.
+    `HELD`: the same, and it is on no worker for now.
     """
 
     DECIDED = 0
@@ -33,6 +34,7 @@
     UNSURE = 2
     RUNNING = 3
     STOPPING = 4
+    HELD = 5
 
 
 class Run:
@@ -52,6 +54,9 @@
         pace: Percent at which it is let work.
         paced_at: When that was last changed, monotonic.
         stopped_at: When the worker confirmed that it stops it, or 0.
+        starts_sent: How often its start was sent.
+        late_until: Until when a start of it that wasn't answered may be carried
+            out by a life that has its worker's id, monotonic, or 0.
     """
 
     def __init__(
@@ -70,6 +75,8 @@
         self.pace = 100
         self.paced_at = 0.0
         self.stopped_at = 0.0
+        self.starts_sent = 0
+        self.late_until = 0.0
 
     @property
     def is_adopted(self) -> bool:
@@ -81,6 +88,14 @@
         self.state = state
         self.state_at = now
 
+    def note_start_settled(self) -> None:
+        """Notes that a start was carried out or refused.
+
+        If it was sent more often, the others may be carried out yet.
+        """
+        if self.starts_sent <= 1:
+            self.late_until = 0.0
+
 
 class Destination(NamedTuple):
     """The worker that a task is moved to, and until when that is waited for.
--- /dev/null
+++ b/tests/test_late_starts.py
@@ -0,0 +1,166 @@
+"""Starts that a worker left unanswered and may carry out seconds later."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+import trio
+
+from pimentocross.owner import const, wall
+from pimentocross.owner.owner import Owner
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import LASTS, TaskPlan
+from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work.spec import StepSpec, TaskName
+from pimentocross.work.state import JobState
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    count,
+    find_again,
+    find_twice,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+    wait_until,
+)
+
+_ONE = spec(StepSpec(1, SMALL, 0.5))
+_LASTING = spec(StepSpec(1, SMALL, lasting=True))
+# A lease and the time that work needs to be found, decided on and recorded.
+_SOON = 2.0
+
+
+def _plan(name: TaskName) -> TaskPlan:
+    return TaskPlan(LASTS if name.job.startswith("last") else 0.5, SMALL)
+
+
+@contextmanager
+def _late_orders(hall: WorkerHall) -> Iterator[None]:
+    """Has all workers carry orders out seconds later, unanswered."""
+    for worker in hall.workers.values():
+        worker.faults.late = 1.0
+    yield
+    for worker in hall.workers.values():
+        worker.faults.late = 0.0
+
+
+def _is_done(owner: Owner, job: str) -> bool:
+    return owner.desk.state(job).state is JobState.COMPLETED
+
+
+def _check(hall: WorkerHall) -> None:
+    assert not find_twice(hall.journal), find_twice(hall.journal)
+    assert not find_again(hall.journal), find_again(hall.journal)
+
+
+async def _submit_late(owner: Owner, hall: WorkerHall) -> float:
+    """Submits a job whose start isn't answered; returns when it was sent."""
+    # All have listed what runs: what isn't answered is the start.
+    await trio.sleep(0.5)
+    with _late_orders(hall):
+        await owner.desk.submit("job", QUEUE, _ONE)
+        await trio.sleep(0.1)
+    return trio.current_time()
+
+
+async def test_a_task_is_not_started_elsewhere_before_its_late_start() -> None:
+    # The worker's next life would run it as well.
+    hall = make_hall(2, _plan)
+    async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+        sent_at = await _submit_late(owner, hall)
+        await wait_until(lambda: _is_done(owner, "job"))
+        assert trio.current_time() - sent_at > const.LATE_START_MOST
+        longest = const.LATE_START_MOST + const.LEASE + _SOON
+        assert trio.current_time() - sent_at < longest
+    assert count(hall.journal, "start") == 1
+    _check(hall)
+
+
+async def test_a_late_start_holds_nothing_up_where_ids_name_one_life() -> None:
+    hall = make_hall(2, _plan)
+    for worker in hall.workers.values():
+        worker.life = worker.life._replace(born=0)
+    async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+        sent_at = await _submit_late(owner, hall)
+        await wait_until(lambda: _is_done(owner, "job"))
+        assert trio.current_time() - sent_at < const.LEASE + _SOON
+    _check(hall)
+
+
+async def test_a_lasting_task_does_not_wait_for_its_late_start() -> None:
+    hall = make_hall(2, _plan)
+    async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+        await trio.sleep(0.5)
+        with _late_orders(hall):
+            await owner.desk.submit("last", QUEUE, _LASTING)
+            await trio.sleep(0.1)
+        await wait_until(
+            lambda: count(hall.journal, "start") == 1,
+            const.CALL_TIMEOUT + _SOON,
+        )
+        await trio.sleep(const.LATE_START_MOST)
+        assert count(hall.journal, "start") == 1
+        assert owner.desk.state("last").state is JobState.RUNNING
+    _check(hall)
+
+
+async def test_a_repeated_start_stays_open_until_its_first_can_not_come() -> (
+    None
+):
+    hall = make_hall(2, _plan)
+    async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+        await trio.sleep(0.5)
+        with _late_orders(hall):
+            await owner.desk.submit("last", QUEUE, _LASTING)
+            await trio.sleep(0.1)
+        sent_at = trio.current_time()
+        await wait_until(lambda: count(hall.journal, "start") == 1)
+        first = next(e for e in hall.journal if e.what == "start")
+        hall.workers[first.worker].restart()
+        await wait_until(lambda: count(hall.journal, "start") == 2)
+        again = [e for e in hall.journal if e.what == "start"][1]
+        # On the next life, or elsewhere once it can't begin there.
+        late = again.at - sent_at > const.LATE_START_MOST
+        assert again.worker == first.worker or late
+    _check(hall)
+
+
+async def test_new_owners_wait_for_a_late_start_no_longer() -> None:
+    # Owners that follow each other must neither forget it nor wait anew.
+    with mock.patch.object(wall, "now", trio.current_time):
+        await _play_new_owners()
+
+
+async def _play_new_owners() -> None:
+    store, hall = StoreStandin(), make_hall(2, _plan)
+    async with running(make_owner(store, hall, 1)) as owner:
+        sent_at = await _submit_late(owner, hall)
+        await trio.sleep(3.0)
+    for epoch in (2, 3):
+        async with running(make_owner(store, hall, epoch)):
+            await trio.sleep(3.0)
+    async with running(make_owner(store, hall, 4)) as owner:
+        await wait_until(lambda: _is_done(owner, "job"))
+        took = trio.current_time() - sent_at
+    assert took > const.LATE_START_MOST
+    slack = const.CLOCK_SLACK + const.LEASE + _SOON
+    assert took < const.LATE_START_MOST + slack, took
+    assert count(hall.journal, "start") == 1
+    _check(hall)
+
+
+async def test_an_order_that_never_left_holds_nothing_up() -> None:
+    hall = make_hall(2, _plan)
+    async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+        await trio.sleep(0.5)
+        for worker in hall.workers.values():
+            worker.crash()
+            worker.down = True
+        await owner.desk.submit("job", QUEUE, _ONE)
+        await trio.sleep(0.1)
+        for worker in hall.workers.values():
+            worker.restart()
+        await wait_until(lambda: _is_done(owner, "job"), const.LEASE + _SOON)
+    _check(hall)
--- a/tests/test_wire_cost.py
+++ b/tests/test_wire_cost.py
@@ -109,6 +109,10 @@
         """Fails the test."""
         raise AssertionError
 
+    def start_again(self, *_: object) -> None:
+        """Fails the test."""
+        raise AssertionError
+
 
 def _ledger() -> Ledger:
     return Ledger(StoreStandin().client("a"), "jobs", "owner", 1)
