--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -390,8 +390,8 @@
 def _update(run: Run, entry: Listed, now: float) -> None:
     if run.state is RunState.SENT or run.state is RunState.UNSURE:
         run.enter(RunState.RUNNING, now)
-    if not run.began_at:
         run.note_start_settled()
+    if not run.began_at:
         run.began_at = now
         run.percent_at = now
     if entry.percent != run.percent:
