Give nothing up for crashes that the ends of other workers explain

Callers saw a lasting job fail that did no harm (test_large_restarts, seen twice; one of 60 jobs).

Cause: four crashes with the last one isolated, or five of any kind, gave a task up, whatever time its runs had lived.

Now a task whose runs outlived their start is given up only if so many crashes are less likely than 1 in 10^6 at the rate at which workers end that it isn't on. Crashes at once count as before.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -58,6 +58,8 @@
         self._book = book
         self._workers = workers
         self._unexplained: deque[_Unexplained] = deque()
+        # When workers ended within `OUTAGE_SPAN`, monotonic.
+        self._ends: deque[float] = deque()
         # Runs that lapsed on silent workers, until those are heard or replaced.
         self._lapsed: dict[Worker, list[_Affected]] = {}
         # Lives that are gone and have no successor yet, by machine.
@@ -133,6 +135,7 @@
             self._book.note_crashes(task.step.job)
 
     def _count(self, worker: Worker, affected: list[_Affected]) -> None:
+        self._ends.append(_gone_at(worker))
         in_outage = self._is_outage(worker)
         if not any(found.crash.is_early for found in affected):
             ended = _Unexplained(_gone_at(worker), worker.life.rack)
@@ -171,6 +174,15 @@
             for other in workers
         )
 
+    def _hazard_beside(self, task: Task) -> float:
+        """Returns ends of workers, a second and worker, but for a task's."""
+        while self._ends and self._ends[0] < trio.current_time() - OUTAGE_SPAN:
+            self._ends.popleft()
+        workers = sum(1 for _ in self._workers())
+        own = task.crash_history.crashes + 1
+        others = max(len(self._ends) - own, 0)
+        return others / (OUTAGE_SPAN * max(workers, 1))
+
     def _judge(
         self, life: str, affected: list[_Affected], in_outage: bool
     ) -> None:
@@ -178,7 +190,9 @@
             job = task.step.job
             if task.done or job.ended:
                 continue
-            crash = found._replace(in_outage=in_outage)
+            crash = found._replace(
+                in_outage=in_outage, hazard=self._hazard_beside(task)
+            )
             lasting = task.step.spec.lasting
             former, task.crash_history = (
                 task.crash_history,
--- a/pimentocross/work/crash_history.py
+++ b/pimentocross/work/crash_history.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable
+import math
 from typing import Final, NamedTuple
 
 # A run that lived this long, in seconds, was not fatal to start. Two listings
@@ -34,6 +35,9 @@
 # a crash only after the task could have started again.
 _HELD_AFTER: Final = 3
 HELD_MOST: Final = 30.0
+# What befalls a task that does no harm may be this unlikely: a large cell runs
+# a hundred thousand tasks a day.
+_CHANCE_LEAST: Final = 1e-6
 # A crash is sure if it came within this after the answer to the start, in
 # seconds, as far as can be told.
 SURE_WITHIN: Final = 0.25
@@ -58,6 +62,8 @@
         sure: Whether it had surely begun, and its worker was gone soon after.
         isolated: Whether nothing else had just started on its worker.
         in_outage: Whether workers go for other reasons as well just now.
+        hazard: Ends of workers of late, a second and worker, but for those
+            under the same task.
     """
 
     run: int
@@ -65,6 +71,7 @@
     sure: bool
     isolated: bool
     in_outage: bool = False
+    hazard: float = 0.0
 
     @property
     def is_early(self) -> bool:
@@ -133,6 +140,8 @@
 
     def gives_up(self, crash: Crash, *, lasting: bool) -> bool:
         """True if the task is given up, its newest crash being counted."""
+        if self._is_chance(crash.hazard):
+            return False
         if self.crashes >= _CRASHES_MOST:
             return True
         if not crash.isolated or crash.in_outage:
@@ -140,6 +149,17 @@
         sure = _SURE_MOST_LASTING if lasting else _SURE_MOST
         return self.sure >= sure or self.crashes >= _ISOLATED_MOST
 
+    def _is_chance(self, hazard: float) -> bool:
+        """True if workers go so often that they may have gone on their own.
+
+        Not if all of them went as the task started, which tells enough.
+        """
+        if self.survived < PROVEN_AFTER:
+            return False
+        expected = hazard * self.survived * self.crashes
+        likely = expected**self.crashes / math.factorial(self.crashes)
+        return likely > _CHANCE_LEAST
+
 
 def is_outage(unexplained: Iterable[float], workers: int) -> bool:
     """True if workers go so often that isolation proves little.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -266,6 +266,34 @@
         assert count(hall.journal, "crashed") <= 5
 
 
+def test_restarts_in_series_give_no_lasting_job_up() -> None:
+    # Each task that lasts meets many of them, some soon after its start.
+    for seed in (0, 5):
+        run_virtual(lambda s=seed: _play_restarts(s), seed)  # type: ignore[misc]
+
+
+async def _play_restarts(seed: int) -> None:
+    draw = random.Random(seed)
+    async with _owned_cell(24, keeps_ids=True) as (owner, hall):
+        lasting = [f"{number}-lasting" for number in range(8)]
+        for job in lasting:
+            await owner.desk.submit(job, QUEUE, spec(_LASTING))
+        crashing = [f"crash-{number}" for number in range(5)]
+        for job in crashing:
+            await owner.desk.submit(job, QUEUE, chain(3, 1))
+        ends_at = trio.current_time() + 60.0
+        while trio.current_time() < ends_at:
+            # A worker starts again every 17 s.
+            await trio.sleep(draw.expovariate(1.44))
+            worker = draw.choice(list(hall.workers.values()))
+            if not worker.dead:
+                worker.restart()
+        await trio.sleep(_ENDED_AFTER)
+        _check(hall)
+        assert _states(owner, lasting) == {JobState.RUNNING}, seed
+        assert _states(owner, crashing) == {JobState.FAILED}
+
+
 async def test_no_task_waits_long_to_be_isolated() -> None:
     def busy(self: Worker, job: Job) -> bool:
         return False
@@ -364,6 +392,24 @@
     assert given_up == [False, False, False, True]
 
 
+def test_crashes_that_others_explain_give_nothing_up() -> None:
+    # As seen of a lasting task beside workers that start again every 20 s.
+    crash = Crash(0, lived=0.0, sure=False, isolated=True, hazard=0.05)
+    history = NO_CRASHES
+    for number, lived in enumerate((2.7, 1.5, 2.8, 1.3, 2.0), 1):
+        crash = crash._replace(run=number, lived=lived)
+        history = history.after(crash, lasting=True)
+        assert not history.gives_up(crash, lasting=True)
+    # Where hardly any other worker goes, they are its doing.
+    assert history.gives_up(crash._replace(hazard=0.0004), lasting=True)
+    # Crashes at once are, whatever goes beside it.
+    history = NO_CRASHES
+    for number in range(1, 6):
+        crash = crash._replace(run=number, lived=0.0)
+        history = history.after(crash, lasting=True)
+    assert history.gives_up(crash, lasting=True)
+
+
 def test_a_run_that_meets_several_ends_counts_once() -> None:
     once = NO_CRASHES.after(_crash(1))
     assert once.after(_crash(1)) is once
