Release a held task in time under owners that are killed in series

Cause: a held run names the number of a life that has ended, and that number's record was dropped with it. A new owner tied the run to a life that it didn't know and waited for a former owner's leases, 17 s, which no owner lived for; and each owner added the slack between clocks anew to what its predecessor had recorded.

Now a run of a number that isn't recorded is held at once, and until when it is held is recorded as it was found.

--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -60,6 +60,8 @@
         self._open: dict[RunKey, Run] = {}
         # What a former owner has recorded, or None if it hasn't.
         self._former: dict[tuple[TaskName, int], float] | None = None
+        # Until when by those records, of runs that are open still.
+        self._recorded: dict[RunKey, float] = {}
         # Given by `open`.
         self._start_soon: Callable[..., None]
 
@@ -76,13 +78,13 @@
         rows = records.decode_late_starts(value)
         self._former = {(row.task, row.run): row.until for row in rows}
 
-    def adopt(self, task: Task, run: Run, life: WorkerLife) -> None:
+    def adopt(self, task: Task, run: Run, life: WorkerLife | None) -> None:
         """Takes over a run that a former owner had decided on.
 
         Args:
             task: The run's task.
             run: The run, as it was recorded.
-            life: Where it was to start; without an id if that isn't known.
+            life: Where it was to start, None if that isn't known any more.
         """
         until = 0.0
         if self._former is not None:
@@ -90,16 +92,23 @@
             if key not in self._former:
                 return
             until = self._former[key]
-        if not life.born and life.id:
+        if life is not None and not life.born:
             return
         left = const.ADOPTED_LATE_MOST
         if until:
             left = min(left, until + const.CLOCK_SLACK - wall.now())
+            self._recorded[task, run.number] = until
         run.late_until = trio.current_time() + max(left, 0.0)
         run.starts_sent = 2 if may_be_repeated(task) else 1
         self._open[task, run.number] = run
         self._ledger.put_with_next(self._record)
 
+    def adopt_held(self, task: Task, run: Run) -> None:
+        """Takes over a run that a former owner held: its life has ended."""
+        self.adopt(task, run, None)
+        task.drop_run(run.number)
+        self.hold(task, run)
+
     def note_decided(self, task: Task, run: Run, life: WorkerLife) -> None:
         """Has a start recorded with its decision, before it is sent."""
         if life.born:
@@ -174,7 +183,9 @@
                 on_its_way or run.late_until > now
             ):
                 del self._open[task, number]
+                self._recorded.pop((task, number), None)
                 continue
             until = 0.0 if on_its_way else run.late_until + ahead
+            until = self._recorded.get((task, number), until)
             rows.append(LateStart(task.name, number, until))
         return records.encode_late_starts(rows)
--- a/pimentocross/owner/life_numbers.py
+++ b/pimentocross/owner/life_numbers.py
@@ -45,6 +45,10 @@
         """Takes in when the life of a number started."""
         self._known[number] = self.find(number)._replace(born=born)
 
+    def is_known(self, number: int) -> bool:
+        """True unless the life of a number has ended for a former owner."""
+        return number in self._known
+
     def find(self, number: int) -> KnownLife:
         """Returns the life of a number, one without an id if it has none."""
         return self._known.get(number, _UNKNOWN)
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -212,12 +212,16 @@
     def adopt(self, runs: Iterable[tuple[Task, Run]]) -> None:
         """Ties restored runs to their workers, listed or not."""
         by_number = {w.number: w for w in self._by_life.values()}
+        late_starts = self._parts.cell.late_starts
         for task, run in runs:
+            if not self.numbers.is_known(run.worker):
+                late_starts.adopt_held(task, run)
+                continue
             worker = by_number.get(run.worker)
             if worker is None:
                 worker = self._absent_worker(run.worker)
                 by_number[run.worker] = worker
-            self._parts.cell.late_starts.adopt(task, run, worker.life)
+            late_starts.adopt(task, run, worker.life)
             worker.add(task, run)
         for worker in list(self._absent.values()):
             successor = self._by_life.get(worker.life.id)
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -164,3 +164,28 @@
             worker.restart()
         await wait_until(lambda: _is_done(owner, "job"), const.LEASE + _SOON)
     _check(hall)
+
+
+async def test_owners_that_are_killed_hold_no_task_for_ever() -> None:
+    # The life that a held run was sent to has ended, and its number with it.
+    with mock.patch.object(wall, "now", trio.current_time):
+        await _play_killed_owners()
+
+
+async def _play_killed_owners() -> None:
+    store, hall = StoreStandin(), make_hall(2, _plan)
+    async with running(make_owner(store, hall, 1)) as owner:
+        sent_at = await _submit_late(owner, hall)
+        await trio.sleep(1.0)
+        for worker in hall.workers.values():
+            worker.restart()
+        await trio.sleep(3.0)
+    for epoch in range(2, 12):
+        owner = make_owner(store, hall, epoch, former_quiet=False)
+        async with running(owner):
+            await trio.sleep(3.0)
+            if _is_done(owner, "job"):
+                break
+    slack = const.CLOCK_SLACK + const.LEASE + _SOON
+    assert trio.current_time() - sent_at < const.LATE_START_MOST + slack
+    _check(hall)
