Keep bystanders of crash loops from new owners that saw none of it

Cause: a new owner took a run that it had never heard of for one that had lived for no time, so each crash counted as one at a start, and five gave a task up. What a run proves by living was noted only with its crash, in the memory of the owner that saw it, and isolation ended with its owner.

Now a run that outlives its isolation, or long enough to clear its task, is noted and recorded as it is listed; a new owner isolates what its predecessor had; an unknown life of a task that had outlived its crashes gives nothing up by itself.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
+import math
 from typing import Final, NamedTuple
 
 import trio
@@ -128,11 +129,21 @@
             task.crash_history = NO_CRASHES
             self._book.note_crashes(task.step.job)
 
-    def end_isolation(self, worker: Worker) -> None:
-        """Lets others start beside runs that have outlived their isolation."""
-        for task in worker.end_isolation():
-            task.crash_history = task.crash_history.after_isolation()
-            self._book.note_crashes(task.step.job)
+    def note_listed_runs(self, worker: Worker) -> None:
+        """Clears tasks whose runs live, and lets others start beside them.
+
+        It is recorded at once: a new owner can't tell how long they lived.
+        """
+        for task, number in list(worker.suspects):
+            former, run = task.crash_history, worker.runs[task, number]
+            task.crash_history = former.after_living(
+                worker.lived(run), lasting=task.step.spec.lasting
+            )
+            if task.crash_history is not former:
+                self._book.note_crashes(task.step.job)
+            if not task.crash_history.crashes:
+                worker.suspects.discard((task, number))
+        worker.end_isolation()
 
     def _count(self, worker: Worker, affected: list[_Affected]) -> None:
         self._ends.append(_gone_at(worker))
@@ -191,7 +202,8 @@
             if task.done or job.ended:
                 continue
             crash = found._replace(
-                in_outage=in_outage, hazard=self._hazard_beside(task)
+                in_outage=in_outage,
+                hazard=max(found.hazard, self._hazard_beside(task)),
             )
             lasting = task.step.spec.lasting
             former, task.crash_history = (
@@ -235,15 +247,27 @@
 
 def _affected(worker: Worker) -> list[_Affected]:
     return [
-        _Affected(
-            task,
-            Crash(
-                number,
-                worker.lived(run),
-                _is_sure(worker, run),
-                (task, number) in worker.isolated,
-            ),
-        )
-        for (task, number), run in worker.runs.items()
+        _Affected(task, _crash_of(worker, task, run))
+        for (task, _), run in worker.runs.items()
         if run.state is not RunState.DECIDED
     ]
+
+
+def _crash_of(worker: Worker, task: Task, run: Run) -> Crash:
+    """Returns what the end of a worker says of a run.
+
+    How long a former owner saw a run live that was not listed to this one isn't
+    known, nor how often workers ended then. If it had outlived the crashes
+    before it, which is recorded, this one may have any cause.
+    """
+    history = task.crash_history
+    crash = Crash(
+        run.number,
+        worker.lived(run),
+        _is_sure(worker, run),
+        (task, run.number) in worker.isolated,
+    )
+    unknown = run.is_adopted and not run.began_at
+    if unknown and history.crashes and not history.early:
+        return crash._replace(lived=history.survived, hazard=math.inf)
+    return crash
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -234,9 +234,11 @@
         if len(reply.endings) < const.ENDINGS_PAGE:
             self._settle_missing(found, sent_at, changed)
         self._parts.listed(self._worker)
-        if self._worker.isolated:
-            self._parts.crashes.end_isolation(self._worker)
-            self._parts.wake()
+        if self._worker.suspects:
+            isolating = self._worker.is_isolating
+            self._parts.crashes.note_listed_runs(self._worker)
+            if isolating:
+                self._parts.wake()
         first_time = not self._worker.adopted
         self._worker.adopted = True
         batch: Batch | None = None
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -223,6 +223,8 @@
                 by_number[run.worker] = worker
             late_starts.adopt(task, run, worker.life)
             worker.add(task, run)
+        for worker in by_number.values():
+            worker.isolate_adopted()
         for worker in list(self._absent.values()):
             successor = self._by_life.get(worker.life.id)
             if successor is not None:
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -73,6 +73,7 @@
             monotonic.
         isolated: Runs that keep other starts off it, and the seconds that each
             has to live.
+        suspects: Runs of tasks under which workers have crashed.
         version: Rises with each run that is added or removed, and with each
             listing.
     """
@@ -91,6 +92,7 @@
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
         self.isolated: dict[RunKey, float] = {}
+        self.suspects: set[RunKey] = set()
         self.committed = NO_SIZE
         self.lease_end: float | None = None
         self.blind_until = 0.0
@@ -177,6 +179,8 @@
         """Commits what a run takes."""
         self.version += 1
         self.runs[(task, run.number)] = run
+        if task.crash_history.crashes:
+            self.suspects.add((task, run.number))
         self.committed = self.committed.plus(task.step.spec.committed)
         self._count_step(task.step, 1)
         self._count_image(task, 1)
@@ -188,6 +192,7 @@
             return
         self.version += 1
         self.isolated.pop((task, number), None)
+        self.suspects.discard((task, number))
         if task.step.spec.fills and run.figure:
             now = trio.current_time()
             image = task.step.spec.image
@@ -321,8 +326,22 @@
         """Lets nothing else start here until a run has proved harmless."""
         self.isolated[(task, run.number)] = task.crash_history.isolation
 
-    def end_isolation(self) -> list[Task]:
-        """Ends isolation of runs that lived long enough; returns the tasks."""
+    def isolate_adopted(self) -> None:
+        """Isolates what a former owner had: runs of one job that are to be.
+
+        With those of several jobs it had none of them isolated.
+        """
+        found = [
+            (task, run)
+            for (task, _), run in self.runs.items()
+            if task.crash_history.needs_isolation
+        ]
+        if len({task.step.job for task, _ in found}) == 1:
+            for task, run in found:
+                self.isolate(task, run)
+
+    def end_isolation(self) -> None:
+        """Ends isolation of runs that lived long enough."""
         over = [
             key
             for key, least in self.isolated.items()
@@ -330,7 +349,6 @@
         ]
         for key in over:
             del self.isolated[key]
-        return [task for task, _ in over]
 
     def is_proven(self, job: Job) -> bool:
         """True if no run of another job has only just started here."""
--- a/pimentocross/work/crash_history.py
+++ b/pimentocross/work/crash_history.py
@@ -86,7 +86,8 @@
         crashes: Workers that crashed under it, or as it was sent there.
         sure: Those of them that surely went soon after the run had begun.
         early: Those in a row that crashed soon after it had started.
-        survived: The most seconds that a run had lived before a crash.
+        survived: The most seconds that a run has lived, and others may join
+            the next one only after more.
         run: Newest run that was counted.
     """
 
@@ -114,8 +115,7 @@
         """
         if crash.run <= self.run:
             return self
-        cleared_after = _CLEARED_AFTER_LASTING if lasting else CLEARED_AFTER
-        if crash.lived >= cleared_after:
+        if crash.lived >= _cleared_after(lasting=lasting):
             return CrashHistory(1, 1, 0, crash.lived, crash.run)
         return CrashHistory(
             self.crashes + 1,
@@ -136,7 +136,16 @@
 
     def after_isolation(self) -> "CrashHistory":
         """Returns what is left once a run has outlived its isolation."""
-        return self._replace(early=0)
+        lived = max(self.survived, PROVEN_AFTER)
+        return self._replace(early=0, survived=lived)
+
+    def after_living(self, lived: float, *, lasting: bool) -> "CrashHistory":
+        """Returns what is left once a run has lived for some seconds."""
+        if lived >= _cleared_after(lasting=lasting):
+            return NO_CRASHES
+        if self.early and lived >= self.isolation:
+            return self.after_isolation()
+        return self
 
     def gives_up(self, crash: Crash, *, lasting: bool) -> bool:
         """True if the task is given up, its newest crash being counted."""
@@ -161,6 +170,10 @@
         return likely > _CHANCE_LEAST
 
 
+def _cleared_after(*, lasting: bool) -> float:
+    return _CLEARED_AFTER_LASTING if lasting else CLEARED_AFTER
+
+
 def is_outage(unexplained: Iterable[float], workers: int) -> bool:
     """True if workers go so often that isolation proves little.
 
