Hold only runs that a record says may come late; settle ends of ids once

A run of a life whose number isn't recorded was held for 12.8 s also where no former owner had recorded an open start, as on platforms whose workers don't tell births. It now goes the way that it went before there. What settles the starts of a replaced worker stood twice, in the keeper and the roster, and is one function; find is named take_held.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -17,7 +17,7 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.endings import apply_ending, note_lost
-from pimentocross.owner.late_starts import may_be_repeated
+from pimentocross.owner.late_starts import may_be_repeated, note_id_ended
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.parts import CellParts, Stops
 from pimentocross.owner.worker import Worker
@@ -99,10 +99,7 @@
         worker.gone = True
         worker.replaced = replaced
         if replaced:
-            # Orders that name an id which its machine no longer has are
-            # refused.
-            for run in worker.runs.values():
-                run.late_until = 0.0
+            note_id_ended(worker)
             self._parts.crashes.note_replaced(worker)
         else:
             self._parts.crashes.note_absent(worker)
@@ -282,7 +279,7 @@
     def _take_unexpected(self, task: Task, number: int) -> Run:
         """Takes in a run that is listed though it was not expected there."""
         worker = self._worker
-        held = self._parts.late_starts.find(task, number, worker)
+        held = self._parts.late_starts.take_held(task, number, worker)
         if held is not None:
             return held
         wanted = task.waiting and not task.step.job.ended
@@ -318,7 +315,7 @@
             task = self._parts.book.find_task(ending.task)
             if task is None:
                 continue
-            self._parts.late_starts.find(task, ending.run, self._worker)
+            self._parts.late_starts.take_held(task, ending.run, self._worker)
             run = apply_ending(task, ending, self._worker)
             if run is not None:
                 run.note_start_settled()
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -42,6 +42,15 @@
     return spec.lasting and not spec.gang and not asks_adviser
 
 
+def note_id_ended(worker: Worker) -> None:
+    """Settles the starts of a worker whose machine has another id by now.
+
+    Orders that name the former one are refused there.
+    """
+    for run in worker.runs.values():
+        run.late_until = 0.0
+
+
 class LateStarts:
     """Follows starts from their decision on until they can't be carried out."""
 
@@ -88,10 +97,9 @@
         """
         until = 0.0
         if self._former is not None:
-            key = (task.name, run.number)
-            if key not in self._former:
+            if not self.was_open(task, run):
                 return
-            until = self._former[key]
+            until = self._former[task.name, run.number]
         if life is not None and not life.born:
             return
         left = const.ADOPTED_LATE_MOST
@@ -103,6 +111,12 @@
         self._open[task, run.number] = run
         self._ledger.put_with_next(self._record)
 
+    def was_open(self, task: Task, run: Run) -> bool:
+        """True if a former owner has recorded that a start may come late."""
+        return self._former is not None and (
+            (task.name, run.number) in self._former
+        )
+
     def adopt_held(self, task: Task, run: Run) -> None:
         """Takes over a run that a former owner held: its life has ended."""
         self.adopt(task, run, None)
@@ -154,7 +168,7 @@
         )
         self._start_soon(self._release, task, run)
 
-    def find(self, task: Task, number: int, worker: Worker) -> Run | None:
+    def take_held(self, task: Task, number: int, worker: Worker) -> Run | None:
         """Ties a held run to a worker that tells of it, if there is one."""
         run = task.runs.get(number)
         if run is None or run.state is not RunState.HELD:
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -18,6 +18,7 @@
 from pimentocross.owner.breather import Breather
 from pimentocross.owner.endings import note_lost
 from pimentocross.owner.keeper import Keeper
+from pimentocross.owner.late_starts import note_id_ended
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.life_numbers import LifeNumbers
 from pimentocross.owner.parts import CellParts, Stops
@@ -214,7 +215,8 @@
         by_number = {w.number: w for w in self._by_life.values()}
         late_starts = self._parts.cell.late_starts
         for task, run in runs:
-            if not self.numbers.is_known(run.worker):
+            known = self.numbers.is_known(run.worker)
+            if not known and late_starts.was_open(task, run):
                 late_starts.adopt_held(task, run)
                 continue
             worker = by_number.get(run.worker)
@@ -278,8 +280,7 @@
             del self._absent[number]
             self.numbers.forget(number)
             if replaced:
-                for run in worker.runs.values():
-                    run.late_until = 0.0
+                note_id_ended(worker)
                 parts.crashes.note_replaced(worker)
             else:
                 parts.crashes.note_absent(worker)
