Test that a start which found no connection counts as never sent

Guards the rule that an order which surely never left holds no task: the client of the platform's workers has to tell it from one without an answer. Passes on the code as it stands.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+import socket
 from unittest import mock
 
 import trio
 
+from pimentocross.contracts.worker_link import (
+    StartOrder,
+    WorkerUnreachableError,
+)
 from pimentocross.owner import const, wall
 from pimentocross.owner.owner import Owner
+from pimentocross.platform.workers import HttpWorker
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import LASTS, TaskPlan
 from pimentocross.standins.worker_hall import WorkerHall
@@ -19,12 +25,14 @@
     count,
     find_again,
     find_twice,
+    life,
     make_hall,
     make_owner,
     running,
     spec,
     wait_until,
 )
+from tests.test_http import real_time
 
 _ONE = spec(StepSpec(1, SMALL, 0.5))
 _LASTING = spec(StepSpec(1, SMALL, lasting=True))
@@ -166,6 +174,22 @@
     _check(hall)
 
 
+@real_time
+async def test_a_start_that_found_no_connection_is_told_as_never_sent() -> None:
+    # Else a worker that is down would hold its tasks for seconds.
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        port = closed.getsockname()[1]
+        worker = HttpWorker(life(0)._replace(address=f"127.0.0.1:{port}"))
+        name = TaskName("job", 0, 0, 0)
+        try:
+            await worker.start(StartOrder(name, 1, "", 1.0, 1, ""), 1.0)
+        except WorkerUnreachableError as error:
+            assert not error.sent
+        else:
+            raise AssertionError("a closed port answered")
+
+
 async def test_owners_that_are_killed_hold_no_task_for_ever() -> None:
     # The life that a held run was sent to has ended, and its number with it.
     with mock.patch.object(wall, "now", trio.current_time):
