--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -36,7 +36,7 @@
 
 _ONE = spec(StepSpec(1, SMALL, 0.5))
 _LASTING = spec(StepSpec(1, SMALL, lasting=True))
-# A lease and the time that work needs to be found, decided on and recorded.
+# Seconds that work needs to be found, decided on and recorded.
 _SOON = 2.0
 
 
