Tell for which worker a task waits that isn't listed, and how long

An owner named unlisted workers and said neither which tasks wait for them nor until when; its load counted them neither as running nor as waiting, so that a task that waits 17 s looked like one that nobody knows of. Each such task has a line now (run_waits), load counts them (away, away_lasting), and explain names the wait. Tests: test_story, which failed before.

--- a/pimentocross/cli/story.py
+++ b/pimentocross/cli/story.py
@@ -201,7 +201,7 @@
         if run.done:
             how = ", its end was not logged" if run.unlogged else ""
             return Part(began, ended, Span.WORKED, where + how)
-        why = run.reason or "no word of its end"
+        why = run.reason or run.wait or "no word of its end"
         if run.how in ("failed", "lapsed", "broken", "alone"):
             why = f"it {run.how}" if run.how != "alone" else "its gang was late"
         kept = saves and run.how == "stopped"
--- a/pimentocross/cli/told_runs.py
+++ b/pimentocross/cli/told_runs.py
@@ -17,6 +17,7 @@
         ended: When it ended, or None if no line tells.
         how: How it ended, or "".
         reason: Why it was stopped or not begun, or "".
+        wait: Why its end was waited for, or "".
         unlogged: Whether its end was inferred.
     """
 
@@ -28,6 +29,7 @@
         self.ended: float | None = None
         self.how = ""
         self.reason = ""
+        self.wait = ""
         self.unlogged = False
 
     @property
@@ -121,9 +123,12 @@
         run.reason = str(line.fields["verdict"])
     elif line.kind == "run_lost" and run.ended is None:
         run.ended, run.how = line.at, "lost"
-        run.reason = "its worker was given up"
+        run.reason = run.wait or "its worker was given up"
     elif line.kind == "start_unanswered":
         run.reason = "its start was not answered"
+    elif line.kind == "run_waits":
+        seconds = line.fields["seconds"]
+        run.wait = f"the lease of its unlisted worker had {seconds} s left"
     elif line.kind == "start_held":
         seconds = line.fields["seconds"]
         run.reason = f"its start may come late, for {seconds} s"
--- a/pimentocross/owner/load_log.py
+++ b/pimentocross/owner/load_log.py
@@ -30,6 +30,7 @@
         closed: int,
         steps: Iterable[Step],
         room: RoomKeeper,
+        away: Iterable[Step],
         now: float,
     ) -> None:
         """Writes a line.
@@ -39,11 +40,13 @@
             closed: Capacity in zones that take nothing new, thousandths.
             steps: All that wait.
             room: Knows what short work has and may have.
+            away: The step of each run on a worker that can't be heard.
             now: Present time.
         """
         self._logged_at = now
         runs = [(t, r) for w in workers for t, r in w.running()]
         waiting = [(step, step.waiting_count) for step in steps]
+        away_lasting = [step.spec.lasting for step in away]
         note(
             "load",
             capacity=sum(w.life.capacity.cpu for w in workers),
@@ -59,6 +62,8 @@
             waiting=sum(count for _, count in waiting),
             waiting_fillers=sum(c for step, c in waiting if step.spec.fills),
             waiting_lasting=sum(c for step, c in waiting if step.spec.lasting),
+            away=len(away_lasting),
+            away_lasting=sum(away_lasting),
             short=int(room.taken),
             short_share=int(room.share),
         )
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -117,6 +117,13 @@
             return usable
         return [worker for worker in usable if self._is_guarded(worker)]
 
+    def runs_away(self) -> Iterator[tuple[Task, Run]]:
+        """Yields runs that nobody can hear of and that may still go on."""
+        unheard = (w for w in self._by_life.values() if not w.reached)
+        for worker in [*self._absent.values(), *unheard]:
+            for (task, _), run in worker.runs.items():
+                yield task, run
+
     def closed_capacity(self) -> int:
         """Returns thousandths of a core in zones that aren't open."""
         usable = [worker for worker in self.workers() if worker.usable]
@@ -231,6 +238,8 @@
             successor = self._by_life.get(worker.life.id)
             if successor is not None:
                 self._replace_absent(worker, successor)
+        for worker in self._absent.values():
+            _note_waits(worker)
         self._has_adopted = True
 
     def note_born(self, worker: Worker, born: int) -> None:
@@ -399,3 +408,16 @@
                 self._keepers[life_id].bury(
                     "its machine has another life", replaced=True
                 )
+
+
+def _note_waits(worker: Worker) -> None:
+    """Logs the tasks that wait for a worker that isn't listed."""
+    seconds = round(worker.blind_until - trio.current_time(), 3)
+    for task, run in worker.runs:
+        note(
+            "run_waits",
+            task=task.name,
+            run=run,
+            worker=worker.life.id,
+            seconds=seconds,
+        )
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -119,6 +119,22 @@
     assert told.parts[0].detail == "its worker was given up, on w1"
 
 
+def test_a_run_that_waits_for_an_unlisted_worker_is_told_for_how_long() -> None:
+    lost = {"task": ["j", 0, 0, 0], "run": 1, "worker": "w1"}
+    lines = [
+        _accepted(StepSpec(1, _SIZE, lasting=True)),
+        *_run(10.1, None),
+        _line(12.0, "run_waits", **lost, seconds=17.4),
+        *_loads(30),
+    ]
+    told = _told(*lines)
+    assert "the lease of its unlisted worker had 17.4 s left" in told.cause
+    told = _told(
+        *lines, _line(29.4, "run_lost", **lost, state="running", lived=0.0)
+    )
+    assert "the lease of its unlisted worker had 17.4 s left" in told.cause
+
+
 def test_a_job_that_was_given_up_for_crashes_is_told_so() -> None:
     told = _told(
         _accepted(StepSpec(1, _SIZE)),
