--- a/tests/pass_fixtures.py
+++ b/tests/pass_fixtures.py
@@ -73,6 +73,10 @@
         """Yields the workers."""
         yield from self._workers
 
+    def runs_away(self) -> Iterator[tuple[Task, Run]]:
+        """Yields none: all are heard."""
+        yield from ()
+
     def closed_capacity(self) -> int:
         """Returns 0: every zone is open."""
         return 0
