Carry the wait for absent workers over from one owner to the next

What callers saw: tasks that are to last and ran on a worker that left didn't run for 18.8 s (58 s in the users' record), with room free. Cause: a new owner can't know until when its predecessors let anything run on a worker that isn't listed any more, so it waited 17.4 s from its own take-over; owners that follow one another within that time never came to its end.

What changed: each owner records on which lives leases may last that its own calls don't tell of, and for how many seconds; a successor goes on from there. Lives that seem to have left get nothing new before a record says so. Claims name the owner before them, so that a record of an earlier one still counts when one of them died before it wrote its own, and former owners are asked whether they have ended: what an owner that has ended let run lasts for a lease, not for 12 s more. A record that can't be related to those who owned since is left alone, as before.

A gateway test read the last field of a release; it reads the release by name now.

--- a/bench/large_owner.py
+++ b/bench/large_owner.py
@@ -25,11 +25,13 @@
 from bench.wire_parts import make_parts, measure_calls, print_parts
 from pimentocross.contracts.worker_link import Ending, WorkerLife
 from pimentocross.contracts.zones import EveryZone
+from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.orders import Orders, Placement
 from pimentocross.owner.roster import Roster, RosterParts
+from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.worker import Worker
 from pimentocross.platform import __main__ as process
 from pimentocross.platform.store import StoreClient
@@ -68,11 +70,15 @@
         self.ledger = Ledger(store, "jobs", "owner", 1)
         self.book = JobBook(self.ledger, _KEPT)
         self.learned = Learned()
+        former_leases = FormerLeases(
+            1, (), OwnerTerms(), self.ledger, quiet=True
+        )
+        former_leases.begin()
         self.roster = Roster(
             _Directory(wire_workers.lives(_WORKERS, addresses)),
             HttpWorkerDialer(),
             self.ledger,
-            trio.current_time(),
+            former_leases,
             lambda: CONFIG,
             EveryZone(),
         )
--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -30,6 +30,7 @@
 from pimentocross.links.listener import HttpListener, ListenerLimits
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner.crashes import Crashes
+from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.late_starts import LateStarts
@@ -158,6 +159,7 @@
         lambda _: True,
         _NoRestarts(),
         LateStarts(book, ledger, lambda: None),
+        FormerLeases(1, (), OwnerTerms(_LEASE), ledger, quiet=True),
     )
 
 
--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -61,6 +61,9 @@
         address: Its peer listener.
         quiet: Whether no owner of before may still renew leases; told by the
             one who gives the cell back.
+        former: Epoch of the owner in whose place this is, or that gave the
+            cell back, or 0.
+        former_ended: Whether that one surely renews no lease any more.
     """
 
     form: int
@@ -68,6 +71,8 @@
     process: str
     address: str
     quiet: bool
+    former: int = 0
+    former_ended: bool = False
 
 
 _T = TypeVar("_T", Member, ClaimRecord)
@@ -81,6 +86,8 @@
     process: str
     address: str
     quiet: bool
+    former: int = 0
+    former_ended: bool = False
 
     @property
     def released(self) -> bool:
@@ -88,6 +95,20 @@
         return not self.process
 
 
+class FormerOwner(NamedTuple):
+    """An owner of before.
+
+    Attributes:
+        epoch: Of its claim.
+        claim: That claim, or None if it isn't known any more.
+        ended: Whether it surely renews no lease any more.
+    """
+
+    epoch: int
+    claim: OwnerClaim | None
+    ended: bool
+
+
 class Cluster:
     """Follows the topic of members and claims.
 
@@ -102,6 +123,8 @@
         self.members: dict[str, Member] = {}
         self.claim: OwnerClaim | None = None
         self._cores: dict[str, float] = {}
+        # The newest claims that gave the cell to somebody, by epoch.
+        self._owners: dict[int, OwnerClaim] = {}
         self.changed = trio.Event()
         self.reachable = False
         self._store = store
@@ -221,9 +244,36 @@
                 epoch = record.offset + 1
                 if self.claim is None or epoch > self.claim.epoch:
                     self.claim = OwnerClaim(epoch, *claim[1:])
+                    self._keep_claim(self.claim)
         except msgspec.DecodeError as error:
             note("record_unreadable", key=record.key, reason=str(error))
 
+    def _keep_claim(self, claim: OwnerClaim) -> None:
+        if claim.released:
+            return
+        self._owners[claim.epoch] = claim
+        if len(self._owners) > const.OWNERS_KEPT:
+            del self._owners[min(self._owners)]
+
+    def former_owners(self, claim: OwnerClaim | None) -> list[FormerOwner]:
+        """Returns the owners up to a claim, the newest first.
+
+        Whether the newest one has ended is told by a release alone.
+        """
+        found: list[FormerOwner] = []
+        if claim is None:
+            return found
+        epoch, ended = claim.epoch, False
+        if claim.released:
+            epoch, ended = claim.former, claim.former_ended
+        while epoch:
+            known = self._owners.get(epoch)
+            found.append(FormerOwner(epoch, known, ended))
+            if known is None:
+                break
+            epoch, ended = known.former, known.former_ended
+        return found
+
     def _take_member(self, member: Member) -> None:
         cores = self._cores.get(member.vm, 0.0)
         self.members[member.vm] = member._replace(cores=cores)
@@ -244,11 +294,18 @@
     return Member(_FORM, vm, process, address, cores)
 
 
-def claim_record(vm: str, process: str, address: str) -> ClaimRecord:
+def claim_record(
+    vm: str,
+    process: str,
+    address: str,
+    former: int = 0,
+    *,
+    former_ended: bool = False,
+) -> ClaimRecord:
     """Returns the record of a claim."""
-    return ClaimRecord(_FORM, vm, process, address, False)
+    return ClaimRecord(_FORM, vm, process, address, False, former, former_ended)
 
 
-def release_record(vm: str, *, quiet: bool) -> ClaimRecord:
-    """Returns the record that gives the cell back."""
-    return ClaimRecord(_FORM, vm, "", "", quiet)
+def release_record(vm: str, epoch: int, *, quiet: bool) -> ClaimRecord:
+    """Returns the record by which the owner of an epoch gives the cell back."""
+    return ClaimRecord(_FORM, vm, "", "", quiet, epoch, True)
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -72,6 +72,9 @@
 # ones for this long, which spares the store. A cell whose early ones are down
 # waits this much longer at most.
 LATE_TURNS_PAUSE: Final = 2.0
+# Owners that are remembered: more than can follow one another within the time
+# for which leases of the first may last.
+OWNERS_KEPT: Final = 64
 ELECTION_TICK: Final = 0.1
 # Of the time between two ticks as much counts as silence of others; what is
 # beyond is a stall of this process's own loop. On a busy VM timers fire late by
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -27,6 +27,7 @@
 from pimentocross.gateway import const
 from pimentocross.gateway.cluster import (
     Cluster,
+    FormerOwner,
     OwnerClaim,
     claim_record,
     release_record,
@@ -44,6 +45,7 @@
 )
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.observe.decisions import note
+from pimentocross.owner.former_leases import Predecessor
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.work.queue import WorkConfig
 
@@ -157,10 +159,21 @@
             await self._pause()
 
     async def _own(self, claim: OwnerClaim) -> None:
-        note("owner_begins", epoch=claim.epoch)
+        formers = self._former_owners(claim)
+        note(
+            "owner_begins",
+            epoch=claim.epoch,
+            quiet=self._former_quiet,
+            formers=[(f.epoch, f.ended) for f in formers],
+        )
         self._owned_since = trio.current_time()
         owner = Owner(
-            Claim(const.JOBS_TOPIC, claim.epoch, self._former_quiet),
+            Claim(
+                const.JOBS_TOPIC,
+                claim.epoch,
+                self._former_quiet,
+                tuple(Predecessor(f.epoch, f.ended) for f in formers),
+            ),
             self._platform,
             self._config_or_wait,
         )
@@ -170,6 +183,8 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_standing, owner, claim)
+                for former in formers:
+                    nursery.start_soon(self._watch_former, owner, former)
                 await owner.run()
                 nursery.cancel_scope.cancel()
         except* (FencedError, WorkerFencedError):
@@ -189,6 +204,44 @@
         assert config is not None
         return config
 
+    def _former_owners(self, claim: OwnerClaim) -> list[FormerOwner]:
+        """Returns the owners before a claim, and which of them have ended."""
+        formers = self._cluster.former_owners(claim)[1:]
+        return [
+            former._replace(ended=True) if self._has_ended(former) else former
+            for former in formers
+        ]
+
+    def _has_ended(self, former: FormerOwner) -> bool:
+        """True if a former owner is known to renew no lease any more."""
+        claim = former.claim
+        if former.ended or claim is None:
+            return former.ended
+        member = self._cluster.members.get(claim.vm)
+        replaced = member is not None and member.process != claim.process
+        return replaced or claim.process == self._mine.process
+
+    async def _watch_former(self, owner: Owner, former: FormerOwner) -> None:
+        """Asks a former owner until it has surely ended, and tells ours.
+
+        Asked once it can write no more, it owns or never will again: what it
+        answers otherwise proves that its last renewal is past.
+        """
+        claim = former.claim
+        if former.ended or claim is None:
+            return
+        await owner.opened.wait()
+        link = OwnerLink(
+            claim, self._mine, self._time, lambda: const.HEARTBEAT_INTERVAL
+        )
+        with trio.move_on_after(self._platform.terms.loud_for):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.run)
+                while not (self._has_ended(former) or link.has_ended):
+                    await trio.sleep(const.ELECTION_TICK)
+                owner.note_former_ended(former.epoch)
+                nursery.cancel_scope.cancel()
+
     async def _watch_standing(self, owner: Owner, claim: OwnerClaim) -> None:
         """Gives the cell up once it is claimed by another, or nobody hears."""
         heard = OwnAge(self._time, lambda: self._heard.newest_at)
@@ -234,7 +287,9 @@
             return
         try:
             await self._cluster.append_claim(
-                release_record(self._mine.name, quiet=self._is_quiet()),
+                release_record(
+                    self._mine.name, claim.epoch, quiet=self._is_quiet()
+                ),
                 self._cluster.end,
             )
         except ConditionFailedError:
@@ -326,9 +381,8 @@
         return self._patience.factor(None)
 
     def _surely_gone(self, claim: OwnerClaim, link: OwnerLink) -> bool:
-        member = self._cluster.members.get(claim.vm)
-        replaced = member is not None and member.process != claim.process
-        return link.replaced or replaced
+        former = FormerOwner(claim.epoch, claim, ended=False)
+        return link.replaced or self._has_ended(former)
 
     async def _confirmed(
         self, claim: OwnerClaim, link: OwnerLink, reason: str
@@ -398,7 +452,16 @@
             return
         note("claim", reason=reason, at=self._cluster.end)
         mine = self._mine
-        record = claim_record(mine.name, mine.process, mine.address)
+        formers = self._cluster.former_owners(claim)
+        record = claim_record(
+            mine.name,
+            mine.process,
+            mine.address,
+            formers[0].epoch if formers else 0,
+            # Of one that is suspected it is quiet only if its process is gone.
+            former_ended=bool(formers)
+            and (formers[0].ended or self._former_quiet),
+        )
         try:
             await self._cluster.append_claim(record, self._cluster.end)
         except ConditionFailedError:
--- a/pimentocross/gateway/owner_link.py
+++ b/pimentocross/gateway/owner_link.py
@@ -67,6 +67,14 @@
             and standing.epoch == self.claim.epoch
         )
 
+    @property
+    def has_ended(self) -> bool:
+        """True if the process is gone, or says that it owns no more."""
+        standing = self.standing
+        return self.replaced or (
+            standing is not None and standing.epoch != self.claim.epoch
+        )
+
     def silence(self) -> float:
         """Seconds of own time since it was heard."""
         return self._time.now() - self.heard_at
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -171,6 +171,8 @@
         if not worker.reached or not worker.adopted:
             # What can't be heard is left to lapse.
             return None
+        if not worker.cleared.is_set():
+            return None
         if now - self._parts.ledger.stored_at > const.RENEWALS_WITHOUT_STORE:
             return None
         return worker.clock.after(self._parts.terms.lease, now)
@@ -215,6 +217,7 @@
             note("worker_heard", worker=worker.life.id)
             worker.reached = True
             self._parts.crashes.note_heard(worker)
+        self._parts.former_leases.clear(worker)
         if worker.lease_end is None:
             # A former owner is fenced from now on; this is the most that it
             # may have granted. A deadline on the clock of a former life lies
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -20,6 +20,7 @@
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.desk import Desk
 from pimentocross.owner.dispatcher import Dispatcher
+from pimentocross.owner.former_leases import FormerLeases, Predecessor
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.learned import Learned
@@ -56,12 +57,15 @@
     Attributes:
         topic: Where the cell's records are.
         epoch: Of the claim; the fencing token at workers.
-        former_quiet: Whether the former owner surely renews no lease any more.
+        former_quiet: Whether no former owner renews leases any more, as far
+            as the newest claim tells.
+        predecessors: Former owners that are known, the newest first.
     """
 
     topic: str
     epoch: int
     former_quiet: bool
+    predecessors: tuple[Predecessor, ...] = ()
 
 
 class Owner:
@@ -70,6 +74,7 @@
     Attributes:
         epoch: Its claim's.
         desk: Answers callers.
+        opened: Set once no former owner can write any more.
         ready: Set once it has taken the cell's state over.
         settled: Set once it has heard what runs on the workers, too.
         lateness: How late its thread is while it runs.
@@ -83,6 +88,7 @@
     ) -> None:
         """Puts the parts together; `run` starts them."""
         self.epoch = claim.epoch
+        self.opened = trio.Event()
         self.ready = trio.Event()
         self.settled = trio.Event()
         self.lateness = LoopLateness()
@@ -93,11 +99,18 @@
             platform.store, claim.topic, PRODUCER, claim.epoch
         )
         self._book = JobBook(self._ledger, platform.terms.ended_kept)
+        self._former_leases = FormerLeases(
+            claim.epoch,
+            claim.predecessors,
+            platform.terms,
+            self._ledger,
+            quiet=claim.former_quiet,
+        )
         self._roster = Roster(
             platform.directory,
             platform.workers,
             self._ledger,
-            trio.current_time() + _former_lease(claim, platform.terms),
+            self._former_leases,
             config,
             platform.zones,
         )
@@ -133,6 +146,8 @@
             ExceptionGroup: Of these.
         """
         await self._ledger.open()
+        self._former_leases.begin()
+        self.opened.set()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.lateness.run)
             # Beats from the first moment on: who suspects a new owner that
@@ -156,6 +171,7 @@
                 self._roster.may_start_on,
                 self._roster,
                 self._late_starts,
+                self._former_leases,
             )
             self._late_starts.open(nursery.start_soon)
             orders = Orders(nursery, parts, self._dispatcher.on_refused)
@@ -165,9 +181,11 @@
                     nursery, parts, orders, self._dispatcher.forget_life
                 )
             )
+            self._former_leases.relate()
             await self._roster.poll()
             # Keepers begin afterwards: none may hear of a run before.
             self._roster.adopt(runs)
+            self._former_leases.begin_record(self._roster.lease_rows)
             self.ready.set()
             self._log.note("owner_ready", jobs=len(self._book))
             nursery.start_soon(self._dispatcher.run, orders)
@@ -179,9 +197,14 @@
             nursery.start_soon(self._log.follow_adoption, self._roster.workers)
             nursery.start_soon(self._log.note_start, orders.started)
             await self._release.wait()
+            self._former_leases.record()
             await self._ledger.barrier().stored.wait()
             nursery.cancel_scope.cancel()
 
+    def note_former_ended(self, epoch: int) -> None:
+        """Notes that a former owner surely renews no lease any more."""
+        self._roster.note_former_ended(epoch)
+
     def release(self) -> None:
         """Has `run` return once all changes so far are stored."""
         self._release.set()
@@ -245,6 +268,8 @@
             self._learned.restore(records.decode_learned(value))
         elif kind == records.LATE_STARTS:
             self._late_starts.restore(value)
+        elif kind == records.LEASES:
+            self._former_leases.restore(value)
         elif kind == records.WORKER:
             self._roster.numbers.restore(
                 int(name), records.decode_worker(value)
@@ -271,8 +296,3 @@
         decode(job, value)
     except RecordError as error:
         note("record_unreadable", key=job.id, reason=str(error))
-
-
-def _former_lease(claim: Claim, terms: OwnerTerms) -> float:
-    """Returns how long a former owner's leases may last from now on."""
-    return terms.lease_most if claim.former_quiet else terms.loud_for
--- a/pimentocross/owner/parts.py
+++ b/pimentocross/owner/parts.py
@@ -5,6 +5,7 @@
 
 from pimentocross.contracts.worker_link import Ending
 from pimentocross.owner.crashes import Crashes
+from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.ledger import Ledger
@@ -60,6 +61,7 @@
         may_start_on: Tells whether new runs may be sent to a worker now.
         lives: Is told of lives that answer in place of others.
         late_starts: Drops runs that may begin yet.
+        former_leases: Bounds leases of former owners.
     """
 
     epoch: int
@@ -75,6 +77,7 @@
     may_start_on: Callable[[Worker], bool]
     lives: Lives
     late_starts: LateStarts
+    former_leases: FormerLeases
 
     def token_for(self, worker: Worker) -> int:
         """Returns the fencing token of orders to a worker.
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -17,6 +17,7 @@
 from pimentocross.owner import const
 from pimentocross.owner.breather import Breather
 from pimentocross.owner.endings import note_lost
+from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.keeper import Keeper
 from pimentocross.owner.late_starts import note_id_ended
 from pimentocross.owner.ledger import Ledger
@@ -24,6 +25,7 @@
 from pimentocross.owner.parts import CellParts, Stops
 from pimentocross.owner.worker import Worker
 from pimentocross.work.queue import WorkConfig
+from pimentocross.work.records import LeaseRow
 from pimentocross.work.spec import NO_SIZE
 from pimentocross.work.state import Job, Run, RunState, Task
 
@@ -56,7 +58,7 @@
         directory: WorkerDirectory,
         dialer: WorkerDialer,
         ledger: Ledger,
-        blind_until: float,
+        former_leases: FormerLeases,
         config: Callable[[], WorkConfig],
         zones: ZoneAccess,
     ) -> None:
@@ -66,7 +68,7 @@
             directory: Lists them.
             dialer: Makes links.
             ledger: Where numbers are recorded.
-            blind_until: Until when leases of a former owner may last.
+            former_leases: Bounds leases of former owners.
             config: Returns the configuration in force. Lives of services that
                 it doesn't name aren't called.
             zones: Knows to which zones new runs may be sent.
@@ -78,7 +80,7 @@
         self._zones = zones
         self._directory = directory
         self._dialer = dialer
-        self._blind_until = blind_until
+        self._former_leases = former_leases
         # Of each id the newest life that is known.
         self._by_life: dict[str, Worker] = {}
         # Lives that runs were recorded on and that aren't listed.
@@ -162,8 +164,25 @@
         while True:
             await self.poll()
             await self.start_keepers()
+            self._former_leases.refresh()
             await trio.sleep(const.ROSTER_INTERVAL)
 
+    def lease_rows(self) -> Iterator[LeaseRow]:
+        """Yields lives on which leases of former owners may last."""
+        now = trio.current_time()
+        for worker in [*self._absent.values(), *self._by_life.values()]:
+            if worker.barred or worker.lease_end is None:
+                left = max(worker.lapses_at - now, 0.0)
+                yield LeaseRow(worker.number, round(left, 3), worker.barred)
+
+    def note_former_ended(self, epoch: int) -> None:
+        """Notes that a former owner surely renews no lease any more."""
+        former_leases = self._former_leases
+        former_leases.note_ended(epoch)
+        for worker in [*self._absent.values(), *self._by_life.values()]:
+            until = former_leases.until(worker.number)
+            worker.blind_until = min(worker.blind_until, until)
+
     async def start_keepers(self) -> None:
         """Starts the keepers of lives that came in, not all at once."""
         breather = Breather()
@@ -196,6 +215,8 @@
             self._drop_replaced(lives)
         for worker in self._by_life.values():
             worker.listed = worker.life.id in listed
+            if not worker.listed and not worker.reached:
+                self._former_leases.bar(worker)
         self._bury_absent()
         for life_id, worker in list(self._by_life.items()):
             if worker.gone and not worker.runs:
@@ -272,7 +293,8 @@
             born=known.born,
         )
         worker = Worker(life, number, self._dialer.link(life))
-        worker.blind_until = self._blind_until
+        worker.blind_until = self._former_leases.until(number)
+        worker.barred = True
         self._absent[number] = worker
         note("worker_absent", worker=known.id, number=number)
         return worker
@@ -360,7 +382,7 @@
         number = self.numbers.number_of(life)
         at_once = self._parts.cell.terms.orders_at_once(self._listed)
         worker = Worker(life, number, self._dialer.link(life), at_once)
-        worker.blind_until = self._blind_until
+        worker.blind_until = self._former_leases.until(number)
         if life.draining:
             worker.draining_since = trio.current_time()
         worker.restarts = self._met[life.id]
@@ -373,6 +395,7 @@
         note("worker_listed", worker=life.id, number=number)
         same = self._absent.pop(number, None)
         if same is not None:
+            self._former_leases.bar(worker)
             for (task, _), run in same.runs.items():
                 worker.add(task, run)
         for absent in list(self._absent.values()):
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -52,6 +52,9 @@
         lease_end: Latest reading of its clock up to which anything was let
             run, or None if a former owner may have granted more.
         blind_until: Until when a former owner's leases may last, monotonic.
+        barred: Whether a record says that nothing may run there; see
+            `FormerLeases`.
+        cleared: Set while nothing may be in the store that says so.
         heard_at: When it last listed what runs, monotonic.
         seen: Number of the newest ending whose record is stored.
         paced_at: When fillers on it were last slowed or sped up, monotonic.
@@ -96,6 +99,9 @@
         self.committed = NO_SIZE
         self.lease_end: float | None = None
         self.blind_until = 0.0
+        self.barred = False
+        self.cleared = trio.Event()
+        self.cleared.set()
         self.heard_at = float("-inf")
         self.seen = 0
         self.adopted = False
@@ -162,6 +168,7 @@
             self.adopted
             and self.listed
             and self.reached
+            and self.cleared.is_set()
             and not self.gone
             and not self.life.draining
         )
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -25,6 +25,7 @@
 # Beside a job's progress, whose form a former version has to read.
 CRASHES: Final = "c"
 LATE_STARTS: Final = "h"
+LEASES: Final = "g"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -147,6 +148,35 @@
     starts: tuple[LateStart, ...]
 
 
+class LeaseRow(NamedTuple):
+    """A worker life on which leases of former owners may last.
+
+    Attributes:
+        number: Its number in the roster.
+        left: For how many seconds at most, from the record on.
+        barred: Whether the owner that wrote it lets nothing run there before
+            another record is stored that doesn't say so.
+    """
+
+    number: int
+    left: float
+    barred: bool
+
+
+class LeasesRecord(NamedTuple):
+    """Where leases may last that an owner's own calls don't tell of.
+
+    Attributes:
+        form: Version of the form.
+        epoch: Of the owner that wrote it.
+        rows: Those lives. On any other only this owner has granted leases.
+    """
+
+    form: int
+    epoch: int
+    rows: tuple[LeaseRow, ...]
+
+
 class LearnedRecord(NamedTuple):
     """What an owner has learned, so that its successor needn't anew.
 
@@ -278,6 +308,20 @@
     return _decode(value, LateStartsRecord).starts
 
 
+def encode_leases(epoch: int, rows: Sequence[LeaseRow]) -> bytes:
+    """Returns the record of leases that may last."""
+    return _encode(LeasesRecord(FORM, epoch, tuple(rows)))
+
+
+def decode_leases(value: bytes) -> LeasesRecord:
+    """Reads where leases may last.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, LeasesRecord)
+
+
 def encode_worker(life: str, machine: str) -> bytes:
     """Returns the record of a worker's number."""
     return _encode(WorkerRecord(FORM, life, machine))
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -11,6 +11,7 @@
 from pimentocross.contracts.store import FencedError, StoreUnavailableError
 from pimentocross.contracts.worker_link import WorkerFencedError, WorkerLife
 from pimentocross.contracts.zones import EveryZone, ZoneAccess
+from pimentocross.owner.former_leases import Predecessor
 from pimentocross.owner.owner import CellPlatform, Claim, Owner
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
@@ -158,12 +159,16 @@
     adviser: Adviser | None = None,
     zones: ZoneAccess | None = None,
 ) -> Owner:
-    """Returns an owner under an epoch."""
+    """Returns an owner under an epoch; lower ones have owned before."""
     access = hall.access(vm)
     platform = CellPlatform(
         store.client(vm), access, access, adviser, zones=zones or EveryZone()
     )
-    return Owner(Claim("jobs", epoch, former_quiet), platform, lambda: config)
+    formers = tuple(
+        Predecessor(former, former_quiet) for former in range(epoch - 1, 0, -1)
+    )
+    claim = Claim("jobs", epoch, former_quiet, formers)
+    return Owner(claim, platform, lambda: config)
 
 
 @asynccontextmanager
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,12 @@
 from pimentocross.contracts.store import ConditionFailedError
 from pimentocross.gateway import const
 from pimentocross.gateway.caller_desk import Answer, AnswerKind, CallerDesk
-from pimentocross.gateway.cluster import Cluster, claim_record, member_record
+from pimentocross.gateway.cluster import (
+    ClaimRecord,
+    Cluster,
+    claim_record,
+    member_record,
+)
 from pimentocross.gateway.election import Election
 from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.messages import (
@@ -371,4 +376,5 @@
             if record.key.startswith("claim/")
         ]
         # The first may still renew leases that the second could not fence.
-        assert msgspec.msgpack.decode(released[-2] or b"")[-1] is False
+        release = msgspec.msgpack.decode(released[-2] or b"", type=ClaimRecord)
+        assert not release.process and not release.quiet
