End the wait for a worker that was listed and never heard

What callers saw: nothing yet; found by review. A worker that a new owner never heard counted as lapsed at a reading of a clock that it doesn't know, so never: it was called for ever once its entry had gone, and its record told successors to wait without end. Its bound is that of former owners until its clock is known. Test: test_the_wait_for_a_worker_that_was_never_heard_has_an_end, which failed before.

--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -215,7 +215,7 @@
     @property
     def lapses_at(self) -> float:
         """When every lease must have ended if none is renewed, monotonic."""
-        if self.lease_end is None:
+        if self.lease_end is None or not self.clock.known:
             return self.blind_until
         return self.clock.past_at(self.lease_end)
 
