Ask of all owners that are known whether leases are past, not of the last

What callers saw: nothing yet; found by review, and older than the record of leases: the newest owner's process was replaced, so it was taken for quiet, though the owner before it was cut off from the store alone and renewed on: a task ran twice. Where no record can be related to those who owned since, an owner now waits for a lease only if all of them that it knows of have ended. Test: test_a_quiet_claim_says_nothing_of_owners_before_the_last, which failed before.

--- a/pimentocross/owner/former_leases.py
+++ b/pimentocross/owner/former_leases.py
@@ -61,6 +61,7 @@
         self._ledger = ledger
         self._quiet = quiet
         self._predecessors = list(predecessors)
+        self._is_related = False
         self._former: LeasesRecord | None = None
         self._rows: dict[int, LeaseRow] = {}
         self._began = math.inf
@@ -82,7 +83,7 @@
         """Counts from now on, as no former owner can write any more."""
         self._began = trio.current_time()
         self._until = {
-            former.epoch: self._began + self._lasts(former)
+            former.epoch: self._began + self._lasts(former.ended)
             for former in self._predecessors
         }
 
@@ -90,12 +91,10 @@
         """Relates what a former owner has recorded to who owned since."""
         former, known = self._former, self._predecessors
         epochs = [predecessor.epoch for predecessor in known]
-        if former is None or former.epoch not in epochs:
-            # Anybody may have granted anything.
-            self._predecessors = []
-        else:
+        if former is not None and former.epoch in epochs:
             del known[epochs.index(former.epoch) + 1 :]
             self._rows = {row.number: row for row in former.rows}
+            self._is_related = True
 
     def begin_record(self, list_rows: Callable[[], Iterable[LeaseRow]]) -> None:
         """Begins a record of its own, now that all lives are known.
@@ -108,10 +107,9 @@
 
     def until(self, number: int) -> float:
         """Returns until when leases may last on a life, monotonic."""
-        if not self._predecessors:
-            terms = self._terms
-            lasts = terms.lease_most if self._quiet else terms.loud_for
-            return self._began + lasts
+        if not self._is_related:
+            # Anybody may have granted anything.
+            return self._began + self._lasts(self._quiet and self._have_ended())
         row = self._rows.get(number)
         granted = self._predecessors
         if row is not None and row.barred:
@@ -153,9 +151,13 @@
         if self._has_told_rows:
             self._ledger.put_with_next(self._record)
 
-    def _lasts(self, former: Predecessor) -> float:
-        terms = self._terms
-        return terms.lease_most if former.ended else terms.loud_for
+    def _have_ended(self) -> bool:
+        """True if all owners of before that are known had ended at once."""
+        return all(former.ended for former in self._predecessors)
+
+    def _lasts(self, ended: bool) -> float:
+        """Returns for how many seconds leases of a former owner may last."""
+        return self._terms.lease_most if ended else self._terms.loud_for
 
     def _encode(self) -> bytes:
         rows = list(self._list_rows())
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -5,15 +5,20 @@
 
 import trio
 
+from pimentocross.contracts.store import Record
+from pimentocross.gateway import const as gateway_const
 from pimentocross.owner import const, wall
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
     LASTS,
+    RunEvent,
     TaskPlan,
     TaskWorkerStandin,
 )
 from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work import records
 from pimentocross.work.spec import JobSpec, Size, StepSpec, TaskName
+from tests.gateway_fixtures import STRONG, WEAK, VmCell
 from tests.owner_fixtures import (
     QUEUE,
     count,
@@ -73,3 +78,42 @@
         until = sent_at + longest - trio.current_time()
         await wait_until(lambda: count(hall.journal, "start") == 1, until)
     assert not find_twice(hall.journal)
+
+
+async def test_a_quiet_claim_says_nothing_of_owners_before_the_last() -> None:
+    # TWICE: the last was replaced, and the one before it renewed on.
+    cell = VmCell()
+    cell.hall = hall = make_hall(3, _lasting)
+    async with cell.running():
+        cell.start("first", STRONG)
+        await wait_until(lambda: bool(cell.owners()))
+        cell.start("second", STRONG)
+        cell.start("third", WEAK)
+        owner = cell.owners()[0].election.owner
+        assert owner is not None
+        await owner.desk.submit("watch", QUEUE, _watch(6))
+        await wait_until(lambda: count(hall.journal, "start") == 6)
+        await trio.sleep(2.0)
+        # An owner of a former version records no leases.
+        none = Record(records.LEASES, None)
+        cell.store.append_now(gateway_const.JOBS_TOPIC, [none], None, None)
+        await trio.sleep(0.1)
+        # It reaches one worker that no other VM does, and no other.
+        apart, *others = sorted(hall.workers)
+        cell.store.faults.refused = {"first"}
+        hall.unlisted.add(apart)
+        hall.cut["first"].update(others)
+        for name in ("second", "third"):
+            hall.cut[name].add(apart)
+        await cell.next_claim(1)
+        assert cell.claims()[-1] == "second", cell.claims()
+        cell.kill(cell.vms["second"])
+        cell.start("second", STRONG, generation=2)
+        await trio.sleep(gateway_const.SILENCE + 30.0)
+        for worker in hall.workers.values():
+            worker.listing()
+    assert not find_twice(_in_order(hall)), find_twice(_in_order(hall))
+
+
+def _in_order(hall: WorkerHall) -> list[RunEvent]:
+    return sorted(hall.journal, key=lambda e: (e.at, e.what == "start"))
