Stop waiting for leases of a former owner that has ended since it was doubted

A record told for how long leases may last on a worker that isn't listed, and not whose: a successor that knew that owner's process to be replaced still waited 16.3 s. The record names those owners now. Test: test_an_owner_that_has_ended_since_is_waited_for_no_longer, which failed before.

--- a/pimentocross/owner/former_leases.py
+++ b/pimentocross/owner/former_leases.py
@@ -64,6 +64,8 @@
         self._is_related = False
         self._former: LeasesRecord | None = None
         self._rows: dict[int, LeaseRow] = {}
+        # Epochs of the owners whose leases the rows are about, if known.
+        self._rows_of: set[int] = set()
         self._began = math.inf
         # Until when leases of each predecessor may last, monotonic, by epoch.
         self._until: dict[int, float] = {}
@@ -94,6 +96,7 @@
         if former is not None and former.epoch in epochs:
             del known[epochs.index(former.epoch) + 1 :]
             self._rows = {row.number: row for row in former.rows}
+            self._rows_of = set(former.formers)
             self._is_related = True
 
     def begin_record(self, list_rows: Callable[[], Iterable[LeaseRow]]) -> None:
@@ -115,12 +118,17 @@
         if row is not None and row.barred:
             # Whoever wrote the record granted nothing there.
             granted = granted[:-1]
-        left = row.left if row is not None else 0.0
-        return max(
-            self._began + left,
-            *(self._until[former.epoch] for former in granted),
-            self._began,
-        )
+        untils = [self._until[former.epoch] for former in granted]
+        if row is not None:
+            untils.append(self._row_until(row))
+        return max(untils, default=self._began)
+
+    def _row_until(self, row: LeaseRow) -> float:
+        until = self._began + row.left
+        if not self._rows_of or not self._rows_of <= self._until.keys():
+            return until
+        # Those owners may have ended since the row was written.
+        return min(until, max(self._until[epoch] for epoch in self._rows_of))
 
     def note_ended(self, epoch: int) -> None:
         """Notes that a former owner surely renews no lease any more."""
@@ -162,4 +170,18 @@
     def _encode(self) -> bytes:
         rows = list(self._list_rows())
         self._has_told_rows = bool(rows)
-        return records.encode_leases(self._epoch, rows)
+        return records.encode_leases(self._epoch, rows, self._list_formers())
+
+    def _list_formers(self) -> list[int]:
+        """Returns epochs of the owners whose leases may last, if all known."""
+        if not self._is_related:
+            return []
+        now = trio.current_time()
+        found = {former.epoch for former in self._predecessors}
+        if self._rows:
+            if not self._rows_of:
+                return []
+            found |= self._rows_of
+        return sorted(
+            epoch for epoch in found if self._until.get(epoch, now) >= now
+        )
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -170,11 +170,14 @@
         form: Version of the form.
         epoch: Of the owner that wrote it.
         rows: Those lives. On any other only this owner has granted leases.
+        formers: Epochs of the former owners whose leases may last there; empty
+            if they aren't known.
     """
 
     form: int
     epoch: int
     rows: tuple[LeaseRow, ...]
+    formers: tuple[int, ...]
 
 
 class LearnedRecord(NamedTuple):
@@ -308,9 +311,11 @@
     return _decode(value, LateStartsRecord).starts
 
 
-def encode_leases(epoch: int, rows: Sequence[LeaseRow]) -> bytes:
+def encode_leases(
+    epoch: int, rows: Sequence[LeaseRow], formers: Sequence[int]
+) -> bytes:
     """Returns the record of leases that may last."""
-    return _encode(LeasesRecord(FORM, epoch, tuple(rows)))
+    return _encode(LeasesRecord(FORM, epoch, tuple(rows), tuple(formers)))
 
 
 def decode_leases(value: bytes) -> LeasesRecord:
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -80,6 +80,26 @@
     assert not find_twice(hall.journal)
 
 
+async def test_an_owner_that_has_ended_since_is_waited_for_no_longer() -> None:
+    # LOST: an owner's record kept the doubt of its day about the one before.
+    store, hall = StoreStandin(), make_hall(4, _lasting)
+    async with running(make_owner(store, hall, 1)) as owner:
+        await owner.desk.submit("watch", QUEUE, _watch(6))
+        await wait_until(lambda: count(hall.journal, "start") == 6)
+        await trio.sleep(2.0)
+    gone = next(e.worker for e in hall.journal if e.what == "start")
+    hall.workers[gone].crash()
+    hall.workers[gone].faults.silent = True
+    hall.unlisted.add(gone)
+    async with running(make_owner(store, hall, 2, former_quiet=False)):
+        await trio.sleep(1.0)
+    async with running(make_owner(store, hall, 3)):
+        began = trio.current_time()
+        lost = sum(e.what == "lost" for e in hall.journal)
+        await wait_until(lambda: count(hall.journal, "start") == 6 + lost)
+        assert trio.current_time() - began < const.LEASE + _SOON
+
+
 async def test_a_quiet_claim_says_nothing_of_owners_before_the_last() -> None:
     # TWICE: the last was replaced, and the one before it renewed on.
     cell = VmCell()
