Send no start whose run was given up while its record was on its way

What callers saw: nothing yet; found by review, and old: a start decided on in an outage of the store of 9 s went out once its record was stored, though its worker had been given up meanwhile and its task started elsewhere: it ran twice. A run that its task no longer has isn't sent. Test: test_a_start_that_was_given_up_is_not_sent, which failed before.

--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -102,6 +102,9 @@
     async def _start(self, placement: Placement) -> None:
         task, run, worker, _ = placement
         async with worker.calls:
+            # Its worker may have been given up meanwhile, and the run with it.
+            if task.runs.get(run.number) is not run:
+                return
             if run.state is not RunState.DECIDED:
                 return
             if task.step.job.ended or not self._may_start(task, worker):
@@ -114,6 +117,8 @@
     async def _start_again(self, placement: Placement) -> None:
         task, run, worker, _ = placement
         async with worker.calls:
+            if task.runs.get(run.number) is not run:
+                return
             if run.state is not RunState.UNSURE or worker.gone:
                 return
             if task.step.job.ended or not self._may_start(task, worker):
--- /dev/null
+++ b/tests/test_given_up_starts.py
@@ -0,0 +1,55 @@
+"""Starts that were given up before they were sent."""
+
+import trio
+
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import (
+    LASTS,
+    TaskPlan,
+    TaskWorkerStandin,
+)
+from pimentocross.work.spec import StepSpec, TaskName
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    ClosedZones,
+    count,
+    find_twice,
+    life,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+)
+
+# The longest outage of the store that was announced, in seconds.
+_OUTAGE = 9.0
+
+
+def _lasting(_: TaskName) -> TaskPlan:
+    return TaskPlan(LASTS, SMALL)
+
+
+async def test_a_start_that_was_given_up_is_not_sent() -> None:
+    # TWICE: it was decided in an outage, its worker's lease lapsed, and it
+    # went out once its record was stored, beside the one in its place.
+    store, hall, zones = StoreStandin(), make_hall(1, _lasting), ClosedZones()
+    zones.close("north")
+    async with running(make_owner(store, hall, 1, zones=zones)) as owner:
+        job = spec(StepSpec(1, SMALL, lasting=True))
+        await owner.desk.submit("watch", QUEUE, job)
+        await trio.sleep(1.0)
+        store.faults.refused = {"a"}
+        zones.open_all()
+        await trio.sleep(0.5)
+        hall.cut["a"].add(life(0).id)
+        await trio.sleep(_OUTAGE - 3.0)
+        hall.add(TaskWorkerStandin(life(1), _lasting, hall.journal, seed=1))
+        await trio.sleep(1.0)
+        hall.cut["a"].clear()
+        await trio.sleep(1.5)
+        assert not hall.journal
+        store.faults.refused = set()
+        await trio.sleep(3.0)
+    assert count(hall.journal, "start"), "nothing began"
+    assert not find_twice(hall.journal), find_twice(hall.journal)
