Let weak VMs wait for a silent owner as long as strong ones that return

Cause: VMs that the store had turned away learn of the weak owner only at their return and give it 2 s, as any owner that they never heard; weak ones that had the store suspected it after 1 s. A VM that leaves claims to stronger ones now gives an owner 2 s as well.

Test: test_no_weak_vm_follows_a_weak_owner_as_strong_ones_return.

--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -97,6 +97,8 @@
         # The interval of heartbeats, and for which epoch and members it is.
         self._pace = const.HEARTBEAT_INTERVAL
         self._paced_for = (-1, 0)
+        # Whether stronger VMs may replace the owner.
+        self._leaves_to_stronger = False
         self._unowned_since = trio.current_time()
         self._former_quiet = False
         self._owned_since = trio.current_time()
@@ -347,8 +349,7 @@
         if self._surely_gone(claim, link):
             return "its process was replaced"
         factor = self._factor(claim, link)
-        most = const.HEARTBEATS_IN_SILENCE * self._heartbeat_interval(claim)
-        if link.silence() > max(const.SILENCE, most) * factor:
+        if link.silence() > self._silence_most(claim, factor):
             return "silent"
         standing = link.standing
         if standing is None:
@@ -361,15 +362,26 @@
             return "it can't write"
         return ""
 
+    def _silence_most(self, claim: OwnerClaim, factor: float) -> float:
+        """Returns for how many seconds an owner may be silent.
+
+        A strong VM that has just learned of the owner waits for it as long as
+        for a new one, and a weak one doesn't come before it.
+        """
+        most = const.HEARTBEATS_IN_SILENCE * self._heartbeat_interval(claim)
+        if self._leaves_to_stronger:
+            factor = max(factor, const.TAKEOVER_FACTOR)
+        return max(const.SILENCE, most) * factor
+
     def _heartbeat_interval(self, claim: OwnerClaim) -> float:
         """Returns the seconds from one heartbeat to the next."""
         members = len(self._cluster.members)
         if self._paced_for != (claim.epoch, members):
             # A turn is found among all members: too dear for each tick.
             self._paced_for = (claim.epoch, members)
-            self._pace = heartbeat_interval(
-                members, early=self._turn(claim).early
-            )
+            turn = self._turn(claim)
+            self._pace = heartbeat_interval(members, early=turn.early)
+            self._leaves_to_stronger = turn.handicap > 0
         return self._pace
 
     def _factor(self, claim: OwnerClaim, link: OwnerLink) -> float:
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -69,11 +69,13 @@
 
     Attributes:
         claimed_at: When this VM's newest claim was taken, or None.
+        silent_until: Until when this VM neither writes nor answers, monotonic.
     """
 
     def __init__(self, cell: "VmCell", client: StoreClientStandin) -> None:
         """Takes the cell, and the access that isn't late."""
         self.claimed_at: float | None = None
+        self.silent_until = float("-inf")
         self._cell = cell
         self._client = client
 
@@ -119,6 +121,7 @@
 
     async def wait_while_busy(self) -> None:
         """Waits until this VM, if it has claimed, does more than adopt."""
+        await trio.sleep(max(self.silent_until - trio.current_time(), 0.0))
         if self.claimed_at is not None:
             until = self.claimed_at + self._cell.silent_for
             await trio.sleep(max(until - trio.current_time(), 0.0))
@@ -130,6 +133,7 @@
     Attributes:
         name: Its name.
         cores: Its processor.
+        store: Its access to the store.
         election: Its election.
     """
 
@@ -143,10 +147,10 @@
         self._cell = cell
         self._process = f"{name}:{generation}"
         self._address = f"{name}:7720"
-        self._store = VmStore(cell, cell.store.client(name))
+        self.store = VmStore(cell, cell.store.client(name))
         self._heard = HeardPeers()
         access = cell.hall.access(name)
-        platform = CellPlatform(self._store, access, access)
+        platform = CellPlatform(self.store, access, access)
         mine = PeerIdentity(self._process, name, self._address, "z")
         self._cluster = Cluster(platform.store)
         self.election = Election(
@@ -191,7 +195,7 @@
     ) -> GatewayMessage:
         """Answers a heartbeat."""
         self._heard.note(peer.name)
-        await self._store.wait_while_busy()
+        await self.store.wait_while_busy()
         await trio.sleep(self._cell.answers_after)
         if not self._cell.former:
             assert isinstance(message, AskStanding)
@@ -247,6 +251,10 @@
         vm.scope.cancel()
         del self.vms[vm.name]
 
+    def silence(self, vm: Vm, seconds: float) -> None:
+        """Has a VM neither write nor answer for some seconds from now on."""
+        vm.store.silent_until = trio.current_time() + seconds
+
     async def list_member(self, name: str, process: str, cores: float) -> None:
         """Writes a process's record as it is on the wire."""
         fields: list[object] = [1, name, process, f"{name}:7720"]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -100,6 +100,36 @@
         run_virtual(partial(_turn_strong_vms_away, seed), seed)
 
 
+async def _silence_weak_owner(silent_before: float) -> None:
+    """Has a weak owner fall silent as the strong VMs reach the store again.
+
+    Args:
+        silent_before: Seconds from its last word to their return.
+    """
+    cell = VmCell()
+    async with cell.running():
+        await _start_all(cell)
+        owner = await _owner_of(cell)
+        await trio.sleep(const.YOUNG)
+        strong = {name for name, c in processors().items() if c == STRONG}
+        cell.store.faults.refused = set(strong)
+        await cell.next_claim(len(cell.claims()))
+        weak = cell.claims()[-1]
+        assert weak not in strong and owner.name in strong
+        await trio.sleep(4.0)
+        cell.silence(cell.vms[weak], 5.0)
+        await trio.sleep(silent_before)
+        cell.store.faults.refused = set()
+        await cell.next_claim(len(cell.claims()))
+        assert cell.claims()[-1] in strong, silent_before
+
+
+def test_no_weak_vm_follows_a_weak_owner_as_strong_ones_return() -> None:
+    # Weak ones suspected it after 1 s, strong ones 2 s after their return.
+    for number, silent_before in enumerate((0.0, 0.5, 1.0)):
+        run_virtual(partial(_silence_weak_owner, silent_before), number)
+
+
 async def _time_to_claim(
     former: str, alive: list[str], *, told: bool = True
 ) -> float:
