Tell how long a start may come late in seconds, not by a VM's clock

What callers saw: nothing yet; found by review, and old: until when a start may be carried out late was recorded as a time of day. A successor whose clock was 5 s ahead, of which 2 were allowed for, started the task elsewhere before, and it ran twice. The record tells seconds that are left now and is written anew with the beats while there are such starts; a successor counts from its own take-over. The former record is removed: a former version that came back would go by it.

--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -70,8 +70,6 @@
 # A start that a former owner may have sent is carried out within this of the
 # take-over: none was sent after it, but for what a call lasts.
 ADOPTED_LATE_MOST: Final = LATE_START_MOST + CALL_TIMEOUT
-# Clocks of VMs may differ by this when one reads what another has recorded.
-CLOCK_SLACK: Final = 2.0
 STOP_RETRY_PAUSE: Final = 0.3
 # A listing of endings this long may not be whole.
 ENDINGS_PAGE: Final = 500
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -17,7 +17,7 @@
 
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.observe.decisions import note
-from pimentocross.owner import const, wall
+from pimentocross.owner import const
 from pimentocross.owner.endings import drop_run
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Ledger, PlainRecord
@@ -69,14 +69,14 @@
         self._open: dict[RunKey, Run] = {}
         # What a former owner has recorded, or None if it hasn't.
         self._former: dict[tuple[TaskName, int], float] | None = None
-        # Until when by those records, of runs that are open still.
-        self._recorded: dict[RunKey, float] = {}
         # Given by `open`.
         self._start_soon: Callable[..., None]
 
     def open(self, start_soon: Callable[..., None]) -> None:
         """Takes what runs the owner's tasks, before all else."""
         self._start_soon = start_soon
+        former = PlainRecord(records.FORMER_LATE_STARTS, lambda: None)
+        self._ledger.put_with_next(former)
 
     def restore(self, value: bytes) -> None:
         """Takes in what a former owner has recorded.
@@ -85,7 +85,7 @@
             RecordError: It is of another form.
         """
         rows = records.decode_late_starts(value)
-        self._former = {(row.task, row.run): row.until for row in rows}
+        self._former = {(row.task, row.run): row.left for row in rows}
 
     def adopt(self, task: Task, run: Run, life: WorkerLife | None) -> None:
         """Takes over a run that a former owner had decided on.
@@ -95,18 +95,15 @@
             run: The run, as it was recorded.
             life: Where it was to start, None if that isn't known any more.
         """
-        until = 0.0
+        left = 0.0
         if self._former is not None:
             if not self.was_open(task, run):
                 return
-            until = self._former[task.name, run.number]
+            left = self._former[task.name, run.number]
         if life is not None and not life.born:
             return
-        left = const.ADOPTED_LATE_MOST
-        if until:
-            left = min(left, until + const.CLOCK_SLACK - wall.now())
-            self._recorded[task, run.number] = until
-        run.late_until = trio.current_time() + max(left, 0.0)
+        left = min(left or const.ADOPTED_LATE_MOST, const.ADOPTED_LATE_MOST)
+        run.late_until = trio.current_time() + left
         run.starts_sent = 2 if may_be_repeated(task) else 1
         self._open[task, run.number] = run
         self._ledger.put_with_next(self._record)
@@ -147,6 +144,11 @@
         if self._open:
             self._ledger.put_with_next(self._record)
 
+    def refresh(self) -> None:
+        """Has the record written if it tells less time by now."""
+        if self._open:
+            self._ledger.put_with_next(self._record)
+
     def drop(self, task: Task, number: int, worker: Worker) -> None:
         """Drops a run that isn't on a worker, once it can't begin any more."""
         run = drop_run(task, number, worker)
@@ -189,7 +191,7 @@
 
     def _encode(self) -> bytes:
         """Returns the record of what may be carried out yet."""
-        now, ahead = trio.current_time(), wall.now() - trio.current_time()
+        now = trio.current_time()
         rows = []
         for (task, number), run in list(self._open.items()):
             on_its_way = run.state in _ON_ITS_WAY
@@ -197,9 +199,7 @@
                 on_its_way or run.late_until > now
             ):
                 del self._open[task, number]
-                self._recorded.pop((task, number), None)
                 continue
-            until = 0.0 if on_its_way else run.late_until + ahead
-            until = self._recorded.get((task, number), until)
-            rows.append(LateStart(task.name, number, until))
+            left = 0.0 if on_its_way else run.late_until - now
+            rows.append(LateStart(task.name, number, left))
         return records.encode_late_starts(rows)
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -165,6 +165,7 @@
             await self.poll()
             await self.start_keepers()
             self._former_leases.refresh()
+            self._parts.cell.late_starts.refresh()
             await trio.sleep(const.ROSTER_INTERVAL)
 
     def lease_rows(self) -> Iterator[LeaseRow]:
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -24,7 +24,10 @@
 BORN: Final = "b"
 # Beside a job's progress, whose form a former version has to read.
 CRASHES: Final = "c"
-LATE_STARTS: Final = "h"
+LATE_STARTS: Final = "s"
+# Where a former version tells by its clock until when starts may come late. It
+# is removed, as such a version would go by one that isn't written any more.
+FORMER_LATE_STARTS: Final = "h"
 LEASES: Final = "g"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
@@ -133,12 +136,13 @@
     Attributes:
         task: The task.
         run: The run's number.
-        until: Until when, seconds since 1970, or 0 while it is on its way.
+        left: For how many seconds, from the record on, or 0 while it is on
+            its way. Clocks of VMs differ, so no moment is told.
     """
 
     task: TaskName
     run: int
-    until: float
+    left: float
 
 
 class LateStartsRecord(NamedTuple):
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -38,6 +38,8 @@
 _SIZE: Final = Size(2500, 1000, 0)
 # Work that may start is found, decided on, recorded and begun within this.
 _SOON: Final = 3.0
+# What passes between the last record of one owner and the next one.
+_BETWEEN_OWNERS: Final = 2.0
 
 
 def _lasting(_: TaskName) -> TaskPlan:
@@ -95,7 +97,7 @@
         hall.unlisted.add(worker.life.id)
         await trio.sleep(1.5)
     async with running(make_owner(store, hall, 3)):
-        longest = const.LATE_START_MOST + const.CLOCK_SLACK + _SOON
+        longest = const.LATE_START_MOST + _BETWEEN_OWNERS + _SOON
         until = sent_at + longest - trio.current_time()
         await wait_until(lambda: count(hall.journal, "start") == 1, until)
     assert not find_twice(hall.journal)
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -38,6 +38,8 @@
 _LASTING = spec(StepSpec(1, SMALL, lasting=True))
 # Seconds that work needs to be found, decided on and recorded.
 _SOON = 2.0
+# What passes between the last record of one owner and the next one.
+_BETWEEN_OWNERS = 2.0
 
 
 def _plan(name: TaskName) -> TaskPlan:
@@ -153,7 +155,7 @@
         await wait_until(lambda: _is_done(owner, "job"))
         took = trio.current_time() - sent_at
     assert took > const.LATE_START_MOST
-    slack = const.CLOCK_SLACK + const.LEASE + _SOON
+    slack = _BETWEEN_OWNERS + const.LEASE + _SOON
     assert took < const.LATE_START_MOST + slack, took
     assert count(hall.journal, "start") == 1
     _check(hall)
@@ -210,6 +212,6 @@
             await trio.sleep(3.0)
             if _is_done(owner, "job"):
                 break
-    slack = const.CLOCK_SLACK + const.LEASE + _SOON
+    slack = _BETWEEN_OWNERS + const.LEASE + _SOON
     assert trio.current_time() - sent_at < const.LATE_START_MOST + slack
     _check(hall)
