Repeat the start of a lasting task that its former owner had sent

What callers saw: nothing yet; found by review. Where workers tell when they were born, a start on its way as its owner died was held for 12.8 s, though its worker said at the first listing that nothing ran there: a lasting task was away for longer than users allow. It is repeated at that worker under its own number, as one of this owner's would be, from the second listing on. Tests: test_a_start_in_flight_at_a_take_over_keeps_nothing_away, which failed before.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -340,7 +340,9 @@
                 continue
             task, number = key
             if self._may_repeat(task, run):
-                self._stops.start_again(self._worker, task, run)
+                # Nothing is started before a first listing was taken in.
+                if self._worker.adopted:
+                    self._stops.start_again(self._worker, task, run)
             elif run.state in (RunState.RUNNING, RunState.UNSURE):
                 # It may begin yet: once its stop is answered, this life won't.
                 self._stops.stop(self._worker, task, run, "not listed")
@@ -356,10 +358,12 @@
             run.state is RunState.UNSURE
             and run.late_until > trio.current_time()
             and may_be_repeated(task)
-            and not run.is_adopted
             # It may have crashed the former life, which would count once only.
             and not self._worker.follows
-            and self._parts.may_start_on(self._worker)
+            and (
+                not self._worker.adopted
+                or self._parts.may_start_on(self._worker)
+            )
         )
 
     async def _note_endings(self, newest: int, batch: Batch | None) -> None:
