--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -261,6 +261,7 @@
             successor = self._by_life.get(worker.life.id)
             if successor is not None:
                 self._replace_absent(worker, successor)
+        self._bury_absent()
         for worker in self._absent.values():
             _note_waits(worker)
         self._has_adopted = True
