--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -1,5 +1,6 @@
 """Who takes part and who owns the cell, as the store tells."""
 
+from collections.abc import Sequence
 from functools import partial
 from typing import Final, NamedTuple, TypeVar
 
@@ -51,6 +52,24 @@
     cores: float = 0.0
 
 
+class FormerOwner(NamedTuple):
+    """An owner of before, as a claim names it.
+
+    Attributes:
+        epoch: Of its claim.
+        vm: Its VM's name.
+        process: Its process.
+        address: Its peer listener.
+        ended: Whether it surely renews no lease any more.
+    """
+
+    epoch: int
+    vm: str
+    process: str
+    address: str
+    ended: bool
+
+
 class ClaimRecord(NamedTuple):
     """Who owns the cell from this record on; no process if it was given back.
 
@@ -61,9 +80,8 @@
         address: Its peer listener.
         quiet: Whether no owner of before may still renew leases; told by the
             one who gives the cell back.
-        former: Epoch of the owner in whose place this is, or that gave the
-            cell back, or 0.
-        former_ended: Whether that one surely renews no lease any more.
+        formers: Owners of before that are known, the newest first; the one who
+            gives the cell back is the first of them.
     """
 
     form: int
@@ -71,8 +89,7 @@
     process: str
     address: str
     quiet: bool
-    former: int = 0
-    former_ended: bool = False
+    formers: tuple[FormerOwner, ...] = ()
 
 
 _T = TypeVar("_T", Member, ClaimRecord)
@@ -86,27 +103,22 @@
     process: str
     address: str
     quiet: bool
-    former: int = 0
-    former_ended: bool = False
+    formers: tuple[FormerOwner, ...] = ()
 
     @property
     def released(self) -> bool:
         """True if the cell was given back."""
         return not self.process
 
-
-class FormerOwner(NamedTuple):
-    """An owner of before.
-
-    Attributes:
-        epoch: Of its claim.
-        claim: That claim, or None if it isn't known any more.
-        ended: Whether it surely renews no lease any more.
-    """
-
-    epoch: int
-    claim: OwnerClaim | None
-    ended: bool
+    @property
+    def owners(self) -> tuple[FormerOwner, ...]:
+        """The owners up to this claim, the newest first."""
+        if self.released:
+            return self.formers
+        owner = FormerOwner(
+            self.epoch, self.vm, self.process, self.address, ended=False
+        )
+        return (owner, *self.formers)
 
 
 class Cluster:
@@ -123,8 +135,6 @@
         self.members: dict[str, Member] = {}
         self.claim: OwnerClaim | None = None
         self._cores: dict[str, float] = {}
-        # The newest claims that gave the cell to somebody, by epoch.
-        self._owners: dict[int, OwnerClaim] = {}
         self.changed = trio.Event()
         self.reachable = False
         self._store = store
@@ -244,36 +254,9 @@
                 epoch = record.offset + 1
                 if self.claim is None or epoch > self.claim.epoch:
                     self.claim = OwnerClaim(epoch, *claim[1:])
-                    self._keep_claim(self.claim)
         except msgspec.DecodeError as error:
             note("record_unreadable", key=record.key, reason=str(error))
 
-    def _keep_claim(self, claim: OwnerClaim) -> None:
-        if claim.released:
-            return
-        self._owners[claim.epoch] = claim
-        if len(self._owners) > const.OWNERS_KEPT:
-            del self._owners[min(self._owners)]
-
-    def former_owners(self, claim: OwnerClaim | None) -> list[FormerOwner]:
-        """Returns the owners up to a claim, the newest first.
-
-        Whether the newest one has ended is told by a release alone.
-        """
-        found: list[FormerOwner] = []
-        if claim is None:
-            return found
-        epoch, ended = claim.epoch, False
-        if claim.released:
-            epoch, ended = claim.former, claim.former_ended
-        while epoch:
-            known = self._owners.get(epoch)
-            found.append(FormerOwner(epoch, known, ended))
-            if known is None:
-                break
-            epoch, ended = known.former, known.former_ended
-        return found
-
     def _take_member(self, member: Member) -> None:
         cores = self._cores.get(member.vm, 0.0)
         self.members[member.vm] = member._replace(cores=cores)
@@ -298,14 +281,29 @@
     vm: str,
     process: str,
     address: str,
-    former: int = 0,
-    *,
-    former_ended: bool = False,
+    formers: Sequence[FormerOwner] = (),
 ) -> ClaimRecord:
-    """Returns the record of a claim."""
-    return ClaimRecord(_FORM, vm, process, address, False, former, former_ended)
+    """Returns the record of a claim.
+
+    Args:
+        vm: The VM's name.
+        process: The owner's process.
+        address: Its peer listener.
+        formers: Owners of before, the newest first.
+    """
+    known = tuple(formers[: const.FORMERS_TOLD])
+    return ClaimRecord(_FORM, vm, process, address, False, known)
 
 
-def release_record(vm: str, epoch: int, *, quiet: bool) -> ClaimRecord:
-    """Returns the record by which the owner of an epoch gives the cell back."""
-    return ClaimRecord(_FORM, vm, "", "", quiet, epoch, True)
+def release_record(claim: OwnerClaim, *, quiet: bool) -> ClaimRecord:
+    """Returns the record by which an owner gives the cell back.
+
+    Args:
+        claim: The owner's.
+        quiet: Whether no owner of before may still renew leases.
+    """
+    formers = tuple(
+        former._replace(ended=former.ended or former.epoch == claim.epoch)
+        for former in claim.owners[: const.FORMERS_TOLD]
+    )
+    return ClaimRecord(_FORM, claim.vm, "", "", quiet, formers)
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -72,9 +72,9 @@
 # ones for this long, which spares the store. A cell whose early ones are down
 # waits this much longer at most.
 LATE_TURNS_PAUSE: Final = 2.0
-# Owners that are remembered: more than can follow one another within the time
-# for which leases of the first may last.
-OWNERS_KEPT: Final = 64
+# Owners of before that a claim names: more than usually follow one another
+# within the time for which leases of the first may last.
+FORMERS_TOLD: Final = 16
 ELECTION_TICK: Final = 0.1
 # A VM weaker than another that may claim leaves it this much time beyond its
 # turn: strong ones with late turns are hardly before the weak ones, and a
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -27,7 +27,6 @@
 from pimentocross.gateway import const
 from pimentocross.gateway.cluster import (
     Cluster,
-    FormerOwner,
     OwnerClaim,
     claim_record,
     release_record,
@@ -165,7 +164,7 @@
             await self._pause()
 
     async def _own(self, claim: OwnerClaim) -> None:
-        formers = self._formers.before(claim)
+        formers = self._formers.up_to(claim)[1:]
         note(
             "owner_begins",
             epoch=claim.epoch,
@@ -255,9 +254,7 @@
             return
         try:
             await self._cluster.append_claim(
-                release_record(
-                    self._mine.name, claim.epoch, quiet=self._is_quiet()
-                ),
+                release_record(claim, quiet=self._is_quiet()),
                 self._cluster.end,
             )
         except ConditionFailedError:
@@ -359,8 +356,7 @@
         return self._patience.factor(None)
 
     def _surely_gone(self, claim: OwnerClaim, link: OwnerLink) -> bool:
-        former = FormerOwner(claim.epoch, claim, ended=False)
-        return link.replaced or self._formers.has_ended(former)
+        return link.replaced or self._formers.has_ended(claim.owners[0])
 
     async def _confirmed(
         self, claim: OwnerClaim, link: OwnerLink, reason: str
@@ -430,16 +426,11 @@
             return
         note("claim", reason=reason, at=self._cluster.end)
         mine = self._mine
-        formers = self._cluster.former_owners(claim)
-        record = claim_record(
-            mine.name,
-            mine.process,
-            mine.address,
-            formers[0].epoch if formers else 0,
-            # Of one that is suspected it is quiet only if its process is gone.
-            former_ended=bool(formers)
-            and (formers[0].ended or self._former_quiet),
-        )
+        formers = self._formers.up_to(claim)
+        if formers and self._former_quiet:
+            # Its process is gone, as a peer's answer may be the first to tell.
+            formers[0] = formers[0]._replace(ended=True)
+        record = claim_record(mine.name, mine.process, mine.address, formers)
         try:
             await self._cluster.append_claim(record, self._cluster.end)
         except ConditionFailedError:
--- a/pimentocross/gateway/former_owners.py
+++ b/pimentocross/gateway/former_owners.py
@@ -37,21 +37,17 @@
         self._time = time
         self._longest = longest
 
-    def before(self, claim: OwnerClaim) -> list[FormerOwner]:
-        """Returns the owners before a claim, the newest first."""
-        return [
-            former._replace(ended=self.has_ended(former))
-            for former in self._cluster.former_owners(claim)[1:]
-        ]
+    def up_to(self, claim: OwnerClaim | None) -> list[FormerOwner]:
+        """Returns the owners up to a claim, the newest first."""
+        owners = claim.owners if claim is not None else ()
+        return [o._replace(ended=self.has_ended(o)) for o in owners]
 
     def has_ended(self, former: FormerOwner) -> bool:
         """True if a former owner is known to renew no lease any more."""
-        claim = former.claim
-        if former.ended or claim is None:
-            return former.ended
-        member = self._cluster.members.get(claim.vm)
-        replaced = member is not None and member.process != claim.process
-        return replaced or claim.process == self._mine.process
+        member = self._cluster.members.get(former.vm)
+        replaced = member is not None and member.process != former.process
+        is_mine = former.process == self._mine.process
+        return former.ended or replaced or is_mine
 
     async def watch(self, former: FormerOwner, owner: Owner) -> None:
         """Asks a former owner until it has surely ended, and tells a new one.
@@ -60,10 +56,10 @@
         again, and what it answers otherwise proves that its last renewal is
         past.
         """
-        claim = former.claim
-        if former.ended or claim is None:
+        if former.ended:
             return
         await owner.opened.wait()
+        claim = OwnerClaim(*former[:4], quiet=False)
         link = OwnerLink(
             claim, self._mine, self._time, lambda: const.HEARTBEAT_INTERVAL
         )
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -357,17 +357,18 @@
 async def test_claims_of_other_forms_are_known() -> None:
     cell = VmCell()
     cluster = Cluster(cell.store.client("any"))
+    former = [1, "a", "a:1", "a:7720", True]
     forms = (
         [1, "a", "a:1", "a:7720", False],
-        [3, "b", "b:1", "", False, 1, False, "x"],
+        [3, "b", "b:1", "b:7720", False, [former], "x"],
     )
     for number, fields in enumerate(forms, 1):
         claim = Record(f"claim/{const.CELL}", msgspec.msgpack.encode(fields))
         cell.store.append_now(const.CLUSTER_TOPIC, [claim], None, None)
         await cluster.refresh(0.0)
         assert cluster.claim is not None and cluster.claim.epoch == number
-    formers = cluster.former_owners(cluster.claim)
-    assert [(f.epoch, f.ended) for f in formers] == [(2, False), (1, False)]
+        owners = [(owner.epoch, owner.ended) for owner in cluster.claim.owners]
+    assert owners == [(2, False), (1, True)]
 
 
 def test_heartbeats_of_all_vms_are_bounded() -> None:
