--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -57,15 +57,24 @@
 _FAILING = 0.2
 # Share of the jobs of which a task crashes the workers that start it.
 _CRASHING = 0.1
+# Share of the workers that start again with each strike where they do so often.
+_RESTARTING = 0.5
 
 
 class _World:
     """One random history."""
 
     def __init__(
-        self, seed: int, *, restarts: bool, evacuations: bool, births: bool
+        self,
+        seed: int,
+        *,
+        restarts: bool,
+        often: bool,
+        evacuations: bool,
+        births: bool,
     ) -> None:
         self.random = random.Random(seed)
+        self._often = often
         self._births = births
         self._restarts = restarts
         self._evacuations = evacuations
@@ -119,6 +128,9 @@
         if self._restarts and self.random.random() < 0.6:
             lives = sorted(self.hall.workers)
             self.hall.workers[self.random.choice(lives)].restart()
+        for life_id in sorted(self.hall.workers) if self._often else ():
+            if self.random.random() < _RESTARTING:
+                self.hall.workers[life_id].restart()
         if not self._evacuations:
             await trio.sleep(self.random.uniform(0.5, 5.0))
         for _ in range(3 if self._evacuations else 0):
@@ -168,6 +180,7 @@
     seed: int,
     *,
     restarts: bool = False,
+    often: bool = False,
     evacuations: bool = False,
     births: bool = True,
 ) -> None:
@@ -176,6 +189,7 @@
     Args:
         seed: What it is drawn from.
         restarts: Whether workers also start again under the id that they had.
+        often: Whether half of the workers do so at a time.
         evacuations: Whether zones are also evacuated and taken back.
         births: Whether workers tell when they were born.
 
@@ -183,7 +197,11 @@
         AssertionError: A promise was broken.
     """
     world = _World(
-        seed, restarts=restarts, evacuations=evacuations, births=births
+        seed,
+        restarts=restarts,
+        often=often,
+        evacuations=evacuations,
+        births=births,
     )
     with mock.patch.object(wall, "now", trio.current_time):
         async with trio.open_nursery() as nursery:
@@ -273,6 +291,14 @@
         run_virtual(lambda s=seed: play(s, restarts=True), seed)  # type: ignore[misc]
 
 
+def test_random_faults_and_frequent_restarts_break_no_promise() -> None:
+    for seed in SEEDS:
+        run_virtual(
+            lambda s=seed: play(s, restarts=True, often=True),  # type: ignore[misc]
+            seed,
+        )
+
+
 def test_random_faults_and_evacuations_break_no_promise() -> None:
     for seed in SEEDS:
         run_virtual(lambda s=seed: play(s, evacuations=True), seed)  # type: ignore[misc]
--- a/tests/test_owner_rules.py
+++ b/tests/test_owner_rules.py
@@ -17,12 +17,18 @@
 
 
 def _broken_within_seeds(
-    rule: str, *, restarts: bool = False, births: bool = True
+    rule: str,
+    *,
+    restarts: bool = False,
+    often: bool = False,
+    births: bool = True,
 ) -> None:
     for seed in _SEEDS:
         try:
             run_virtual(
-                lambda s=seed: play(s, restarts=restarts, births=births),  # type: ignore[misc]
+                lambda s=seed: play(  # type: ignore[misc]
+                    s, restarts=restarts, often=often, births=births
+                ),
                 seed,
             )
         except AssertionError:
@@ -106,7 +112,9 @@
 
     with mock.patch.object(WorkerLife, "is_after", same):
         with mock.patch.object(Roster, "note_born", same):
-            _broken_within_seeds("telling lives apart", restarts=True)
+            _broken_within_seeds(
+                "telling lives apart", restarts=True, often=True
+            )
 
 
 def test_late_starts_hold_their_tasks() -> None:
