Keep what an owner saw of a crash when the owner is killed

Cause: what an owner sees between two records was lost with it. - How soon after its start a run went with its worker was known only to the owner that saw it go. To its successor the crash wasn't sure. - Entries outlive their workers by seconds. A new owner met those of lives whose end had been settled, took them for ends with nothing just started, and so for a rack that goes down: crashes in isolation gave up nobody. Lives kept their number for up to 0.5 s after their runs were settled, with the same effect. - With few workers no quiet one is found within 1.5 s, and a third crash beside others proves nothing (also with one owner). Found by reading, same class: runs that had lapsed on a silent worker were never counted after a take-over, and a new owner knew of no outage.

Why it works: as a worker falls silent, what had just started there, how long it lived, whether surely and alone is recorded (owner/doubts.py), and used by whoever learns that the life has ended; a worker that is heard clears it. A life that was never heard and never had a number is no end; numbers go with the runs. Ends of the last 10 s are recorded (owner/worker_ends.py): without them a new owner would now take real outages for crash loops. A task that doesn't last and was hit twice at its start waits 10 s for a quiet worker.

--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -30,6 +30,7 @@
 from pimentocross.links.listener import HttpListener, ListenerLimits
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner.crashes import Crashes
+from pimentocross.owner.doubts import Doubts
 from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.keeper import Keeper
@@ -41,6 +42,7 @@
 from pimentocross.owner.patience import CallPatience
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.worker import Worker
+from pimentocross.owner.worker_ends import WorkerEnds
 from pimentocross.platform.wire import read_hold, write_task
 from pimentocross.platform.workers import HttpWorker
 from pimentocross.standins.store import StoreStandin
@@ -73,6 +75,9 @@
     def note_born(self, *_: object) -> None:
         """Has nothing to note."""
 
+    def note_replaced(self, *_: object) -> None:
+        """Has nothing to note."""
+
 
 class _ListedAgain:
     """A link whose worker lists the same again; counts the listings."""
@@ -155,7 +160,7 @@
         lambda: None,
         judge,
         listed,
-        Crashes(book, lambda: ()),
+        Crashes(book, lambda: (), Doubts(ledger), WorkerEnds(ledger)),
         lambda _: True,
         _NoRestarts(),
         LateStarts(book, ledger, lambda: None),
--- a/pimentocross/owner/isolation.py
+++ b/pimentocross/owner/isolation.py
@@ -14,9 +14,6 @@
 # So many workers with room are looked at for a task: after a rack's outage many
 # tasks wait to be isolated in one pass.
 _LOOKED_AT: Final = 32
-# A task that has waited to be isolated for so long, in seconds, starts without:
-# users count what lasts as lost if it is away for 6 s.
-_PATIENCE: Final = 1.5
 
 
 class Isolation:
@@ -39,7 +36,9 @@
 
     def is_due(self, task: Task, now: float) -> bool:
         """True once a task has waited to be isolated for too long."""
-        return now - self._wanted_since.setdefault(task, now) >= _PATIENCE
+        lasting = task.step.spec.lasting
+        patience = task.crash_history.patience(lasting=lasting)
+        return now - self._wanted_since.setdefault(task, now) >= patience
 
     def note_placed(self, task: Task) -> None:
         """Notes that a task waits no longer."""
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -104,6 +104,8 @@
         else:
             self._parts.crashes.note_absent(worker)
         self._drop_all(reason)
+        if replaced:
+            self._parts.lives.note_replaced(worker)
 
     def hand_over(self, reason: str) -> list[tuple[Task, Run]]:
         """Buries the life, as the next one of its id answers in its place.
@@ -197,6 +199,7 @@
             note("worker_silent", worker=worker.life.id, reason=reason)
             worker.reached = False
             worker.silent_at = trio.current_time()
+            self._parts.crashes.note_silent(worker)
         if worker.lapsed(trio.current_time()):
             if worker.listed:
                 self._parts.crashes.note_lapsed(worker)
@@ -217,6 +220,8 @@
             note("worker_heard", worker=worker.life.id)
             worker.reached = True
             self._parts.crashes.note_heard(worker)
+        elif not worker.adopted:
+            self._parts.crashes.note_heard(worker)
         self._parts.former_leases.clear(worker)
         if worker.lease_end is None:
             # A former owner is fenced from now on; this is the most that it
--- a/pimentocross/owner/life_numbers.py
+++ b/pimentocross/owner/life_numbers.py
@@ -34,6 +34,8 @@
         self._ledger = ledger
         self._known: dict[int, KnownLife] = {}
         self._next = 0
+        # Numbers that no former owner has given.
+        self._given: set[int] = set()
 
     def restore(self, number: int, record: WorkerRecord) -> None:
         """Takes in a number that is in the store."""
@@ -49,6 +51,10 @@
         """True unless the life of a number has ended for a former owner."""
         return number in self._known
 
+    def is_inherited(self, number: int) -> bool:
+        """True if a former owner has given a number."""
+        return number not in self._given
+
     def find(self, number: int) -> KnownLife:
         """Returns the life of a number, one without an id if it has none."""
         return self._known.get(number, _UNKNOWN)
@@ -61,6 +67,7 @@
                 return number
         number = self._next
         self._next += 1
+        self._given.add(number)
         self._known[number] = KnownLife(life.id, life.machine, 0)
         self._put(
             records.WORKER,
@@ -72,7 +79,10 @@
 
     def note_born(self, number: int, born: int) -> None:
         """Records when the life of a number started."""
-        known = self._known[number]
+        known = self._known.get(number)
+        if known is None:
+            # It has ended, and its entry changes.
+            return
         if born and known.born != born:
             self._known[number] = known._replace(born=born)
             self._put(records.BORN, number, lambda: records.encode_born(born))
@@ -80,8 +90,11 @@
     def forget(self, number: int) -> None:
         """Drops the number of a life that has ended."""
         known = self._known.pop(number, None)
+        self._given.discard(number)
+        if known is None:
+            return
         self._put(records.WORKER, number, _nothing)
-        if known is not None and known.born:
+        if known.born:
             self._put(records.BORN, number, _nothing)
 
     def _put(
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -20,6 +20,7 @@
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.desk import Desk
 from pimentocross.owner.dispatcher import Dispatcher
+from pimentocross.owner.doubts import Doubts
 from pimentocross.owner.former_leases import FormerLeases, Predecessor
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.late_starts import LateStarts
@@ -32,6 +33,7 @@
 from pimentocross.owner.roster import Roster, RosterParts
 from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
+from pimentocross.owner.worker_ends import WorkerEnds
 from pimentocross.work import records
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.records import RecordError
@@ -121,6 +123,8 @@
         self._late_starts = LateStarts(
             self._book, self._ledger, self._dispatcher.wake
         )
+        self._doubts = Doubts(self._ledger)
+        self._ends = WorkerEnds(self._ledger)
         self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
         self._release = trio.Event()
 
@@ -167,7 +171,9 @@
                 self._dispatcher.wake,
                 self._learned.judge,
                 self._learned.on_listed,
-                Crashes(self._book, self._roster.workers),
+                Crashes(
+                    self._book, self._roster.workers, self._doubts, self._ends
+                ),
                 self._roster.may_start_on,
                 self._roster,
                 self._late_starts,
@@ -193,7 +199,7 @@
             nursery.start_soon(self._settle)
             nursery.start_soon(self._roster.follow)
             nursery.start_soon(self._dispatcher.advice.run)
-            nursery.start_soon(self._sweep)
+            nursery.start_soon(self._sweep, parts.crashes)
             nursery.start_soon(self._log.follow_adoption, self._roster.workers)
             nursery.start_soon(self._log.note_start, orders.started)
             await self._release.wait()
@@ -268,6 +274,10 @@
             self._learned.restore(records.decode_learned(value))
         elif kind == records.LATE_STARTS:
             self._late_starts.restore(value)
+        elif kind == records.DOUBTS:
+            self._doubts.restore(records.decode_doubt(value))
+        elif kind == records.ENDS:
+            self._ends.restore(value)
         elif kind == records.LEASES:
             self._former_leases.restore(value)
         elif kind == records.WORKER:
@@ -279,10 +289,11 @@
                 int(name), records.decode_born(value)
             )
 
-    async def _sweep(self) -> None:
+    async def _sweep(self, crashes: Crashes) -> None:
         while True:
             await trio.sleep(const.SWEEP_INTERVAL)
             self._book.sweep()
+            crashes.sweep()
             self._ledger.put(PlainRecord(records.LEARNED, self._learned.encode))
 
 
--- a/pimentocross/owner/parts.py
+++ b/pimentocross/owner/parts.py
@@ -43,6 +43,10 @@
         """Notes when the life that answers for a worker started."""
         ...
 
+    def note_replaced(self, worker: Worker) -> None:
+        """Notes that a life has ended; nothing may be tied to it any more."""
+        ...
+
 
 class CellParts(NamedTuple):
     """What the parts of an owner share.
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -171,7 +171,8 @@
         """Yields lives on which leases of former owners may last."""
         now = trio.current_time()
         for worker in [*self._absent.values(), *self._by_life.values()]:
-            if worker.barred or worker.lease_end is None:
+            may_last = worker.barred or worker.lease_end is None
+            if may_last and not worker.gone:
                 left = max(worker.lapses_at - now, 0.0)
                 yield LeaseRow(worker.number, round(left, 3), worker.barred)
 
@@ -255,6 +256,7 @@
             worker.add(task, run)
         for worker in by_number.values():
             worker.isolate_adopted()
+        self._parts.cell.crashes.adopt(by_number.values())
         for worker in list(self._absent.values()):
             successor = self._by_life.get(worker.life.id)
             if successor is not None:
@@ -278,6 +280,14 @@
             worker.life = life
             self.numbers.note_born(worker.number, born)
 
+    def note_replaced(self, worker: Worker) -> None:
+        """Notes that a life has ended; nothing may be tied to it any more.
+
+        Recorded together with what that means: to a new owner it would else
+        seem to have ended only now.
+        """
+        self.numbers.forget(worker.number)
+
     def _absent_worker(self, number: int) -> Worker:
         known = self.numbers.find(number)
         life = WorkerLife(
@@ -385,6 +395,7 @@
         worker.blind_until = self._former_leases.until(number)
         if life.draining:
             worker.draining_since = trio.current_time()
+        worker.unknown = not self.numbers.is_inherited(number)
         worker.restarts = self._met[life.id]
         self._met[life.id] += 1
         self._by_life[life.id] = worker
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -63,6 +63,8 @@
         calls: Bounds the orders that are on their way to it.
         adopted: Whether it has listed what runs to this owner.
         listed: Whether the directory lists it.
+        unknown: Whether its entry was the first that was ever known of it, or
+            a former owner had seen it end.
         gone: Whether this life has surely ended.
         replaced: Whether its machine is known to have another life.
         restarts: Lives of its id before it that this owner had met.
@@ -106,6 +108,7 @@
         self.seen = 0
         self.adopted = False
         self.listed = True
+        self.unknown = False
         self.gone = False
         self.replaced = False
         self.reached = True
@@ -173,6 +176,14 @@
             and not self.life.draining
         )
 
+    @property
+    def was_up(self) -> bool:
+        """True if it surely lived lately, for this owner or a former one.
+
+        An entry outlives its worker by seconds, and a new owner meets it anew.
+        """
+        return not self.unknown or self.heard_at > float("-inf")
+
     @property
     def is_isolating(self) -> bool:
         """True while an isolated run keeps others off."""
--- a/pimentocross/work/crash_history.py
+++ b/pimentocross/work/crash_history.py
@@ -22,6 +22,14 @@
 _ISOLATED_AFTER: Final = 3
 # A worker is kept for an isolated run for no longer than this, in seconds.
 _ISOLATION_MOST: Final = 5.0
+# A task that has waited to be isolated for so long, in seconds, starts without:
+# users count what lasts as lost if it is away for 6 s.
+_PATIENCE: Final = 1.5
+# Another one that has crashed so many workers at its start waits until those
+# that are kept for others are free: one more crash beside others proves nothing
+# and is the third.
+_PATIENT_AFTER: Final = 2
+_PATIENCE_MOST: Final = 2 * _ISOLATION_MOST
 # A task is given up at a crash of an isolated run from so many sure ones on ...
 _SURE_MOST: Final = 2
 # ... one that lasts from more, as all of its job goes with it ...
@@ -107,6 +115,12 @@
         """Seconds that an isolated run has to live until others may join it."""
         return min(self.survived + PROVEN_AFTER, _ISOLATION_MOST)
 
+    def patience(self, *, lasting: bool) -> float:
+        """Returns for how many seconds a task waits to be isolated at most."""
+        if lasting or self.early < _PATIENT_AFTER:
+            return _PATIENCE
+        return _PATIENCE_MOST
+
     def after(self, crash: Crash, *, lasting: bool = False) -> "CrashHistory":
         """Returns the history after one more crash.
 
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -26,6 +26,8 @@
 CRASHES: Final = "c"
 LATE_STARTS: Final = "h"
 LEASES: Final = "g"
+DOUBTS: Final = "d"
+ENDS: Final = "e"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -148,6 +150,63 @@
     starts: tuple[LateStart, ...]
 
 
+class DoubtRow(NamedTuple):
+    """A run that may have crashed its worker; see `work.crash_history.Crash`.
+
+    Attributes:
+        task: The task.
+        run: The run's number.
+        lived: Seconds for which it was seen to live.
+        sure: Whether it had surely begun, and its worker was gone soon after.
+        isolated: Whether nothing else had just started on its worker.
+    """
+
+    task: TaskName
+    run: int
+    lived: float
+    sure: bool
+    isolated: bool
+
+
+class EndRow(NamedTuple):
+    """An end of a worker.
+
+    Attributes:
+        at: When it went, seconds since 1970.
+        rack: The worker's.
+        explained: Whether something had just started on it.
+    """
+
+    at: float
+    rack: str
+    explained: bool
+
+
+class EndsRecord(NamedTuple):
+    """Workers that have ended of late."""
+
+    form: int
+    rows: tuple[EndRow, ...]
+
+
+class DoubtRecord(NamedTuple):
+    """A worker life that fell silent, and what may have crashed it.
+
+    Attributes:
+        form: Version of the form.
+        life: The life's id.
+        machine: The machine that it is a life of.
+        born: When it started, milliseconds since 1970, or 0.
+        rows: Runs there.
+    """
+
+    form: int
+    life: str
+    machine: str
+    born: int
+    rows: tuple[DoubtRow, ...]
+
+
 class LeaseRow(NamedTuple):
     """A worker life on which leases of former owners may last.
 
@@ -308,6 +367,36 @@
     return _decode(value, LateStartsRecord).starts
 
 
+def encode_doubt(
+    life: str, machine: str, born: int, rows: Sequence[DoubtRow]
+) -> bytes:
+    """Returns the record of a worker life that fell silent."""
+    return _encode(DoubtRecord(FORM, life, machine, born, tuple(rows)))
+
+
+def decode_doubt(value: bytes) -> DoubtRecord:
+    """Reads which worker life fell silent.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, DoubtRecord)
+
+
+def encode_ends(rows: Sequence[EndRow]) -> bytes:
+    """Returns the record of workers that have ended of late."""
+    return _encode(EndsRecord(FORM, tuple(rows)))
+
+
+def decode_ends(value: bytes) -> tuple[EndRow, ...]:
+    """Reads which workers have ended of late.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, EndsRecord).rows
+
+
 def encode_leases(epoch: int, rows: Sequence[LeaseRow]) -> bytes:
     """Returns the record of leases that may last."""
     return _encode(LeasesRecord(FORM, epoch, tuple(rows)))
--- a/tests/test_crash_loops.py
+++ b/tests/test_crash_loops.py
@@ -41,6 +41,8 @@
             Scene(12, keeps_ids=False, kills=False),
             Scene(24, keeps_ids=True, kills=False),
             Scene(24, keeps_ids=False, kills=True),
+            Scene(12, keeps_ids=False, kills=True),
+            Scene(24, keeps_ids=True, kills=True),
         )
     }
     assert max(most.values()) <= _CRASHES_MOST, most
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -392,6 +392,20 @@
     assert given_up == [False, False, False, True]
 
 
+def test_what_may_crash_a_third_worker_waits_longer_to_be_isolated() -> None:
+    once = NO_CRASHES.after(_crash(1))
+    twice = once.after(_crash(2))
+    for lasting in (False, True):
+        assert once.patience(lasting=lasting) < 6.0
+    # As many workers crash at once, all quiet ones are kept for others.
+    assert twice.patience(lasting=False) > 6.0
+    # Users count what lasts as lost if it is away for so long.
+    assert twice.patience(lasting=True) < 6.0
+    # Its last run had outlived its start.
+    lived = twice.after(_crash(3)._replace(lived=PROVEN_AFTER))
+    assert lived.patience(lasting=False) < 6.0
+
+
 def test_crashes_that_others_explain_give_nothing_up() -> None:
     # As seen of a lasting task beside workers that start again every 20 s.
     crash = Crash(0, lived=0.0, sure=False, isolated=True, hazard=0.05)
