--- a/tests/random_take_overs.py
+++ b/tests/random_take_overs.py
@@ -1,9 +1,9 @@
 """Random take-overs while workers leave, vanish and are cut off.
 
 Real elections in virtual time: VMs are killed and turned away by the store,
-links of single VMs to single workers are cut, workers leave for good or only
-vanish from the directory and come back. No task ever runs twice, and once all
-is calm what is to last is at work in time.
+appends are done late or unanswered, links of single VMs to single workers are
+cut, workers leave for good or only vanish from the directory and come back. No
+task ever runs twice, and once all is calm what is to last is at work in time.
 
 `python -m tests.random_take_overs FIRST LAST` plays more seeds than CI does.
 """
@@ -89,6 +89,9 @@
         # Where workers don't tell when they were born, no start is waited for
         # that may come late.
         self._births = self._draw.random() < 0.5
+        # Shares of appends that aren't answered, and that come seconds later.
+        self._lost = self._draw.choice((0.0, 0.0, 0.05))
+        self._late = self._draw.choice((0.0, 0.0, 0.05))
         for worker in self._hall.workers.values():
             self._dress(worker)
         self._generations = dict.fromkeys(_VMS, 1)
@@ -162,6 +165,8 @@
     async def _strike_often(self) -> None:
         assert self._nursery is not None
         self._is_calm = False
+        faults = self._cell.store.faults
+        faults.lost, faults.late = self._lost, self._late
         strikes = (
             self._refuse,
             self._refuse,
@@ -176,6 +181,7 @@
             self._leave,
             self._vanish,
             self._vanish,
+            self._hide_directory,
         )
         for _ in range(_STRIKES):
             self._nursery.start_soon(self._submit_short)
@@ -305,6 +311,14 @@
 
         self._later(f"vanished {gone}", _VANISHED_MOST, come_back)
 
+    def _hide_directory(self) -> None:
+        """Has the directory answer nobody for a while."""
+        self._hall.directory_away = True
+        self._later("directory", 4.0, self._show_directory)
+
+    def _show_directory(self) -> None:
+        self._hall.directory_away = False
+
     def _alive(self) -> list[str]:
         return sorted(n for n, w in self._hall.workers.items() if not w.dead)
 
@@ -329,7 +343,8 @@
     def _calm(self) -> None:
         """Ends all faults; what has gone for good stays so."""
         self._is_calm = True
-        self._cell.store.faults.refused = set()
+        faults = self._cell.store.faults
+        faults.refused, faults.lost, faults.late = set(), 0.0, 0.0
         while self._undo:
             self._undo_now(next(iter(self._undo)))
         for cut in self._hall.cut.values():
--- a/tests/test_take_over_series.py
+++ b/tests/test_take_over_series.py
@@ -2,12 +2,12 @@
 
 from tests.random_take_overs import play_seed
 
-# 6 and 30 show leases that are renewed before the record lets a worker in
-# again; 11, 26 and 36 a former owner that is taken for ended; 13 and 23 records
+# 1, 23 and 25 show leases that are renewed before the record lets a worker in
+# again; 5 and 18 a former owner that is taken for ended; 3, 23 and 40 records
 # that leave an owner's own leases out.
-_SEEDS = (6, 11, 13, 23, 26, 30, 36)
+_SEEDS = (1, 3, 5, 18, 23, 25, 40)
 # Tasks whose last owner but one has ended, which its successor couldn't know.
-_SEEDS_OF_KNOWN_ENDS = (38, 53)
+_SEEDS_OF_KNOWN_ENDS = (4, 14)
 
 
 def test_take_overs_in_a_row_start_nothing_twice_and_leave_nothing_away() -> (
