Give workers that aren't listed a module of their own

No change of behaviour; the tests of former leases, restarts, late starts and random take-overs pass as before.

--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -15,18 +15,16 @@
 from pimentocross.contracts.zones import ZoneAccess
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
-from pimentocross.owner.endings import note_lost
+from pimentocross.owner.absent import AbsentWorkers
 from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.keeper import Keeper
-from pimentocross.owner.late_starts import note_id_ended
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.life_numbers import LifeNumbers
 from pimentocross.owner.parts import CellParts, Stops
 from pimentocross.owner.worker import Worker
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.records import LeaseRow
-from pimentocross.work.spec import NO_SIZE
-from pimentocross.work.state import Job, Run, RunState, Task
+from pimentocross.work.state import Run, RunState, Task
 
 
 class RosterParts(NamedTuple):
@@ -82,8 +80,7 @@
         self._former_leases = former_leases
         # Of each id the newest life that is known.
         self._by_life: dict[str, Worker] = {}
-        # Lives that runs were recorded on and that aren't listed.
-        self._absent: dict[int, Worker] = {}
+        self._absent = AbsentWorkers(self.numbers, dialer, former_leases)
         self._keepers: dict[str, Keeper] = {}
         # Keepers that don't run yet.
         self._idle_keepers: list[Keeper] = []
@@ -121,7 +118,7 @@
     def runs_away(self) -> Iterator[tuple[Task, Run]]:
         """Yields runs that nobody can hear of and that may still go on."""
         unheard = (w for w in self._by_life.values() if not w.reached)
-        for worker in [*self._absent.values(), *unheard]:
+        for worker in [*self._absent, *unheard]:
             for (task, _), run in worker.runs.items():
                 yield task, run
 
@@ -170,7 +167,7 @@
     def lease_rows(self) -> Iterator[LeaseRow]:
         """Yields lives on which leases of former owners may last."""
         now = trio.current_time()
-        for worker in [*self._absent.values(), *self._by_life.values()]:
+        for worker in [*self._absent, *self._by_life.values()]:
             may_last = worker.barred or worker.lease_end is None
             if may_last and not worker.gone:
                 left = max(worker.lapses_at - now, 0.0)
@@ -180,7 +177,7 @@
         """Notes that a former owner surely renews no lease any more."""
         former_leases = self._former_leases
         former_leases.note_ended(epoch)
-        for worker in [*self._absent.values(), *self._by_life.values()]:
+        for worker in [*self._absent, *self._by_life.values()]:
             until = former_leases.until(worker.number)
             worker.blind_until = min(worker.blind_until, until)
 
@@ -253,20 +250,19 @@
                 continue
             worker = by_number.get(run.worker)
             if worker is None:
-                worker = self._absent_worker(run.worker)
+                worker = self._absent.add(run.worker)
                 by_number[run.worker] = worker
             late_starts.adopt(task, run, worker.life)
             worker.add(task, run)
         for worker in by_number.values():
             worker.isolate_adopted()
         self._parts.cell.crashes.adopt(by_number.values())
-        for worker in list(self._absent.values()):
+        for worker in self._absent:
             successor = self._by_life.get(worker.life.id)
             if successor is not None:
                 self._replace_absent(worker, successor)
         self._bury_absent()
-        for worker in self._absent.values():
-            _note_waits(worker)
+        self._absent.note_waits()
         self._has_adopted = True
 
     def note_born(self, worker: Worker, born: int) -> None:
@@ -292,58 +288,16 @@
         """
         self.numbers.forget(worker.number)
 
-    def _absent_worker(self, number: int) -> Worker:
-        known = self.numbers.find(number)
-        life = WorkerLife(
-            id=known.id,
-            machine=known.machine,
-            service="",
-            address="",
-            zone="",
-            labels=(),
-            capacity=NO_SIZE,
-            draining=False,
-            remaining=0.0,
-            born=known.born,
-        )
-        worker = Worker(life, number, self._dialer.link(life))
-        worker.blind_until = self._former_leases.until(number)
-        worker.barred = True
-        self._absent[number] = worker
-        note("worker_absent", worker=known.id, number=number)
-        return worker
-
     def _bury_absent(self) -> None:
-        """Gives up lives that aren't listed once nothing can run there."""
-        parts = self._parts.cell
-        now = trio.current_time()
         machines = {w.life.machine for w in self._by_life.values()}
-        for number, worker in list(self._absent.items()):
-            replaced = worker.life.machine and worker.life.machine in machines
-            if now <= worker.blind_until and not replaced:
-                continue
-            del self._absent[number]
-            self.numbers.forget(number)
-            if replaced:
-                note_id_ended(worker)
-                parts.crashes.note_replaced(worker)
-            else:
-                parts.crashes.note_absent(worker)
-            note_lost(worker, "never listed")
-            jobs: dict[Job, None] = {}
-            for task, run_number in list(worker.runs):
-                parts.late_starts.drop(task, run_number, worker)
-                jobs[task.step.job] = None
-            for job in jobs:
-                parts.book.changed(job)
-            parts.wake()
+        self._absent.bury(machines, self._parts.cell)
 
     def _replace_absent(self, absent: Worker, successor: Worker) -> None:
         """Has the next life of an id settle what was recorded on the former.
 
         A start that the former owner had sent may still begin there.
         """
-        del self._absent[absent.number]
+        self._absent.take_out(absent.number)
         self.numbers.forget(absent.number)
         self._parts.cell.crashes.note_replaced(absent)
         runs = [(task, run) for (task, _), run in absent.runs.items()]
@@ -408,12 +362,12 @@
         self._idle_keepers.append(keeper)
         self._parts.cell.crashes.note_listed(life)
         note("worker_listed", worker=life.id, number=number)
-        same = self._absent.pop(number, None)
+        same = self._absent.take_out(number)
         if same is not None:
             self._former_leases.bar(worker)
             for (task, _), run in same.runs.items():
                 worker.add(task, run)
-        for absent in list(self._absent.values()):
+        for absent in self._absent:
             if absent.life.id == life.id:
                 self._replace_absent(absent, worker)
         return worker
@@ -446,16 +400,3 @@
                 self._keepers[life_id].bury(
                     "its machine has another life", replaced=True
                 )
-
-
-def _note_waits(worker: Worker) -> None:
-    """Logs the tasks that wait for a worker that isn't listed."""
-    seconds = round(worker.blind_until - trio.current_time(), 3)
-    for task, run in worker.runs:
-        note(
-            "run_waits",
-            task=task.name,
-            run=run,
-            worker=worker.life.id,
-            seconds=seconds,
-        )
