Take submissions in on any entry VM while no owner can be asked

Change: such a VM stores submissions and cancels in a topic of its own that the owner or its successor takes up, records and then removes; an owner that is asked for a job it doesn't know reads the topic first. Nothing is stored while an owner answers.

--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -119,6 +119,12 @@
             self._unowned_since = trio.current_time()
         return trio.current_time() - self._unowned_since
 
+    def owner_silence(self) -> float:
+        """Returns the seconds since the owner was heard, 0 if it is here."""
+        if self.owner is not None or self.link is None:
+            return 0.0
+        return self.link.silence()
+
     def standing(self) -> Standing:
         """Returns how this process stands."""
         owner = self.owner
--- /dev/null
+++ b/pimentocross/gateway/intake.py
@@ -0,0 +1,293 @@
+"""Takes submissions in on an entry VM while no owner can be asked.
+
+Load pattern: callers submit at the usual rate while the owner is dead, cut off
+from the store, or being replaced, for seconds, and most VMs reach the store all
+the while. What such a VM stores is durable whoever owns the cell next, so the
+caller is told that its job is accepted, and the owner takes it up from there.
+Nothing is stored here as long as an owner answers.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol, TypeAlias
+
+import trio
+
+from pimentocross.contracts.asking import (
+    AGAIN_AFTER,
+    Question,
+    first_answer,
+)
+from pimentocross.contracts.store import Record, Store, StoreUnavailableError
+from pimentocross.gateway.caller_desk import OwnerAccess
+from pimentocross.gateway.messages import (
+    CancelJob,
+    GatewayMessage,
+    JobAnswer,
+    NotOwner,
+    SubmitJob,
+)
+from pimentocross.links.peer import PeerUnreachableError
+from pimentocross.observe import meters
+from pimentocross.observe.decisions import note
+from pimentocross.owner import wall
+from pimentocross.owner.desk import Outcome
+from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
+from pimentocross.work import records
+from pimentocross.work.state import JobState
+
+# An owner that owes an answer and was not heard for this long is not waited
+# for, seconds: more than two of its heartbeats are missing.
+OWNER_SILENCE: Final = 0.7
+# How often it is looked whether it was heard, seconds.
+_LOOK: Final = 0.1
+# Records gathered into one append, seconds.
+_BATCH_PAUSE: Final = 0.015
+# A store that takes longer is away for a caller that waits, seconds.
+_APPEND_TIMEOUT: Final = 1.0
+# Records that wait for an append on one VM: as many as its callers send within
+# a few seconds, and some megabytes.
+_WAITING_MOST: Final = 500
+# After a failed append nothing is tried for this long, seconds: callers of a
+# store that is away are told so at once.
+_AWAY_PAUSE: Final = 0.3
+
+_Kept: TypeAlias = SubmitJob | CancelJob
+
+
+class CurrentConfig(Protocol):
+    """Knows whether the configuration here is in force; see `ConfigAccess`."""
+
+    async def make_current(self) -> bool:
+        """Returns whether no change that has to be in force can be missing."""
+        ...
+
+
+class _Entry:
+    """A record on its way to the store.
+
+    Attributes:
+        record: The record.
+        done: Set once its append has ended.
+        error: Why it isn't known to be stored, or None.
+    """
+
+    def __init__(self, record: Record) -> None:
+        """Takes the record."""
+        self.record = record
+        self.done = trio.Event()
+        self.error: StoreUnavailableError | None = None
+
+
+class IntakeWriter:
+    """Appends records to the topic, gathered into few calls."""
+
+    def __init__(self, store: Store) -> None:
+        """Takes the store."""
+        self._store = store
+        self._waiting: list[_Entry] = []
+        self._wake = trio.Event()
+        self._away_until = float("-inf")
+
+    async def put(self, record: Record) -> None:
+        """Stores a record.
+
+        Raises:
+            StoreUnavailableError: It isn't stored, or may be if `sent`.
+        """
+        if trio.current_time() < self._away_until:
+            raise StoreUnavailableError("store away", sent=False)
+        if len(self._waiting) >= _WAITING_MOST:
+            raise StoreUnavailableError("too much waits for it", sent=False)
+        entry = _Entry(record)
+        self._waiting.append(entry)
+        self._wake.set()
+        await entry.done.wait()
+        if entry.error is not None:
+            raise entry.error
+
+    async def run(self) -> None:
+        """Appends what comes, for ever."""
+        while True:
+            await self._wake.wait()
+            await trio.sleep(_BATCH_PAUSE)
+            entries, self._waiting = self._waiting, []
+            self._wake = trio.Event()
+            error = await self._append([entry.record for entry in entries])
+            for entry in entries:
+                entry.error = error
+                entry.done.set()
+
+    async def _append(
+        self, batch: list[Record]
+    ) -> StoreUnavailableError | None:
+        async def ask(question: Question) -> int:
+            return await self._store.append(
+                TOPIC, batch, question.timeout, fresh=question.again
+            )
+
+        try:
+            await first_answer(ask, 0.0, _APPEND_TIMEOUT, AGAIN_AFTER)
+        except StoreUnavailableError as error:
+            self._away_until = trio.current_time() + _AWAY_PAUSE
+            return error
+        return None
+
+
+class Unserved(NamedTuple):
+    """What came of asking the owner in vain.
+
+    Attributes:
+        reply: Its answer, if it gave one.
+        error: Why it gave none.
+    """
+
+    reply: GatewayMessage | None
+    error: PeerUnreachableError | None
+
+    def tell(self) -> GatewayMessage:
+        """Returns the answer.
+
+        Raises:
+            PeerUnreachableError: There is none.
+        """
+        if self.error is not None:
+            raise self.error
+        assert self.reply is not None
+        return self.reply
+
+    @property
+    def may_have_happened(self) -> bool:
+        """True if the owner may have done what it was asked."""
+        if self.error is not None:
+            return self.error.sent
+        return (
+            isinstance(self.reply, JobAnswer)
+            and self.reply.outcome is Outcome.UNSURE
+        )
+
+
+def is_served(reply: GatewayMessage) -> bool:
+    """True if an owner's answer settles what a caller asked."""
+    if isinstance(reply, NotOwner):
+        return False
+    return not (
+        isinstance(reply, JobAnswer)
+        and reply.outcome in (Outcome.STORE_AWAY, Outcome.UNSURE)
+    )
+
+
+class DurableIntake:
+    """Asks the owner, and takes in itself what no owner answers."""
+
+    def __init__(
+        self,
+        owner: OwnerAccess,
+        silence: Callable[[], float],
+        configs: CurrentConfig,
+        store: Store,
+    ) -> None:
+        """Takes what it stands before.
+
+        Args:
+            owner: Reaches the owner.
+            silence: Returns the seconds since the owner was heard.
+            configs: Knows whether a queue may still be used.
+            store: The store, as this VM reaches it.
+        """
+        self._owner = owner
+        self._silence = silence
+        self._configs = configs
+        self._writer = IntakeWriter(store)
+        # Questions that the owner owes an answer to.
+        self._asking: set[trio.CancelScope] = set()
+        self._asks = trio.Event()
+
+    def owner_absent(self) -> float:
+        """Returns for how many seconds no owner could be asked."""
+        return self._owner.owner_absent()
+
+    async def store_answers(self) -> bool:
+        """Returns whether the store answers this VM now."""
+        return await self._owner.store_answers()
+
+    async def run(self) -> None:
+        """Stores what is taken in, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._writer.run)
+            nursery.start_soon(self._give_up_silent)
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        """Asks the owner, or does without; see `OwnerAccess`."""
+        if not isinstance(message, SubmitJob | CancelJob):
+            return await self._owner.ask_owner(message, timeout)
+        asked = await self._ask(message, timeout)
+        if not isinstance(asked, Unserved):
+            return asked
+        if asked.error is not None and asked.error.sent and self._is_heard():
+            # It may answer the next time; this caller's time is over.
+            return asked.tell()
+        if not await self._configs.make_current():
+            return asked.tell()
+        return await self._take_in(message, asked)
+
+    def _is_heard(self) -> bool:
+        absent = self._owner.owner_absent() >= _LOOK
+        return not absent and self._silence() <= OWNER_SILENCE
+
+    async def _ask(
+        self, message: _Kept, timeout: float
+    ) -> GatewayMessage | Unserved:
+        """Asks the owner as long as it is heard."""
+        scope = trio.CancelScope()
+        self._asking.add(scope)
+        self._asks.set()
+        try:
+            with scope:
+                reply = await self._owner.ask_owner(message, timeout)
+                return reply if is_served(reply) else Unserved(reply, None)
+        except PeerUnreachableError as error:
+            return Unserved(None, error)
+        finally:
+            self._asking.discard(scope)
+        silent = PeerUnreachableError("the owner is silent", sent=True)
+        return Unserved(None, silent)
+
+    async def _give_up_silent(self) -> None:
+        """Ends questions to an owner that isn't heard."""
+        while True:
+            if not self._asking:
+                self._asks = trio.Event()
+                await self._asks.wait()
+            await trio.sleep(_LOOK)
+            if self._silence() > OWNER_SILENCE:
+                for scope in self._asking:
+                    scope.cancel()
+
+    async def _take_in(self, message: _Kept, asked: Unserved) -> GatewayMessage:
+        try:
+            await self._writer.put(_record_of(message))
+        except StoreUnavailableError as error:
+            if error.sent:
+                reason = f"stored perhaps: {error}"
+                raise PeerUnreachableError(reason, sent=True) from error
+            return asked.tell()
+        note(
+            "taken_in_without_owner",
+            job=message.job,
+            cancels=isinstance(message, CancelJob),
+            asked_before=asked.may_have_happened,
+        )
+        if isinstance(message, CancelJob):
+            meters.add_taken_in("cancel")
+            return JobAnswer(Outcome.OK, JobState.CANCELLED)
+        meters.add_taken_in("submission")
+        return JobAnswer(Outcome.OK, JobState.QUEUED)
+
+
+def _record_of(message: _Kept) -> Record:
+    if isinstance(message, CancelJob):
+        return Record(cancel_key(message.job), b"\x01")
+    value = records.encode_accepted(message.queue, message.spec, wall.now())
+    return Record(submission_key(message.job), value)
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -12,6 +12,7 @@
 from pimentocross.gateway.config_follower import ConfigFollower, ConfigSource
 from pimentocross.gateway.election import Election
 from pimentocross.gateway.heard_peers import HeardPeers
+from pimentocross.gateway.intake import DurableIntake
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
     AskPending,
@@ -79,7 +80,10 @@
             self.get_config,
             self._heard,
         )
-        self.desk = CallerDesk(self._configs, self)
+        self._intake = DurableIntake(
+            self, self._election.owner_silence, self._configs, platform.store
+        )
+        self.desk = CallerDesk(self._configs, self._intake)
         self._stop = trio.Event()
 
     def get_config(self) -> WorkConfig | None:
@@ -117,6 +121,7 @@
             nursery.start_soon(self._cluster.follow)
             nursery.start_soon(self._cluster.register, self._member())
             nursery.start_soon(self._election.run)
+            nursery.start_soon(self._intake.run)
             await self._stop.wait()
             await self._drain(callers)
             nursery.cancel_scope.cancel()
@@ -236,8 +241,10 @@
                     return NotOwner("the queue is not in force")
                 return JobAnswer(*await owner.desk.submit(job, known, spec))
             case AskState(job):
+                await owner.learn_of(job)
                 return JobAnswer(*owner.desk.state(job))
             case CancelJob(job):
+                await owner.learn_of(job)
                 return JobAnswer(*await owner.desk.cancel(job))
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
--- a/pimentocross/observe/meters.py
+++ b/pimentocross/observe/meters.py
@@ -28,6 +28,16 @@
     add(f'calls_unanswered_total{{call="{call}"}}')
 
 
+def add_taken_in(kind: str) -> None:
+    """Counts what an entry VM stored for an owner that it could not ask."""
+    add(f'intake_stored_total{{kind="{kind}"}}')
+
+
+def add_taken_up(kind: str) -> None:
+    """Counts what an owner took up that entry VMs had stored."""
+    add(f'intake_taken_up_total{{kind="{kind}"}}')
+
+
 def total(name: str) -> float:
     """Returns a total."""
     return _totals.get(name, 0.0)
--- a/pimentocross/owner/desk.py
+++ b/pimentocross/owner/desk.py
@@ -39,9 +39,22 @@
     """Takes jobs in, cancels them and tells how they stand."""
 
     def __init__(
-        self, book: JobBook, ledger: Ledger, wake: Callable[[], None]
+        self,
+        book: JobBook,
+        ledger: Ledger,
+        wake: Callable[[], None],
+        knows_all: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Takes the jobs and where they are recorded."""
+        """Takes the jobs and where they are recorded.
+
+        Args:
+            book: The jobs.
+            ledger: Where they are recorded.
+            wake: Has decisions made once there is more to decide.
+            knows_all: Returns whether no job can be missing that was accepted
+                elsewhere and that callers may ask for by now.
+        """
+        self._knows_all = knows_all
         self._book = book
         self._ledger = ledger
         self._wake = wake
@@ -117,7 +130,7 @@
             del self._storing[job_id]
 
     def _unknown(self) -> JobReply:
-        if self._ledger.age() > const.CURRENT_WITHIN:
+        if self._ledger.age() > const.CURRENT_WITHIN or not self._knows_all():
             # A successor may have taken jobs in that aren't known here.
             return JobReply(Outcome.STORE_AWAY)
         return JobReply(Outcome.NO_SUCH_JOB)
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -80,11 +80,14 @@
 
     def accept(self, job_id: str, queue: Queue, spec: JobSpec) -> Batch:
         """Takes a job in; returns the batch of its first record."""
-        job = Job(job_id, queue, spec, wall.now())
+        return self.take_in(Job(job_id, queue, spec, wall.now()))
+
+    def take_in(self, job: Job) -> Batch:
+        """Takes in a job that was accepted; returns its record's batch."""
         self.restore(job)
         return self._ledger.put(
             PlainRecord(
-                records.SUBMISSION + job_id,
+                records.SUBMISSION + job.id,
                 lambda: records.encode_submission(job),
             )
         )
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -22,6 +22,7 @@
 from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.doubts import Doubts
 from pimentocross.owner.former_leases import FormerLeases, Predecessor
+from pimentocross.owner.intake import Intake
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.learned import Learned
@@ -125,7 +126,19 @@
         )
         self._doubts = Doubts(self._ledger)
         self._ends = WorkerEnds(self._ledger)
-        self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
+        self._intake = Intake(
+            platform.store,
+            self._book,
+            self._ledger,
+            self._dispatcher.wake,
+            config,
+        )
+        self.desk = Desk(
+            self._book,
+            self._ledger,
+            self._dispatcher.wake,
+            lambda: self._intake.is_current,
+        )
         self._release = trio.Event()
 
     @property
@@ -163,6 +176,7 @@
             nursery.start_soon(self._ledger.run)
             with uncollected():
                 await self._load()
+            await self._intake.open()
             await self._work()
             # What was heard up to now isn't heard by a successor again if its
             # worker leaves.
@@ -190,6 +204,7 @@
             self.ready.set()
             self._log.note("owner_ready", jobs=len(self._book))
             nursery.start_soon(self._decide, orders)
+            nursery.start_soon(self._intake.run)
             await self._roster.start_keepers()
             nursery.start_soon(self._settle)
             nursery.start_soon(self._roster.follow)
@@ -237,6 +252,14 @@
         """Notes that a former owner surely renews no lease any more."""
         self._roster.note_former_ended(epoch)
 
+    async def learn_of(self, job_id: str) -> None:
+        """Has a job known that an entry VM has just stored.
+
+        Its caller may ask for it before it was taken up.
+        """
+        if not self.desk.knows(job_id):
+            await self._intake.catch_up()
+
     def release(self) -> None:
         """Has `run` return once all changes so far are stored."""
         self._release.set()
--- a/pimentocross/work/queue.py
+++ b/pimentocross/work/queue.py
@@ -64,6 +64,10 @@
     services: Mapping[str, ServicePool]
     limits: CallerLimits
 
+    def newest_form(self, queue: Queue) -> Queue:
+        """Returns a queue as configured now; as it was if it was dropped."""
+        return next((q for q in self.queues if q.name == queue.name), queue)
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue of the longest prefix that a path begins with."""
         fitting = [
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -31,6 +31,8 @@
 LEASES: Final = "g"
 DOUBTS: Final = "d"
 ENDS: Final = "e"
+# In the topic of what entry VMs store for an owner.
+CANCEL: Final = "x"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -277,8 +279,12 @@
 
 def encode_submission(job: Job) -> bytes:
     """Returns a job's first record."""
-    record = SubmissionRecord(FORM, job.queue, job.spec, job.accepted_at)
-    return _encode(record)
+    return encode_accepted(job.queue, job.spec, job.accepted_at)
+
+
+def encode_accepted(queue: Queue, spec: JobSpec, accepted_at: float) -> bytes:
+    """Returns the first record of a job that was accepted at a time."""
+    return _encode(SubmissionRecord(FORM, queue, spec, accepted_at))
 
 
 def decode_submission(job_id: str, value: bytes) -> Job:
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,354 @@
+"""Submissions that entry VMs take in while no owner can be asked."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from pimentocross.contracts.store import Record, StoreUnavailableError
+from pimentocross.gateway.intake import DurableIntake, IntakeWriter
+from pimentocross.gateway.messages import (
+    AskState,
+    CancelJob,
+    GatewayMessage,
+    JobAnswer,
+    NotOwner,
+    SubmitJob,
+)
+from pimentocross.links.peer import PeerUnreachableError
+from pimentocross.owner.desk import Outcome
+from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
+from pimentocross.owner.owner import Owner
+from pimentocross.standins.store import StoreStandin
+from pimentocross.work import records
+from pimentocross.work.state import JobState
+from tests.gateway_fixtures import FixedConfig
+from tests.owner_fixtures import (
+    CONFIG,
+    QUEUE,
+    chain,
+    find_again,
+    find_twice,
+    make_hall,
+    make_owner,
+    running,
+    wait_until,
+)
+
+_SUBMIT = SubmitJob("job1", QUEUE, chain())
+_TAKEN_IN = JobAnswer(Outcome.OK, JobState.QUEUED)
+
+
+class OwnerFake:
+    """Reaches an owner that does as told; see `OwnerAccess`.
+
+    Attributes:
+        reply: What it answers, or why it doesn't.
+        silent: Whether it never answers.
+        silent_since: Since when it isn't heard, monotonic.
+        asked: What it was asked.
+    """
+
+    def __init__(self, reply: GatewayMessage | PeerUnreachableError) -> None:
+        """Takes what it answers."""
+        self.reply = reply
+        self.silent = False
+        self.silent_since = float("inf")
+        self.asked: list[GatewayMessage] = []
+
+    def silence(self) -> float:
+        """Returns the seconds since it was heard."""
+        return max(trio.current_time() - self.silent_since, 0.0)
+
+    def owner_absent(self) -> float:
+        """Returns 0 unless its connection was lost."""
+        return 1.0 if self.reply is _LOST else 0.0
+
+    async def store_answers(self) -> bool:
+        """Returns True."""
+        return True
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        """Answers as told."""
+        self.asked.append(message)
+        if self.silent:
+            await trio.sleep(timeout)
+            raise PeerUnreachableError("no answer", sent=True)
+        await trio.sleep(0.01)
+        if isinstance(self.reply, PeerUnreachableError):
+            raise self.reply
+        return self.reply
+
+
+_ABSENT = PeerUnreachableError("no owner is known", sent=False)
+_LOST = PeerUnreachableError("connection lost", sent=True)
+
+
+@asynccontextmanager
+async def _taking_in(
+    owner: OwnerFake, store: StoreStandin, *, current: bool = True
+) -> AsyncIterator[DurableIntake]:
+    intake = DurableIntake(
+        owner,
+        owner.silence,
+        FixedConfig(CONFIG, current=current),
+        store.client("vm"),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(intake.run)
+        yield intake
+        nursery.cancel_scope.cancel()
+
+
+def _keys(store: StoreStandin) -> list[str]:
+    return [r.key for r in store.topic(TOPIC).records if r.value is not None]
+
+
+def _outcome(reply: GatewayMessage) -> Outcome:
+    assert isinstance(reply, JobAnswer)
+    return reply.outcome
+
+
+async def test_nothing_is_stored_while_the_owner_answers() -> None:
+    store = StoreStandin()
+    for reply in (
+        _TAKEN_IN,
+        JobAnswer(Outcome.NO_SUCH_JOB, None),
+    ):
+        async with _taking_in(OwnerFake(reply), store) as intake:
+            assert await intake.ask_owner(_SUBMIT, 2.0) == reply, "its answer"
+    assert not store.calls, f"{store.calls} calls to the store"
+
+
+async def test_without_an_owner_a_burst_is_taken_in_at_once() -> None:
+    # 300 callers of one VM within 1.5 s; each gives up after 3 s.
+    store = StoreStandin()
+    took: list[float] = []
+
+    async def submit(intake: DurableIntake, number: int) -> None:
+        await trio.sleep(number * 0.005)
+        asked_at = trio.current_time()
+        message = _SUBMIT._replace(job=f"job{number}")
+        reply = await intake.ask_owner(message, 2.7)
+        assert reply == _TAKEN_IN, f"taken in, not {reply}"
+        took.append(trio.current_time() - asked_at)
+
+    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+        async with trio.open_nursery() as nursery:
+            for number in range(300):
+                nursery.start_soon(submit, intake, number)
+    assert len(_keys(store)) == 300, f"{len(_keys(store))} are stored"
+    assert max(took) < 0.3, f"a tenth of their time: {max(took):.2f} s"
+    assert store.calls <= 150, f"gathered: {store.calls} calls"
+
+
+async def test_an_owner_that_falls_silent_is_not_waited_for() -> None:
+    store = StoreStandin()
+    owner = OwnerFake(_TAKEN_IN)
+    owner.silent, owner.silent_since = True, trio.current_time()
+    async with _taking_in(owner, store) as intake:
+        asked_at = trio.current_time()
+        reply = await intake.ask_owner(_SUBMIT, 2.7)
+        took = trio.current_time() - asked_at
+    assert reply == _TAKEN_IN, f"taken in, not {reply}"
+    assert took < 1.0, f"well within the caller's time: {took:.2f} s"
+
+
+async def test_a_slow_owner_that_is_heard_is_waited_for() -> None:
+    store = StoreStandin()
+    owner = OwnerFake(_TAKEN_IN)
+    owner.silent = True
+    async with _taking_in(owner, store) as intake:
+        try:
+            await intake.ask_owner(_SUBMIT, 2.7)
+        except PeerUnreachableError as error:
+            assert error.sent, "it may run"
+        else:
+            raise AssertionError("answered for an owner that is heard")
+    assert not store.calls, "nothing was stored"
+
+
+async def test_an_owner_that_dies_with_a_submission_costs_nobody_its_job() -> (
+    None
+):
+    store = StoreStandin()
+    async with _taking_in(OwnerFake(_LOST), store) as intake:
+        reply = await intake.ask_owner(_SUBMIT, 2.7)
+    assert reply == _TAKEN_IN, f"taken in, not {reply}"
+
+
+async def test_an_owner_that_cannot_write_refuses_nobody_whose_vm_can() -> None:
+    for refusal in (
+        JobAnswer(Outcome.STORE_AWAY, None),
+        JobAnswer(Outcome.UNSURE, None),
+        NotOwner("the cell is not owned here"),
+    ):
+        store = StoreStandin()
+        async with _taking_in(OwnerFake(refusal), store) as intake:
+            reply = await intake.ask_owner(_SUBMIT, 2.7)
+        assert reply == _TAKEN_IN, f"taken in, not {reply}"
+
+
+async def test_a_refusal_without_the_store_is_true() -> None:
+    store = StoreStandin()
+    store.faults.refused.add("vm")
+    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+        try:
+            await intake.ask_owner(_SUBMIT, 2.7)
+        except PeerUnreachableError as error:
+            assert not error.sent, "not accepted"
+        else:
+            raise AssertionError("taken in without a store")
+    assert not _keys(store), "nothing was stored"
+
+
+async def test_a_lost_answer_of_the_store_leaves_the_caller_unsure() -> None:
+    store = StoreStandin()
+    store.faults.lost = 1.0
+    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+        try:
+            await intake.ask_owner(_SUBMIT, 2.7)
+        except PeerUnreachableError as error:
+            assert error.sent, "it may run"
+        else:
+            raise AssertionError("taken in without an answer")
+
+
+async def test_a_vm_whose_configuration_may_be_old_takes_nothing_in() -> None:
+    store = StoreStandin()
+    async with _taking_in(OwnerFake(_ABSENT), store, current=False) as intake:
+        try:
+            await intake.ask_owner(_SUBMIT, 2.7)
+        except PeerUnreachableError as error:
+            assert not error.sent, "not accepted"
+        else:
+            raise AssertionError("taken in by an old configuration")
+
+
+async def test_questions_for_a_state_are_left_to_the_owner() -> None:
+    store = StoreStandin()
+    reply = JobAnswer(Outcome.STORE_AWAY, None)
+    async with _taking_in(OwnerFake(reply), store) as intake:
+        assert await intake.ask_owner(AskState("job1"), 1.0) == reply, "as told"
+    assert not store.calls, "nothing was stored"
+
+
+async def test_a_writer_tries_a_store_that_is_away_once_in_a_while() -> None:
+    store = StoreStandin()
+    store.faults.refused.add("vm")
+    writer = IntakeWriter(store.client("vm"))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        for number in range(100):
+            try:
+                await writer.put(Record(f"j{number}", b""))
+            except StoreUnavailableError as error:
+                assert not error.sent, "surely not stored"
+        nursery.cancel_scope.cancel()
+    assert store.calls <= 3, f"{store.calls} calls for 100 callers"
+
+
+async def _store_submissions(store: StoreStandin, *jobs: str) -> None:
+    value = records.encode_accepted(QUEUE, chain(), 0.0)
+    await store.client("vm").append(
+        TOPIC, [Record(submission_key(job), value) for job in jobs], 1.0
+    )
+
+
+def _state(owner: Owner, job: str) -> JobState | None:
+    return owner.desk.state(job).state
+
+
+def _completed(owner: Owner, job: str) -> bool:
+    return _state(owner, job) is JobState.COMPLETED
+
+
+def _left(store: StoreStandin) -> list[str]:
+    """Returns the keys that were stored and not removed yet."""
+    newest = {r.key: r.value for r in store.topic(TOPIC).records}
+    return [key for key, value in newest.items() if value is not None]
+
+
+async def test_a_new_owner_takes_up_what_was_stored_before_it_answers() -> None:
+    store, hall = StoreStandin(), make_hall()
+    await _store_submissions(store, "job1", "job2")
+    async with running(make_owner(store, hall, 1)) as owner:
+        assert owner.desk.knows("job1"), "known as soon as it answers"
+        await wait_until(lambda: _completed(owner, "job2"))
+        await wait_until(lambda: not _left(store))
+    assert not find_twice(hall.journal), "no task ran twice"
+
+
+async def test_an_owner_takes_up_what_vms_store_while_it_lives() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(5.0)
+        stored_at = trio.current_time()
+        await _store_submissions(store, "job1")
+        await wait_until(lambda: owner.desk.knows("job1"))
+        took = trio.current_time() - stored_at
+        assert took < 1.0, f"before callers ask for it: {took:.2f} s"
+
+
+async def test_a_job_that_two_vms_stored_and_an_owner_knew_runs_once() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await owner.desk.submit("job1", QUEUE, chain())
+        await _store_submissions(store, "job1")
+        await _store_submissions(store, "job1")
+        await wait_until(lambda: _completed(owner, "job1"))
+        # Sent again seconds after it was accepted.
+        await _store_submissions(store, "job1")
+        await wait_until(lambda: not _left(store))
+        await trio.sleep(3.0)
+    assert not find_again(hall.journal), "no task ran again"
+
+
+async def test_an_owner_killed_after_it_took_jobs_up_loses_none() -> None:
+    # Killed at each point between reading, recording and removing.
+    for moment in (0.0, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1):
+        store, hall = StoreStandin(), make_hall()
+        async with running(make_owner(store, hall, 1)):
+            await _store_submissions(store, "job1", "job2")
+            await trio.sleep(moment)
+        next_owner = make_owner(store, hall, 2, vm="b", former_quiet=False)
+        async with running(next_owner) as owner:
+            for job in ("job1", "job2"):
+                assert owner.desk.knows(job), f"{job} after {moment} s"
+            await wait_until(lambda: _completed(owner, "job2"))
+        assert not find_twice(hall.journal), "no task ran twice"
+
+
+async def test_a_cancel_that_was_stored_with_its_job_starts_nothing() -> None:
+    store, hall = StoreStandin(), make_hall()
+    await _store_submissions(store, "job1")
+    await store.client("vm").append(
+        TOPIC, [Record(cancel_key("job1"), b"\x01")], 1.0
+    )
+    async with running(make_owner(store, hall, 1)) as owner:
+        await wait_until(lambda: _state(owner, "job1") is JobState.CANCELLED)
+        await trio.sleep(2.0)
+    started = Counter(event.what for event in hall.journal)
+    assert not started["start"], "nothing was started"
+
+
+async def test_a_cancel_without_an_owner_is_stored() -> None:
+    store = StoreStandin()
+    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+        reply = await intake.ask_owner(CancelJob("job1"), 2.7)
+    assert _outcome(reply) is Outcome.OK, "acknowledged"
+    assert _keys(store) == [cancel_key("job1")], "stored"
+
+
+async def test_no_job_is_unknown_while_the_topic_can_not_be_read() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        assert owner.desk.state("job9").outcome is Outcome.NO_SUCH_JOB, "known"
+        store.faults.refused.add("a")
+        await trio.sleep(3.0)
+        assert owner.desk.state("job9").outcome is Outcome.STORE_AWAY, (
+            "not known"
+        )
