Switch parts off by name; design of intake

Change: PIMENTOCROSS_PARTS_OFF names parts; with intake off an owner makes no call to the store that it did not make before.

--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -6,6 +6,7 @@
 import trio
 
 from pimentocross.contracts.store import StoreUnavailableError
+from pimentocross.contracts.switches import Part
 from pimentocross.gateway import const
 from pimentocross.gateway.caller_desk import CallerDesk
 from pimentocross.gateway.cluster import Cluster, Member, member_record
@@ -83,7 +84,10 @@
         self._intake = DurableIntake(
             self, self._election.owner_silence, self._configs, platform.store
         )
-        self.desk = CallerDesk(self._configs, self._intake)
+        takes_in = settings.switches.is_on(Part.INTAKE)
+        self.desk = CallerDesk(
+            self._configs, self._intake if takes_in else self
+        )
         self._stop = trio.Event()
 
     def get_config(self) -> WorkConfig | None:
--- a/pimentocross/gateway/settings.py
+++ b/pimentocross/gateway/settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from pimentocross.contracts.switches import Switches
+
 
 class GatewaySettings(NamedTuple):
     """What a process learns before it starts.
@@ -26,6 +28,7 @@
         grace: Seconds between a request to stop and a kill.
         descriptors: File descriptors that the process may have open.
         cores: The VM's processor in cores, or 0 if it isn't told.
+        switches: Parts that are switched off.
     """
 
     name: str
@@ -44,3 +47,4 @@
     grace: float
     descriptors: int
     cores: float = 0.0
+    switches: Switches = Switches()
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -7,6 +7,7 @@
 
 from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import Store
+from pimentocross.contracts.switches import Part, Switches
 from pimentocross.contracts.worker_link import (
     WorkerDialer,
     WorkerDirectory,
@@ -52,6 +53,7 @@
     adviser: Adviser | None = None
     terms: OwnerTerms = OwnerTerms()
     zones: ZoneAccess = EveryZone()
+    switches: Switches = Switches()
 
 
 class Claim(NamedTuple):
@@ -126,6 +128,7 @@
         )
         self._doubts = Doubts(self._ledger)
         self._ends = WorkerEnds(self._ledger)
+        self._takes_up = platform.switches.is_on(Part.INTAKE)
         self._intake = Intake(
             platform.store,
             self._book,
@@ -137,7 +140,7 @@
             self._book,
             self._ledger,
             self._dispatcher.wake,
-            lambda: self._intake.is_current,
+            lambda: not self._takes_up or self._intake.is_current,
         )
         self._release = trio.Event()
 
@@ -176,7 +179,8 @@
             nursery.start_soon(self._ledger.run)
             with uncollected():
                 await self._load()
-            await self._intake.open()
+            if self._takes_up:
+                await self._intake.open()
             await self._work()
             # What was heard up to now isn't heard by a successor again if its
             # worker leaves.
@@ -204,7 +208,8 @@
             self.ready.set()
             self._log.note("owner_ready", jobs=len(self._book))
             nursery.start_soon(self._decide, orders)
-            nursery.start_soon(self._intake.run)
+            if self._takes_up:
+                nursery.start_soon(self._intake.run)
             await self._roster.start_keepers()
             nursery.start_soon(self._settle)
             nursery.start_soon(self._roster.follow)
@@ -257,7 +262,7 @@
 
         Its caller may ask for it before it was taken up.
         """
-        if not self.desk.knows(job_id):
+        if self._takes_up and not self.desk.knows(job_id):
             await self._intake.catch_up()
 
     def release(self) -> None:
--- a/pimentocross/platform/__main__.py
+++ b/pimentocross/platform/__main__.py
@@ -52,6 +52,7 @@
         make_terms(
             settings.lease_most, settings.ended_least, settings.descriptors
         ),
+        switches=settings.switches,
     )
     node = GatewayNode(settings, platform, OperatorTopic(store))
     surfaces = Surfaces(
--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -5,6 +5,11 @@
 from pathlib import Path
 from typing import Final
 
+from pimentocross.contracts.switches import (
+    Switches,
+    UnknownPartError,
+    read_switches,
+)
 from pimentocross.gateway.settings import GatewaySettings
 
 _METRICS_VARIABLE: Final = "PIMENTOCROSS_METRICS_PORT"
@@ -15,6 +20,8 @@
 _STATUS_S: Final = 120.0
 _CONFIG_APPLY_MS: Final = 2000.0
 _MAX_FDS: Final = 4096.0
+# Names of parts that are switched off, separated by commas.
+_PARTS_OFF_VARIABLE: Final = "PIMENTOCROSS_PARTS_OFF"
 _PATH_VARIABLE: Final = "PIMENTOCROSS_BOOT"
 _COMMENT: Final = "#"
 
@@ -91,6 +98,7 @@
         # So much of a core, which is so many times as fast as one.
         cores=_number(values, "limits.cpu_share", 0.0, findings)
         * _number(values, "limits.cpu_cores", 1.0, findings),
+        switches=_switches(findings),
     )
     if findings:
         raise SettingsError(findings)
@@ -116,6 +124,14 @@
     return int(text) if text.isdigit() else 0
 
 
+def _switches(findings: list[str]) -> Switches:
+    try:
+        return read_switches(os.environ.get(_PARTS_OFF_VARIABLE, ""))
+    except UnknownPartError as error:
+        findings.append(f"{_PARTS_OFF_VARIABLE}: {error}")
+        return Switches()
+
+
 def _number(
     values: Mapping[str, str],
     name: str,
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -9,6 +9,7 @@
 
 from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import FencedError, StoreUnavailableError
+from pimentocross.contracts.switches import Switches
 from pimentocross.contracts.worker_link import WorkerFencedError, WorkerLife
 from pimentocross.contracts.zones import EveryZone, ZoneAccess
 from pimentocross.owner.former_leases import Predecessor
@@ -41,6 +42,7 @@
 _ON_ITS_WAY = 0.01
 
 
+ALL_ON = Switches()
 ZONES = ("north", "south", "west")
 
 
@@ -158,11 +160,17 @@
     config: WorkConfig = CONFIG,
     adviser: Adviser | None = None,
     zones: ZoneAccess | None = None,
+    switches: Switches = ALL_ON,
 ) -> Owner:
     """Returns an owner under an epoch; lower ones have owned before."""
     access = hall.access(vm)
     platform = CellPlatform(
-        store.client(vm), access, access, adviser, zones=zones or EveryZone()
+        store.client(vm),
+        access,
+        access,
+        adviser,
+        zones=zones or EveryZone(),
+        switches=switches,
     )
     formers = tuple(
         Predecessor(former, former_quiet) for former in range(epoch - 1, 0, -1)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -7,6 +7,12 @@
 import trio
 
 from pimentocross.contracts.store import Record, StoreUnavailableError
+from pimentocross.contracts.switches import (
+    Part,
+    Switches,
+    UnknownPartError,
+    read_switches,
+)
 from pimentocross.gateway.intake import DurableIntake, IntakeWriter
 from pimentocross.gateway.messages import (
     AskState,
@@ -352,3 +358,29 @@
         assert owner.desk.state("job9").outcome is Outcome.STORE_AWAY, (
             "not known"
         )
+
+
+async def test_switched_off_an_owner_asks_the_store_nothing_more() -> None:
+    store, hall = StoreStandin(), make_hall()
+    await _store_submissions(store, "job1")
+    switches = Switches(frozenset({Part.INTAKE}))
+    owner = make_owner(store, hall, 1, switches=switches)
+    async with running(owner):
+        await owner.learn_of("job1")
+        await trio.sleep(3.0)
+        assert not owner.desk.knows("job1"), "not read"
+        outcome = owner.desk.state("job1").outcome
+        assert outcome is Outcome.NO_SUCH_JOB, "as without the part"
+
+
+def test_a_part_that_nobody_knows_is_named() -> None:
+    assert read_switches(" copies, swings,") == Switches(
+        frozenset({Part.COPIES, Part.SWINGS})
+    )
+    assert read_switches("").is_on(Part.COPIES)
+    try:
+        read_switches("copies,copying")
+    except UnknownPartError as error:
+        assert "copying:" in str(error), error
+    else:
+        raise AssertionError("taken")
