Count a job as waiting until a run of it is seen

Cause: a job counted as begun once a start was decided on. Change: a job has begun once a start was answered, or a run or its end listed; a new owner goes by what is recorded as done, failed or saved, and by starts that may come late. One that ran without a trace and runs nowhere at a take-over counts as waiting until it runs again.

--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -33,6 +33,7 @@
 def apply_ending(task: Task, ending: Ending, worker: Worker) -> Run | None:
     """Brings a task to where a listed ending leaves it; returns the run."""
     newest = ending.run >= task.last_run
+    task.note_begun()
     run = drop_run(task, ending.run, worker)
     if ending.checkpoint and newest and not task.done:
         _keep_checkpoint(task, ending.checkpoint)
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -141,11 +141,14 @@
         ]
 
     def pending(self, queue: str) -> int:
-        """Returns how many accepted jobs of a queue have not started."""
+        """Returns how many accepted jobs of a queue have not begun.
+
+        One whose first starts weren't answered counts until a run is seen.
+        """
         return sum(
             1
             for job in self._jobs.values()
-            if job.queue.name == queue and not job.ended and not job.started
+            if job.queue.name == queue and not job.ended and not job.begun
         )
 
     def apply_config(self, config: WorkConfig) -> None:
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -283,6 +283,7 @@
                 or run.state is not RunState.RUNNING
                 or not run.began_at
             ):
+                task.note_begun()
                 _update(run, entry, now)
             if entry.checkpoint and entry.run == task.last_run:
                 task.checkpoint = entry.checkpoint
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -96,6 +96,9 @@
             life: Where it was to start, None if that isn't known any more.
         """
         left = 0.0
+        if not self.was_open(task, run):
+            # Its start was answered, or this isn't recorded.
+            task.note_begun()
         if self._former is not None:
             if not self.was_open(task, run):
                 return
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -185,6 +185,7 @@
             worker.clock.note(reply.clock, now)
         if reply.verdict is StartVerdict.STARTED:
             self.started.set()
+            task.note_begun()
             if run.state is RunState.SENT:
                 run.enter(RunState.RUNNING, now)
             return
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -500,12 +500,15 @@
     for index, task in enumerate(step.tasks):
         if done >> index & 1:
             task.note_started(1)
+            task.note_begun()
             task.finish()
     for saved in record.tasks:
         task = step.tasks[saved.position]
         task.note_started(saved.last_run)
         task.failures = saved.failures
         task.checkpoint = saved.checkpoint
+        if saved.failures or saved.checkpoint:
+            task.note_begun()
         for run_record in saved.runs:
             run = Run(run_record.number, run_record.worker)
             run.state = RunState.UNSURE
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -188,6 +188,10 @@
         self.step.started = True
         self.step.job.started = True
 
+    def note_begun(self) -> None:
+        """Notes that a run of it was carried out."""
+        self.step.job.begun = True
+
     def drop_run(self, number: int) -> Run | None:
         """Forgets a run that surely is on no worker any more."""
         run = self.runs.pop(number, None)
@@ -291,6 +295,7 @@
         recorded_state: The state that its newest stored record has.
         ended_at: When it came to a final state, seconds since 1970.
         started: Whether any task of it was ever decided on.
+        begun: Whether any task of it surely ran, as far as is known.
         given_up: Whether a task of it crashes the workers that start it.
     """
 
@@ -310,6 +315,7 @@
             for number, due in enumerate(_due_times(spec, accepted_at))
         ]
         self.started = False
+        self.begun = False
         self.given_up = False
         # Counted, as each end of a run asks: looking at all tasks would take
         # the longer the wider a job is.
--- a/tests/test_starts_held.py
+++ b/tests/test_starts_held.py
@@ -30,6 +30,7 @@
 
 _LASTING = Size(1900, 1000, 0)
 _SHORT = Size(2000, 1000, 0)
+_WATCH = spec(StepSpec(1, _LASTING, lasting=True))
 # Users count a task that lasts as lost if it is away for 6 s.
 _AWAY_MOST = 4.0
 
@@ -112,3 +113,36 @@
     (run,) = worker.runs.values()
     run.late_until = trio.current_time() + const.LATE_START_MOST
     return worker, run.late_until
+
+
+async def test_a_job_waits_until_a_run_of_it_is_seen() -> None:
+    # MIXED: jobs whose first starts were held counted as begun.
+    with mock.patch.object(wall, "now", trio.current_time):
+        await _play_pending()
+
+
+async def _play_pending() -> None:
+    store, hall = StoreStandin(), make_hall(2, _plan)
+    job = spec(StepSpec(1, _SHORT, 0.5))
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(0.5)
+        for worker in hall.workers.values():
+            worker.faults.late = 1.0
+        await owner.desk.submit("short", QUEUE, job)
+        await trio.sleep(2.0)
+        assert owner.desk.pending(QUEUE.name) == 1
+    for worker in hall.workers.values():
+        worker.restart()
+        worker.faults.late = 0.0
+    async with running(make_owner(store, hall, 2)) as heir:
+        await heir.settled.wait()
+        await trio.sleep(2.0)
+        assert not count(hall.journal, "start")
+        assert heir.desk.pending(QUEUE.name) == 1
+        await heir.desk.submit("watch", QUEUE, _WATCH)
+        await wait_until(lambda: count(hall.journal, "start") == 1)
+        assert heir.desk.pending(QUEUE.name) == 1
+        await wait_until(lambda: count(hall.journal, "start") == 2)
+        await wait_until(lambda: heir.desk.pending(QUEUE.name) == 0)
+    async with running(make_owner(store, hall, 3)) as third:
+        assert third.desk.pending(QUEUE.name) == 0
