--- a/pimentocross/gateway/intake.py
+++ b/pimentocross/gateway/intake.py
@@ -22,6 +22,7 @@
 from pimentocross.gateway.messages import (
     CancelJob,
     GatewayMessage,
+    HandOver,
     JobAnswer,
     NotOwner,
     SubmitJob,
@@ -33,6 +34,7 @@
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
 from pimentocross.work import records
+from pimentocross.work.queue import Queue
 from pimentocross.work.state import JobState
 
 # An owner that owes an answer and was not heard for this long is not waited
@@ -40,6 +42,9 @@
 OWNER_SILENCE: Final = 0.7
 # How often it is looked whether it was heard, seconds.
 _LOOK: Final = 0.1
+# What another VM waits for has to come within this, seconds: it waits for
+# little more.
+_PEER_TIMEOUT: Final = 0.3
 # Records gathered into one append, seconds.
 _BATCH_PAUSE: Final = 0.015
 # A store that takes longer is away for a caller that waits, seconds.
@@ -61,6 +66,26 @@
         """Returns whether no change that has to be in force can be missing."""
         ...
 
+    async def in_force(self, queue: Queue) -> Queue | None:
+        """Returns the newest form of a queue, or None if it was dropped."""
+        ...
+
+
+class NeighbourAccess(Protocol):
+    """Reaches other VMs; see `Neighbours`."""
+
+    async def run(self) -> None:
+        """Keeps connections that are needed, for ever."""
+        ...
+
+    async def ask(self, message: GatewayMessage) -> GatewayMessage:
+        """Returns another VM's answer.
+
+        Raises:
+            PeerUnreachableError: None was a help.
+        """
+        ...
+
 
 class _Entry:
     """A record on its way to the store.
@@ -185,6 +210,7 @@
         silence: Callable[[], float],
         configs: CurrentConfig,
         store: Store,
+        neighbours: NeighbourAccess,
     ) -> None:
         """Takes what it stands before.
 
@@ -193,7 +219,9 @@
             silence: Returns the seconds since the owner was heard.
             configs: Knows whether a queue may still be used.
             store: The store, as this VM reaches it.
+            neighbours: Other VMs, which the store may serve.
         """
+        self._neighbours = neighbours
         self._owner = owner
         self._silence = silence
         self._configs = configs
@@ -215,6 +243,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._writer.run)
             nursery.start_soon(self._give_up_silent)
+            nursery.start_soon(self._neighbours.run)
 
     async def ask_owner(
         self, message: GatewayMessage, timeout: float
@@ -228,9 +257,33 @@
         if asked.error is not None and asked.error.sent and self._is_heard():
             # It may answer the next time; this caller's time is over.
             return asked.tell()
-        if not await self._configs.make_current():
-            return asked.tell()
-        return await self._take_in(message, asked)
+        stored = await self._store(message, asked)
+        return stored or await self._hand_over(message, asked)
+
+    async def take_over(self, message: HandOver) -> GatewayMessage:
+        """Serves what another VM can't store."""
+        if message.queue is None or message.spec is None:
+            return await self._serve_peer(CancelJob(message.job))
+        queue = await self._configs.in_force(message.queue)
+        if queue is None:
+            return NotOwner("the queue is not in force")
+        return await self._serve_peer(
+            SubmitJob(message.job, queue, message.spec)
+        )
+
+    async def _serve_peer(self, message: _Kept) -> GatewayMessage:
+        asked = await self._ask(message, _PEER_TIMEOUT)
+        if not isinstance(asked, Unserved):
+            return asked
+        try:
+            stored = await self._store(message, asked)
+        except PeerUnreachableError:
+            return JobAnswer(Outcome.UNSURE, None)
+        if stored is not None:
+            return stored
+        if asked.may_have_happened:
+            return JobAnswer(Outcome.UNSURE, None)
+        return NotOwner("no help here")
 
     def _is_heard(self) -> bool:
         absent = self._owner.owner_absent() >= _LOOK
@@ -265,14 +318,40 @@
                 for scope in self._asking:
                     scope.cancel()
 
-    async def _take_in(self, message: _Kept, asked: Unserved) -> GatewayMessage:
+    async def _hand_over(
+        self, message: _Kept, asked: Unserved
+    ) -> GatewayMessage:
+        """Asks another VM; else tells what came of the owner."""
+        try:
+            reply = await self._neighbours.ask(_handed_over(message))
+        except PeerUnreachableError as error:
+            if error.sent and not asked.may_have_happened:
+                raise
+            return asked.tell()
+        if asked.may_have_happened and not _is_done(reply):
+            # A refusal says nothing of what the owner was asked before.
+            return asked.tell()
+        note("handed_over", job=message.job)
+        meters.add_taken_in("handed over")
+        return reply
+
+    async def _store(
+        self, message: _Kept, asked: Unserved
+    ) -> GatewayMessage | None:
+        """Stores what was asked; returns None if that surely failed.
+
+        Raises:
+            PeerUnreachableError: It may be stored, or not.
+        """
+        if not await self._configs.make_current():
+            return None
         try:
             await self._writer.put(_record_of(message))
         except StoreUnavailableError as error:
-            if error.sent:
-                reason = f"stored perhaps: {error}"
-                raise PeerUnreachableError(reason, sent=True) from error
-            return asked.tell()
+            if not error.sent:
+                return None
+            reason = f"stored perhaps: {error}"
+            raise PeerUnreachableError(reason, sent=True) from error
         note(
             "taken_in_without_owner",
             job=message.job,
@@ -286,6 +365,16 @@
         return JobAnswer(Outcome.OK, JobState.QUEUED)
 
 
+def _is_done(reply: GatewayMessage) -> bool:
+    return isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK
+
+
+def _handed_over(message: _Kept) -> HandOver:
+    if isinstance(message, CancelJob):
+        return HandOver(message.job, None, None)
+    return HandOver(message.job, message.queue, message.spec)
+
+
 def _record_of(message: _Kept) -> Record:
     if isinstance(message, CancelJob):
         return Record(cancel_key(message.job), b"\x01")
--- a/pimentocross/gateway/messages.py
+++ b/pimentocross/gateway/messages.py
@@ -67,6 +67,20 @@
     spec: JobSpec
 
 
+class HandOver(NamedTuple):
+    """Asks a VM that the store serves to take a job in, or to cancel one.
+
+    Attributes:
+        job: The job.
+        queue: Its queue, or None for a cancel.
+        spec: What is asked for, or None for a cancel.
+    """
+
+    job: str
+    queue: Queue | None
+    spec: JobSpec | None
+
+
 class AskState(NamedTuple):
     """Asks the owner for a job's state."""
 
@@ -110,6 +124,7 @@
     | AskStanding
     | Standing
     | SubmitJob
+    | HandOver
     | AskState
     | CancelJob
     | JobAnswer
@@ -126,6 +141,7 @@
         "standing": AskStanding,
         "standing+": Standing,
         "submit": SubmitJob,
+        "hand-over": HandOver,
         "state": AskState,
         "cancel": CancelJob,
         "job+": JobAnswer,
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -12,6 +12,7 @@
 from pimentocross.gateway.cluster import Cluster, Member, member_record
 from pimentocross.gateway.config_follower import ConfigFollower, ConfigSource
 from pimentocross.gateway.election import Election
+from pimentocross.gateway.hand_over import Neighbour, Neighbours
 from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.intake import DurableIntake
 from pimentocross.gateway.messages import (
@@ -22,6 +23,7 @@
     BriefStanding,
     CancelJob,
     GatewayMessage,
+    HandOver,
     Heartbeat,
     JobAnswer,
     NotOwner,
@@ -32,7 +34,11 @@
 from pimentocross.gateway.settings import GatewaySettings
 from pimentocross.links.greeting import PeerIdentity
 from pimentocross.links.listener import Handler, HttpListener, ListenerLimits
-from pimentocross.links.peer import PeerListener, PeerUnreachableError
+from pimentocross.links.peer import (
+    PeerListener,
+    PeerUnreachableError,
+    dial_tcp,
+)
 from pimentocross.observe.decisions import note, write_lines
 from pimentocross.observe.late_log import LateLog
 from pimentocross.owner.owner import CellPlatform, Owner
@@ -82,11 +88,15 @@
             self._heard,
         )
         self._intake = DurableIntake(
-            self, self._election.owner_silence, self._configs, platform.store
+            self,
+            self._election.owner_silence,
+            self._configs,
+            platform.store,
+            Neighbours(self._mine, self._other_vms, dial_tcp),
         )
-        takes_in = settings.switches.is_on(Part.INTAKE)
+        self._takes_in = settings.switches.is_on(Part.INTAKE)
         self.desk = CallerDesk(
-            self._configs, self._intake if takes_in else self
+            self._configs, self._intake if self._takes_in else self
         )
         self._stop = trio.Event()
 
@@ -94,6 +104,14 @@
         """Returns the configuration in force, or None before the first."""
         return self._configs.config
 
+    def _other_vms(self) -> list[Neighbour]:
+        members = self._cluster.members.values()
+        return [
+            Neighbour(member.vm, member.address)
+            for member in members
+            if member.vm != self._mine.name
+        ]
+
     def request_stop(self) -> None:
         """Has `run` drain and return."""
         self._stop.set()
@@ -229,6 +247,8 @@
             return self._election.standing()
         if isinstance(message, Heartbeat):
             return BriefStanding(*self._election.standing()[:3])
+        if isinstance(message, HandOver) and self._takes_in:
+            return await self._intake.take_over(message)
         if owner is None or not owner.ready.is_set():
             return NotOwner("the cell is not owned here")
         return await self._answer_here(owner, message)
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -33,7 +33,7 @@
 from pimentocross.owner.owner import CellPlatform
 from pimentocross.standins.store import StoreClientStandin, StoreStandin
 from pimentocross.standins.worker_hall import WorkerHall
-from pimentocross.work.queue import WorkConfig
+from pimentocross.work.queue import Queue, WorkConfig
 from tests.owner_fixtures import CONFIG, make_hall
 
 STRONG: Final = 2.15
@@ -63,6 +63,12 @@
         await trio.lowlevel.checkpoint()
         return self.current
 
+    async def in_force(self, queue: Queue) -> Queue | None:
+        """Returns a queue as it is configured, or None."""
+        await trio.lowlevel.checkpoint()
+        known = self.config.queues if self.config is not None else ()
+        return next((q for q in known if q.name == queue.name), None)
+
 
 class VmStore:
     """A VM's access to the store, which its own processor makes late.
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -13,7 +13,11 @@
     UnknownPartError,
     read_switches,
 )
-from pimentocross.gateway.intake import DurableIntake, IntakeWriter
+from pimentocross.gateway.intake import (
+    DurableIntake,
+    IntakeWriter,
+    NeighbourAccess,
+)
 from pimentocross.gateway.messages import (
     AskState,
     CancelJob,
@@ -89,19 +93,37 @@
         return self.reply
 
 
-_ABSENT = PeerUnreachableError("no owner is known", sent=False)
+ABSENT = PeerUnreachableError("no owner is known", sent=False)
 _LOST = PeerUnreachableError("connection lost", sent=True)
 
 
+class NobodyNear:
+    """No other VM can be asked; see `NeighbourAccess`."""
+
+    async def run(self) -> None:
+        """Does nothing."""
+
+    async def ask(self, message: GatewayMessage) -> GatewayMessage:
+        """Refuses."""
+        await trio.lowlevel.checkpoint()
+        raise PeerUnreachableError("nobody near", sent=False)
+
+
 @asynccontextmanager
 async def _taking_in(
-    owner: OwnerFake, store: StoreStandin, *, current: bool = True
+    owner: OwnerFake,
+    store: StoreStandin,
+    *,
+    current: bool = True,
+    vm: str = "vm",
+    neighbours: NeighbourAccess | None = None,
 ) -> AsyncIterator[DurableIntake]:
     intake = DurableIntake(
         owner,
         owner.silence,
         FixedConfig(CONFIG, current=current),
-        store.client("vm"),
+        store.client(vm),
+        neighbours or NobodyNear(),
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(intake.run)
@@ -142,7 +164,7 @@
         assert reply == _TAKEN_IN, f"taken in, not {reply}"
         took.append(trio.current_time() - asked_at)
 
-    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+    async with _taking_in(OwnerFake(ABSENT), store) as intake:
         async with trio.open_nursery() as nursery:
             for number in range(300):
                 nursery.start_soon(submit, intake, number)
@@ -201,7 +223,7 @@
 async def test_a_refusal_without_the_store_is_true() -> None:
     store = StoreStandin()
     store.faults.refused.add("vm")
-    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+    async with _taking_in(OwnerFake(ABSENT), store) as intake:
         try:
             await intake.ask_owner(_SUBMIT, 2.7)
         except PeerUnreachableError as error:
@@ -214,7 +236,7 @@
 async def test_a_lost_answer_of_the_store_leaves_the_caller_unsure() -> None:
     store = StoreStandin()
     store.faults.lost = 1.0
-    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+    async with _taking_in(OwnerFake(ABSENT), store) as intake:
         try:
             await intake.ask_owner(_SUBMIT, 2.7)
         except PeerUnreachableError as error:
@@ -225,7 +247,7 @@
 
 async def test_a_vm_whose_configuration_may_be_old_takes_nothing_in() -> None:
     store = StoreStandin()
-    async with _taking_in(OwnerFake(_ABSENT), store, current=False) as intake:
+    async with _taking_in(OwnerFake(ABSENT), store, current=False) as intake:
         try:
             await intake.ask_owner(_SUBMIT, 2.7)
         except PeerUnreachableError as error:
@@ -343,7 +365,7 @@
 
 async def test_a_cancel_without_an_owner_is_stored() -> None:
     store = StoreStandin()
-    async with _taking_in(OwnerFake(_ABSENT), store) as intake:
+    async with _taking_in(OwnerFake(ABSENT), store) as intake:
         reply = await intake.ask_owner(CancelJob("job1"), 2.7)
     assert _outcome(reply) is Outcome.OK, "acknowledged"
     assert _keys(store) == [cancel_key("job1")], "stored"
