--- a/pimentocross/contracts/switches.py
+++ b/pimentocross/contracts/switches.py
@@ -16,7 +16,6 @@
     ADMISSION = "admission"
     TRIAGE = "triage"
     COPIES = "copies"
-    SWINGS = "swings"
 
 
 class UnknownPartError(Exception):
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -396,8 +396,8 @@
 
 
 def test_a_part_that_nobody_knows_is_named() -> None:
-    assert read_switches(" copies, swings,") == Switches(
-        frozenset({Part.COPIES, Part.SWINGS})
+    assert read_switches(" copies, triage,") == Switches(
+        frozenset({Part.COPIES, Part.TRIAGE})
     )
     assert read_switches("").is_on(Part.COPIES)
     try:
