Put jobs that take much back while not all that waits can be in time

Where jobs that can comfortably be in time can't all begin within that, they go by their work for their worth.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -13,6 +13,7 @@
 from pimentocross.owner import const, wall
 from pimentocross.owner.advice import AdviceDesk
 from pimentocross.owner.arranger import Arranger
+from pimentocross.owner.backlog import Backlog
 from pimentocross.owner.care import Care
 from pimentocross.owner.isolation import Isolation
 from pimentocross.owner.jobs import JobBook
@@ -27,6 +28,7 @@
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.reclaim import TASKS_MOST
+from pimentocross.placement.triage import Order
 from pimentocross.placement.urgency import Chance, Urgency, urgency
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.state import Step, Task
@@ -53,7 +55,7 @@
 class _Ranked(NamedTuple):
     """A step that waits, and how urgent it is; sorts by that."""
 
-    rank: Urgency
+    rank: Order
     number: int
     step: Step
 
@@ -63,6 +65,7 @@
 
     Attributes:
         advice: Tickets for steps that only some workers may run.
+        backlog: What waits for room.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
             adviser: Knows who may run some steps, if there is one.
         """
         self.advice = AdviceDesk(adviser, self.wake)
+        self.backlog = Backlog(learned.durations)
         self._book = book
         self._roster = roster
         self._config = config
@@ -155,10 +159,10 @@
         steps = self._book.open_steps(today)
         if not steps:
             return
-        ranked = self._ranked(steps, now, today)
         usable = self._roster.usable()
         sound = self._sound(usable, now)
         spare = self._room.spare(sound, steps, now)
+        ranked = self._ranked(steps, sound, now, today)
         worth_a_place = (
             step for rank, _, step in ranked if rank.chance < Chance.HOPELESS
         )
@@ -208,12 +212,18 @@
             self._reclaimer.pass_over(missed, sound, orders, self._room, now)
 
     def _ranked(
-        self, steps: Sequence[Step], now: float, today: float
+        self,
+        steps: Sequence[Step],
+        workers: Sequence[Worker],
+        now: float,
+        today: float,
     ) -> list[_Ranked]:
         """Returns steps in the order in which they are started."""
+        ranks = [(self._rank(step, now, today), step) for step in steps]
+        self.backlog.look(ranks, workers, self._room.share, now)
         return sorted(
-            _Ranked(self._rank(step, now, today), number, step)
-            for number, step in enumerate(steps)
+            _Ranked(self.backlog.order(rank, step), number, step)
+            for number, (rank, step) in enumerate(ranks)
         )
 
     def _rank(self, step: Step, now: float, today: float) -> Urgency:
@@ -266,6 +276,6 @@
     return _Kind(spec.lasting, spec.image if spec.fills else "")
 
 
-def _is_in_time(rank: Urgency) -> bool:
+def _is_in_time(rank: Order) -> bool:
     """True if the job can still meet its objective."""
     return rank.chance <= Chance.TIGHT
--- a/pimentocross/placement/urgency.py
+++ b/pimentocross/placement/urgency.py
@@ -61,20 +61,21 @@
     job = step.job
     if step.spec.lasting:
         return Urgency(job.queue.priority, Chance.BEGUN, 0.0)
-    objective = _objective(step, durations)
+    aim = objective(step, durations)
     waited = wall - max(job.accepted_at, step.occurrence.due)
     left = durations.chain_left(step.occurrence)
-    spare = objective - waited - left
+    spare = aim - waited - left
     if spare >= 0:
-        chance = _chance_in_time(job, spare, objective)
+        chance = _chance_in_time(job, spare, aim)
         return Urgency(job.queue.priority, chance, spare)
-    late_spare = LATE_FACTOR * objective - waited - left
+    late_spare = LATE_FACTOR * aim - waited - left
     return Urgency(
         job.queue.priority, _chance_late(job, late_spare), late_spare
     )
 
 
-def _objective(step: Step, durations: Durations) -> float:
+def objective(step: Step, durations: Durations) -> float:
+    """Returns within how many seconds a step's job is in time."""
     queue = step.job.queue
     chain = durations.chain(step.occurrence)
     return queue.slack * chain + queue.target_latency
