Refuse jobs that surely can't be of use, and say when to come back

Cause: the owner takes in every job while the store answers; a caller whose job is behind minutes of work learns of it by waiting.

The work that goes before a job over the most room of the last ten seconds is its forecast; beyond twice the time up to which it earns anything it is refused with 429 and a Retry-After that is spread by the job's name. The answer is a message of its own: former versions refuse a JobAnswer with one field more (msgspec: Expected array of length 2, got 3). An owner looks at the backlog for a tenth of its thread at most: 3,000 steps that wait took 40 ms a look.

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -10,6 +10,7 @@
     AskPending,
     AskState,
     CancelJob,
+    FullAnswer,
     GatewayMessage,
     JobAnswer,
     NotOwner,
@@ -28,7 +29,8 @@
 class AnswerKind(StrEnum):
     """What a caller is told.
 
-    `NOT_ACCEPTED` promises that the job never runs; after `UNKNOWN` it may.
+    `NOT_ACCEPTED` and `FULL` promise that the job never runs; after `UNKNOWN`
+    it may.
     """
 
     ACCEPTED = "accepted"
@@ -38,6 +40,7 @@
     NO_SUCH_QUEUE = "no such queue"
     NO_SUCH_JOB = "no such job"
     NOT_ACCEPTED = "not accepted"
+    FULL = "full"
     UNAVAILABLE = "unavailable"
     UNKNOWN = "unknown"
 
@@ -196,6 +199,12 @@
                 return Answer(AnswerKind.ACCEPTED)
             if reply.outcome is Outcome.UNSURE:
                 return _unsure(reply)
+        if isinstance(reply, FullAnswer):
+            return Answer(
+                AnswerKind.FULL,
+                reason=Outcome.FULL.value,
+                retry_after=reply.retry_after,
+            )
         return self._refused(place.rest, reply)
 
     async def look(self, host: str, path: str, deadline: float) -> Answer:
--- a/pimentocross/gateway/messages.py
+++ b/pimentocross/gateway/messages.py
@@ -86,6 +86,18 @@
     state: JobState | None
 
 
+class FullAnswer(NamedTuple):
+    """The owner has taken no job in, for want of room.
+
+    A message of its own: former versions read no longer form of `JobAnswer`.
+
+    Attributes:
+        retry_after: Seconds after which there should be room.
+    """
+
+    retry_after: float
+
+
 class AskPending(NamedTuple):
     """Asks the owner how many jobs of a queue wait."""
 
@@ -113,6 +125,7 @@
     | AskState
     | CancelJob
     | JobAnswer
+    | FullAnswer
     | AskPending
     | PendingAnswer
     | NotOwner
@@ -129,6 +142,7 @@
         "state": AskState,
         "cancel": CancelJob,
         "job+": JobAnswer,
+        "full": FullAnswer,
         "pending": AskPending,
         "pending+": PendingAnswer,
         "not-owner": NotOwner,
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -19,6 +19,7 @@
     AskState,
     BriefStanding,
     CancelJob,
+    FullAnswer,
     GatewayMessage,
     Heartbeat,
     JobAnswer,
@@ -33,6 +34,7 @@
 from pimentocross.links.peer import PeerListener, PeerUnreachableError
 from pimentocross.observe.decisions import note, write_lines
 from pimentocross.observe.late_log import LateLog
+from pimentocross.owner.desk import Outcome
 from pimentocross.owner.owner import CellPlatform, Owner
 from pimentocross.work.queue import Queue, WorkConfig
 
@@ -143,7 +145,11 @@
     def gauges(self) -> dict[str, float]:
         """Returns present values for the metrics page."""
         config, owner = self._configs.config, self._election.owner
+        backlog = owner.backlog() if owner is not None else {}
         return {
+            f'backlog_core_seconds{{queue="{queue}"}}': work
+            for queue, work in backlog.items()
+        } | {
             "config_version": config.version if config is not None else 0,
             "config_age_seconds": (
                 self._configs.age() if config is not None else 0
@@ -234,11 +240,16 @@
                     known = await self._configs.in_force(queue)
                 if known is None:
                     return NotOwner("the queue is not in force")
-                return JobAnswer(*await owner.desk.submit(job, known, spec))
+                reply = await owner.desk.submit(job, known, spec)
+                if reply.outcome is Outcome.FULL:
+                    return FullAnswer(reply.retry_after)
+                return JobAnswer(reply.outcome, reply.state)
             case AskState(job):
-                return JobAnswer(*owner.desk.state(job))
+                reply = owner.desk.state(job)
+                return JobAnswer(reply.outcome, reply.state)
             case CancelJob(job):
-                return JobAnswer(*await owner.desk.cancel(job))
+                reply = await owner.desk.cancel(job)
+                return JobAnswer(reply.outcome, reply.state)
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
             case _:
--- a/pimentocross/observe/metrics.py
+++ b/pimentocross/observe/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms in the text form that scrapers read."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import counts, dropped
@@ -24,10 +24,8 @@
         lines.append(
             f'pimentocross_log_lines_dropped_total{{is="{kind}"}} {count}'
         )
-    lines.extend(_totals())
-    for name, value in sorted(gauges.items()):
-        lines.append(f"# TYPE pimentocross_{name} gauge")
-        lines.append(f"pimentocross_{name} {value:g}")
+    lines.extend(_typed(meters.totals(), "counter", ".10g"))
+    lines.extend(_typed(gauges, "gauge", "g"))
     lines.append("# TYPE pimentocross_latency_ms summary")
     for summary in histograms.summaries():
         label = f'{summary.kind}="{summary.name}"'
@@ -43,12 +41,12 @@
     return "\n".join(lines).encode() + b"\n"
 
 
-def _totals() -> Iterator[str]:
-    """Yields the lines of what only grows."""
+def _typed(values: Mapping[str, float], kind: str, form: str) -> Iterator[str]:
+    """Yields lines of values by name; labels are part of a name."""
     typed = ""
-    for name, value in sorted(meters.totals().items()):
+    for name, value in sorted(values.items()):
         family = name.partition("{")[0]
         if family != typed:
-            yield f"# TYPE pimentocross_{family} counter"
+            yield f"# TYPE pimentocross_{family} {kind}"
             typed = family
-        yield f"pimentocross_{name} {value:.10g}"
+        yield f"pimentocross_{name} {value:{form}}"
--- /dev/null
+++ b/pimentocross/owner/admission.py
@@ -0,0 +1,111 @@
+"""Refuses jobs that surely can't be done while they are of use.
+
+Only for jobs that run once and whose queue has an objective, and only by an
+owner that has seen for a while what its workers carry.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import trio
+
+from pimentocross.observe import meters
+from pimentocross.observe.decisions import note
+from pimentocross.owner import wall
+from pimentocross.owner.backlog import Account, Backlog
+from pimentocross.owner.learned import Learned
+from pimentocross.placement.forecast import Load, is_in_vain, retry_after
+from pimentocross.placement.urgency import objective, urgency
+from pimentocross.work.queue import Queue
+from pimentocross.work.spec import JobSpec
+from pimentocross.work.state import Job
+
+# A new owner refuses nobody for so many seconds after it has heard its workers:
+# what it took over all waits at once, and most of it is gone by then.
+_SETTLED_FOR: Final = 5.0
+# Seconds after which what was seen of the backlog says nothing any more.
+_FRESH: Final = 1.5
+
+
+class Admission:
+    """Asked about each job that isn't known yet."""
+
+    def __init__(
+        self,
+        backlog: Backlog,
+        learned: Learned,
+        settled_for: Callable[[], float],
+    ) -> None:
+        """Takes what waits, what was learned, and since when.
+
+        Args:
+            backlog: What waits for room.
+            learned: What was learned of tasks.
+            settled_for: Returns for how many seconds the owner has known what
+                runs on the workers.
+        """
+        self._backlog = backlog
+        self._learned = learned
+        self._settled_for = settled_for
+
+    def refuse_for(self, job_id: str, queue: Queue, spec: JobSpec) -> float:
+        """Returns after how many seconds to come back, 0 for a job to take.
+
+        A refusal is noted. Nothing of the job is kept.
+        """
+        if not _has_objective(queue, spec) or not self._is_sure():
+            return 0.0
+        account = Account(queue.service, spec.steps[0].fills)
+        if not self._backlog.has_entries(account):
+            return 0.0
+        load = self._load(account, Job(job_id, queue, spec, wall.now()))
+        if load is None or not is_in_vain(load):
+            return 0.0
+        seconds = retry_after(load, job_id)
+        meters.add(f'jobs_refused_total{{queue="{queue.name}"}}')
+        note(
+            "job_refused",
+            job=job_id,
+            reason="no room in time",
+            retry_after=round(seconds, 1),
+            ahead=round(load.ahead),
+            room=round(load.room),
+            work=round(load.work, 1),
+            wait=round(load.wait, 1),
+            own=round(load.own, 1),
+            use=round(load.use, 1),
+        )
+        return seconds
+
+    def _is_sure(self) -> bool:
+        age = trio.current_time() - self._backlog.looked_at
+        return age <= _FRESH and self._settled_for() >= _SETTLED_FOR
+
+    def _load(self, account: Account, job: Job) -> Load | None:
+        """Returns what a job would wait for, None if that isn't known."""
+        now = trio.current_time()
+        rate = self._learned.finished_cores(account, now)
+        if rate is None:
+            return None
+        durations = self._learned.durations
+        step = job.occurrences[0].steps[0]
+        order = self._backlog.order(
+            urgency(step, durations, job.accepted_at), step
+        )
+        return Load(
+            self._backlog.work_before(account, order),
+            max(self._backlog.recent_room(account, now), rate),
+            self._backlog.whole_work(step),
+            durations.chain(step.occurrence),
+            objective(step, durations),
+        )
+
+
+def _has_objective(queue: Queue, spec: JobSpec) -> bool:
+    """True for jobs that run once and are worth less and less."""
+    if spec.repeats or any(step.lasting for step in spec.steps):
+        return False
+    if queue.asks_adviser:
+        # Who may run it isn't known before it is asked for.
+        return False
+    return queue.slack > 0 or queue.target_latency > 0
--- a/pimentocross/owner/backlog.py
+++ b/pimentocross/owner/backlog.py
@@ -7,11 +7,15 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import Final, NamedTuple
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakSet
 
+import trio
+
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.durations import Durations
+from pimentocross.placement.forecast import RecentRoom
 from pimentocross.placement.host import left_over
 from pimentocross.placement.triage import (
     Order,
@@ -25,12 +29,17 @@
 
 # Seconds between two looks: short against the time to spare of any job.
 _INTERVAL: Final = 0.2
+# ... and this many times what the last look took: a weak VM with much that
+# waits would else do little but look.
+_REST: Final = 10.0
+# Seconds; one look that was held up may not keep the next for long.
+_TOOK_MOST: Final = 0.1
 # Seconds between two lines in the log.
 _LOG_INTERVAL: Final = 1.0
 # Share of a new job in the running mean of its queue's work.
 _LEARNING: Final = 0.05
 # Thousandths of a core in a core.
-_CORE: Final = 1000.0
+CORE: Final = 1000.0
 
 
 class Account(NamedTuple):
@@ -75,10 +84,14 @@
         # Work of whole jobs, and the mean of it by queue, core-seconds.
         self._works: WeakKeyDictionary[Occurrence, float] = WeakKeyDictionary()
         self._means: dict[str, float] = {}
+        self._recent: dict[Account, RecentRoom] = defaultdict(RecentRoom)
         self._entries: dict[Account, list[_Entry]] = {}
         # Priorities of which work is short of room.
         self._short: dict[Account, set[int]] = {}
         self._logged_at = float("-inf")
+        self._counted: WeakSet[Occurrence] = WeakSet()
+        # Seconds that the last look took.
+        self._took = 0.0
 
     def look(
         self,
@@ -96,31 +109,55 @@
                 thousandths of a core.
             now: Present time.
         """
-        if now - self.looked_at < _INTERVAL:
+        if now - self.looked_at < max(_INTERVAL, _REST * self._took):
             return
+        began = trio.current_time()
         self.looked_at = now
-        self.rooms = _rooms(workers, short_share / _CORE)
-        self._entries = defaultdict(list)
+        self.rooms = _rooms(workers, short_share / CORE)
+        for account, room in self.rooms.items():
+            self._recent[account].note(room.whole, now)
+        ranks = [each for each in ranks if not each[1].spec.lasting]
+        scarce = self._scarce(step for _, step in ranks)
+        self._entries = self._read(ranks, scarce)
+        self._short = {
+            account: short
+            for account, entries in self._entries.items()
+            if (short := self._find_short(account, entries))
+        }
+        self._log(now)
+        self._took = min(trio.current_time() - began, _TOOK_MOST)
+
+    def _scarce(self, steps: Iterable[Step]) -> set[Account]:
+        """Returns the accounts of which more waits than there is room free."""
         asked: dict[Account, float] = defaultdict(float)
+        for step in steps:
+            cores = step.waiting_count * step.spec.size.cpu / CORE
+            asked[account_of(step)] += cores
+        return {
+            account
+            for account, cores in asked.items()
+            if account in self.rooms and cores > self.rooms[account].free
+        }
+
+    def _read(
+        self, ranks: Iterable[tuple[Urgency, Step]], scarce: set[Account]
+    ) -> dict[Account, list[_Entry]]:
+        """Returns the jobs that wait for room that is scarce."""
+        entries: dict[Account, list[_Entry]] = defaultdict(list)
         seen: set[Occurrence] = set()
         for rank, step in ranks:
-            if step.spec.lasting:
-                continue
             account = account_of(step)
-            asked[account] += step.waiting_count * step.spec.size.cpu / _CORE
-            if step.occurrence not in seen:
+            if account in scarce and step.occurrence not in seen:
                 seen.add(step.occurrence)
                 entry = _Entry(self._waiting(rank, step), step)
-                self._entries[account].append(entry)
-        self._short = {}
-        for account, entries in self._entries.items():
-            room = self.rooms.get(account)
-            if room is not None and asked[account] > room.free:
-                waiting = [entry.waiting for entry in entries]
-                short = short_priorities(waiting, room.whole)
-                if short:
-                    self._short[account] = short
-        self._log(now)
+                entries[account].append(entry)
+        return entries
+
+    def _find_short(
+        self, account: Account, entries: Iterable[_Entry]
+    ) -> set[int]:
+        waiting = [entry.waiting for entry in entries]
+        return short_priorities(waiting, self.rooms[account].whole)
 
     def order(self, rank: Urgency, step: Step) -> Order:
         """Returns where a step goes."""
@@ -136,7 +173,20 @@
         mean = self._means.get(step.job.queue.name, 0.0)
         if mean <= 0:
             return 1.0
-        return burden(step.job.id, self._whole_work(step) / mean)
+        return burden(step.job.id, self.whole_work(step) / mean)
+
+    def whole_work(self, step: Step) -> float:
+        """Returns a whole job's core-seconds; a new one counts in the mean."""
+        known = self._works.get(step.occurrence)
+        if known is not None:
+            return known
+        steps = step.occurrence.steps
+        work = sum(self._work(each, each.spec.width) for each in steps)
+        self._works[step.occurrence] = work
+        queue = step.job.queue.name
+        mean = self._means.get(queue, work)
+        self._means[queue] = mean + _LEARNING * (work - mean)
+        return work
 
     def work_before(self, account: Account, order: Order) -> float:
         """Returns the core-seconds that wait for a room and go first."""
@@ -146,43 +196,47 @@
             if self.order(entry.waiting.rank, entry.step) < order
         )
 
-    def work_by_account(self) -> dict[Account, float]:
-        """Returns the core-seconds that wait for each room."""
-        return {
-            account: sum(entry.waiting.work for entry in entries)
-            for account, entries in self._entries.items()
-        }
+    def has_entries(self, account: Account) -> bool:
+        """True if more waits for a room than is free of it."""
+        return bool(self._entries.get(account))
+
+    def recent_room(self, account: Account, now: float) -> float:
+        """Returns the most cores there were lately."""
+        recent = self._recent.get(account)
+        return recent.most(now) if recent is not None else 0.0
+
+    def work_by_queue(self) -> dict[str, float]:
+        """Returns the core-seconds that wait for room that is scarce."""
+        works: dict[str, float] = defaultdict(float)
+        for entries in self._entries.values():
+            for entry in entries:
+                works[entry.step.job.queue.name] += entry.waiting.work
+        return works
 
     def _waiting(self, rank: Urgency, step: Step) -> Waiting:
         margin = 0.0
         if rank.chance is Chance.COMFORTABLE:
             margin = MARGIN * objective(step, self._durations)
-        self._whole_work(step)
+        self.whole_work(step)
         work = sum(
             self._work(each, max(each.undone - each.run_count, 0))
             for each in step.occurrence.steps
         )
         return Waiting(rank, work, margin)
 
-    def _whole_work(self, step: Step) -> float:
-        """Returns the work of a whole job; a new one counts in the mean."""
-        known = self._works.get(step.occurrence)
-        if known is not None:
-            return known
-        steps = step.occurrence.steps
-        work = sum(self._work(each, each.spec.width) for each in steps)
-        self._works[step.occurrence] = work
-        queue = step.job.queue.name
-        mean = self._means.get(queue, work)
-        self._means[queue] = mean + _LEARNING * (work - mean)
-        return work
-
     def _work(self, step: Step, tasks: int) -> float:
         if not tasks:
             return 0.0
         queue = step.job.queue.name
         duration = self._durations.task(queue, step.spec)
-        return tasks * step.spec.size.cpu / _CORE * duration
+        return tasks * step.spec.size.cpu / CORE * duration
+
+    def _count(self, step: Step) -> None:
+        """Counts a job that is put back, once."""
+        if step.occurrence not in self._counted:
+            self._counted.add(step.occurrence)
+            queue = step.job.queue.name
+            meters.add(f'jobs_put_back_total{{queue="{queue}"}}')
 
     def _log(self, now: float) -> None:
         if not self._short or now - self._logged_at < _LOG_INTERVAL:
@@ -195,6 +249,8 @@
                 for entry in entries
                 if self.order(entry.waiting.rank, entry.step).is_put_back
             ]
+            for entry in put_back:
+                self._count(entry.step)
             note(
                 "triage",
                 service=account.service,
@@ -226,10 +282,10 @@
     for worker in workers:
         fills = Account(worker.life.service, fills=True)
         reserves = Account(worker.life.service, fills=False)
-        taken[fills] += _used_by_fillers(worker) / _CORE
-        free[fills] += max(left_over(worker), 0) / _CORE
-        taken[reserves] += _reserved_briefly(worker) / _CORE
-        free[reserves] += max(worker.free.cpu, 0) / _CORE
+        taken[fills] += _used_by_fillers(worker) / CORE
+        free[fills] += max(left_over(worker), 0) / CORE
+        taken[reserves] += _reserved_briefly(worker) / CORE
+        free[reserves] += max(worker.free.cpu, 0) / CORE
     rooms = {}
     for account, cores in free.items():
         whole = taken[account] + cores
--- a/pimentocross/owner/desk.py
+++ b/pimentocross/owner/desk.py
@@ -8,6 +8,7 @@
 
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
+from pimentocross.owner.admission import Admission
 from pimentocross.owner.jobs import JobBook, shown_state
 from pimentocross.owner.ledger import Batch, Ledger
 from pimentocross.work.queue import Queue
@@ -26,25 +27,39 @@
     UNSURE = "the store has not answered"
     NO_SUCH_JOB = "no such job"
     STORE_AWAY = "store away"
+    FULL = "no room in time"
 
 
 class JobReply(NamedTuple):
-    """An outcome, and the job's state if it is known."""
+    """An outcome, and the job's state if it is known.
+
+    Attributes:
+        outcome: What became of the question.
+        state: The job's.
+        retry_after: After how many seconds there should be room, 0 if that
+            isn't the matter.
+    """
 
     outcome: Outcome
     state: JobState | None = None
+    retry_after: float = 0.0
 
 
 class Desk:
     """Takes jobs in, cancels them and tells how they stand."""
 
     def __init__(
-        self, book: JobBook, ledger: Ledger, wake: Callable[[], None]
+        self,
+        book: JobBook,
+        ledger: Ledger,
+        wake: Callable[[], None],
+        admission: Admission,
     ) -> None:
-        """Takes the jobs and where they are recorded."""
+        """Takes the jobs, where they are recorded, and who may refuse some."""
         self._book = book
         self._ledger = ledger
         self._wake = wake
+        self._admission = admission
         # Batches of acceptances that may not be stored yet, by job.
         self._storing: dict[str, Batch] = {}
 
@@ -61,6 +76,9 @@
             if self._ledger.away:
                 note("job_refused", job=job_id, reason="store away")
                 return JobReply(Outcome.STORE_AWAY)
+            wait = self._admission.refuse_for(job_id, queue, spec)
+            if wait:
+                return JobReply(Outcome.FULL, retry_after=wait)
             self._storing[job_id] = self._book.accept(job_id, queue, spec)
             self._wake()
         batch = self._storing.get(job_id)
--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -1,5 +1,6 @@
 """What an owner learns from endings and listings, for all its decisions."""
 
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
@@ -7,9 +8,11 @@
 
 from pimentocross.contracts.worker_link import Ending, EndKind
 from pimentocross.observe.decisions import note
+from pimentocross.owner.backlog import CORE, Account, account_of
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.durations import Durations
+from pimentocross.placement.forecast import FinishRate
 from pimentocross.placement.pacing import Reading
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
 from pimentocross.placement.soundness import (
@@ -53,6 +56,7 @@
         self.disturbance = Disturbance()
         self.quarantine = Quarantine(_QUARANTINE)
         self._speeds = Speeds()
+        self._finished: dict[Account, FinishRate] = defaultdict(FinishRate)
 
     def encode(self) -> bytes:
         """Returns the record that a successor begins with."""
@@ -72,6 +76,7 @@
             self.quarantine.note_finished(
                 worker.life.id, task.step.job.id, trio.current_time()
             )
+            self._note_finished(task.step)
             if run is not None and run.decided_at and not run.paced_at:
                 took = trio.current_time() - run.decided_at
                 self.durations.note(task.step.job.queue.name, took)
@@ -80,6 +85,17 @@
         elif not task.step.spec.lasting:
             self.quarantine.note_lost(worker.life.id)
 
+    def finished_cores(self, account: Account, now: float) -> float | None:
+        """Returns core-seconds that are done a second, or None if unsure."""
+        rate = self._finished.get(account)
+        return rate.cores(now) if rate is not None else None
+
+    def _note_finished(self, step: Step) -> None:
+        duration = self.durations.task(step.job.queue.name, step.spec)
+        work = step.spec.size.cpu / CORE * duration
+        rate = self._finished[account_of(step)]
+        rate.note(work, trio.current_time())
+
     def hold_against(self, worker: Worker, task: Task) -> None:
         """Holds a failure or a standstill against a worker."""
         now = trio.current_time()
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -15,6 +15,7 @@
 from pimentocross.observe.decisions import note
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
+from pimentocross.owner.admission import Admission
 from pimentocross.owner.breather import Breather
 from pimentocross.owner.collector import survivors_left_out, uncollected
 from pimentocross.owner.crashes import Crashes
@@ -125,7 +126,13 @@
         )
         self._doubts = Doubts(self._ledger)
         self._ends = WorkerEnds(self._ledger)
-        self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
+        self._admission = Admission(
+            self._dispatcher.backlog, self._learned, self._settled_for
+        )
+        self.desk = Desk(
+            self._book, self._ledger, self._dispatcher.wake, self._admission
+        )
+        self._settled_at = 0.0
         self._release = trio.Event()
 
     @property
@@ -140,6 +147,15 @@
             return 0.0
         return self._log.age
 
+    def backlog(self) -> dict[str, float]:
+        """Returns the core-seconds by queue that wait for scarce room."""
+        return self._dispatcher.backlog.work_by_queue()
+
+    def _settled_for(self) -> float:
+        if not self.settled.is_set():
+            return 0.0
+        return trio.current_time() - self._settled_at
+
     async def run(self) -> None:
         """Owns the cell until `release`.
 
@@ -246,6 +262,7 @@
         with trio.move_on_after(const.SETTLE_MOST):
             while not all(w.adopted for w in self._roster.workers()):
                 await trio.sleep(const.SETTLE_LOOK)
+        self._settled_at = trio.current_time()
         self.settled.set()
         self._log.note("owner_settled")
 
--- a/pimentocross/platform/callers.py
+++ b/pimentocross/platform/callers.py
@@ -34,6 +34,7 @@
     AnswerKind.NO_SUCH_QUEUE: 404,
     AnswerKind.NO_SUCH_JOB: 410,
     AnswerKind.NOT_ACCEPTED: 503,
+    AnswerKind.FULL: 429,
     AnswerKind.UNAVAILABLE: 503,
     AnswerKind.UNKNOWN: 504,
 }
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,190 @@
+"""Jobs that surely can't be of use are refused at once, and no others."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from pimentocross.gateway.caller_desk import Answer, AnswerKind, CallerDesk
+from pimentocross.gateway.messages import (
+    GATEWAY_MESSAGES,
+    FullAnswer,
+    GatewayMessage,
+    JobAnswer,
+)
+from pimentocross.links.asgi import HttpRequest
+from pimentocross.observe import meters
+from pimentocross.owner.desk import JobReply, Outcome
+from pimentocross.owner.owner import Owner
+from pimentocross.placement.forecast import (
+    CLEAR,
+    RETRY_LEAST,
+    RETRY_MOST,
+    FinishRate,
+    Load,
+    RecentRoom,
+    is_in_vain,
+    retry_after,
+)
+from pimentocross.platform.callers import CallerSurface
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work.spec import JobSpec
+from pimentocross.work.state import JobState
+from tests.gateway_fixtures import FixedConfig
+from tests.owner_fixtures import (
+    CONFIG,
+    QUEUE,
+    chain,
+    make_hall,
+    make_owner,
+    running,
+)
+
+# In time within 9 s, of use within 27 s.
+_LOAD = Load(0.0, 100.0, 120.0, 4.0, 9.0)
+_LATER = QUEUE._replace(name="later", prefix="/later/", priority=1)
+_ENDLESS = QUEUE._replace(
+    name="endless", prefix="/endless/", priority=1, slack=0.0, target_latency=0
+)
+_TWO = CONFIG._replace(queues=(QUEUE, _LATER, _ENDLESS))
+
+
+def test_only_what_is_far_beyond_use_is_refused() -> None:
+    bearable = (CLEAR * _LOAD.use - _LOAD.own) * _LOAD.room
+    assert not is_in_vain(_LOAD)
+    assert not is_in_vain(_LOAD._replace(ahead=bearable - 1))
+    assert is_in_vain(_LOAD._replace(ahead=bearable + 1))
+    # Nothing is known of room that isn't there.
+    assert not is_in_vain(_LOAD._replace(ahead=bearable + 1, room=0.0))
+    # It would be late with nothing ahead, whenever its caller came back.
+    assert not is_in_vain(_LOAD._replace(ahead=bearable + 1, chain=30.0))
+
+
+def test_callers_come_back_once_there_is_room_and_not_all_at_once() -> None:
+    load = _LOAD._replace(ahead=1500.0)
+    times = [retry_after(load, f"job{n}") for n in range(200)]
+    assert min(times) >= load.wait + load.own - load.objective
+    tenths = {int(10 * (t - min(times)) / 10) for t in times}
+    assert len(tenths) >= 9
+    assert retry_after(_LOAD, "job") == RETRY_LEAST
+    assert retry_after(_LOAD._replace(ahead=1e6), "job") == RETRY_MOST
+
+
+def test_room_and_rate_are_known_after_a_while_and_fade() -> None:
+    rate, room = FinishRate(), RecentRoom()
+    assert rate.cores(0.0) is None
+    for tick in range(200):
+        rate.note(5.0, tick / 10)
+    cores = rate.cores(20.0)
+    assert cores is not None and 45 < cores < 55
+    room.note(100.0, 1.0)
+    room.note(30.0, 2.0)
+    assert room.most(10.0) == 100.0
+    assert room.most(11.5) == 30.0
+    assert room.most(30.0) == 0.0
+
+
+@asynccontextmanager
+async def _busy(store: StoreStandin, hall: WorkerHall) -> AsyncIterator[Owner]:
+    """Runs an owner that has done some work and has minutes of it ahead."""
+    async with running(make_owner(store, hall, 1, config=_TWO)) as owner:
+        for number in range(10):
+            await owner.desk.submit(f"done{number}", QUEUE, chain(8, 1))
+        await trio.sleep(8)
+        for number in range(100):
+            await owner.desk.submit(f"first{number}", QUEUE, chain(60, 1))
+        await trio.sleep(1)
+        yield owner
+
+
+async def _submit(owner: Owner, job: str, spec: JobSpec) -> JobReply:
+    return await owner.desk.submit(job, _LATER, spec)
+
+
+async def test_a_job_behind_minutes_of_work_is_refused_at_once() -> None:
+    store, hall = StoreStandin(), make_hall(2)
+    async with _busy(store, hall) as owner:
+        refused = meters.total('jobs_refused_total{queue="later"}')
+        began = trio.current_time()
+        reply = await _submit(owner, "late", chain(2, 1))
+        assert reply.outcome is Outcome.FULL
+        assert trio.current_time() - began < 0.05
+        assert RETRY_LEAST <= reply.retry_after <= RETRY_MOST
+        counted = meters.total('jobs_refused_total{queue="later"}')
+        assert counted == refused + 1
+        # Nothing of it was kept.
+        assert owner.desk.state("late").outcome is Outcome.NO_SUCH_JOB
+        assert not owner.desk.knows("late")
+        # What goes first is taken, and what is known is never refused.
+        first = await owner.desk.submit("urgent", QUEUE, chain(2, 1))
+        assert owner.desk.knows("first0")
+        again = await owner.desk.submit("first0", _LATER, chain(60, 1))
+        assert first.outcome is again.outcome is Outcome.OK
+        # Neither is what is worth as much later, or due later.
+        endless = await owner.desk.submit("endless", _ENDLESS, chain(1, 1))
+        timed = chain(1, 1)._replace(repeats=1, first_due=9e9, interval=1.0)
+        due = await _submit(owner, "due", timed)
+        assert endless.outcome is due.outcome is Outcome.OK
+
+
+async def test_a_new_owner_refuses_nobody_at_first() -> None:
+    store, hall = StoreStandin(), make_hall(2)
+    async with _busy(store, hall) as owner:
+        assert (await _submit(owner, "a", chain(2, 1))).retry_after
+    async with running(
+        make_owner(store, hall, 2, vm="b", config=_TWO)
+    ) as owner:
+        for tick in range(30):
+            reply = await _submit(owner, f"b{tick}", chain(2, 1))
+            assert reply.outcome is Outcome.OK
+            await trio.sleep(0.1)
+
+
+async def test_without_a_backlog_nothing_is_refused() -> None:
+    store, hall = StoreStandin(), make_hall(4)
+    async with running(make_owner(store, hall, 1, config=_TWO)) as owner:
+        for number in range(60):
+            reply = await _submit(owner, f"j{number}", chain(8, 1))
+            assert reply.outcome is Outcome.OK
+            await trio.sleep(0.2)
+
+
+class _Full:
+    """An owner without room; see `OwnerAccess`."""
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        await trio.lowlevel.checkpoint()
+        return FullAnswer(6.2)
+
+    def owner_absent(self) -> float:
+        return 0.0
+
+    async def store_answers(self) -> bool:
+        await trio.lowlevel.checkpoint()
+        return True
+
+
+async def test_the_caller_is_told_429_and_when_to_come_back() -> None:
+    desk = CallerDesk(FixedConfig(CONFIG), _Full())
+    place = await desk.find("host", "/plans/j1")
+    assert not isinstance(place, Answer)
+    answer = await desk.submit(place, chain(1, 1), 3.0)
+    assert answer.kind is AnswerKind.FULL
+    assert answer.retry_after == 6.2
+    body = b'{"job_steps": [{"count": 1, "cpu": 100, "mem_mb": 10}]}'
+    request = HttpRequest("POST", "/plans/j1", b"", [(b"host", b"host")], body)
+    reply = await CallerSurface(desk).handle(request)
+    assert reply.status == 429, reply
+    assert (b"retry-after", b"7") in reply.headers
+
+
+def test_former_versions_read_answers_without_room_or_with() -> None:
+    # Their form of an answer has two fields, and they send no other.
+    taken = JobAnswer(Outcome.OK, JobState.QUEUED)
+    assert GATEWAY_MESSAGES.pack(taken) == ["job+", "ok", "queued"]
+    assert GATEWAY_MESSAGES.unpack(["job+", "ok", "queued"]) == taken
+    full = FullAnswer(3.5)
+    assert GATEWAY_MESSAGES.unpack(GATEWAY_MESSAGES.pack(full)) == full
