Look at a backlog once for most submissions; a queue's mean from its first jobs

A submission while room is scarce compared itself with each job that waits; now only if it would be refused with all of them ahead. The mean work of a queue began as that of its first job and moved by a twentieth of each: until twenty jobs were seen all count alike.

--- a/pimentocross/owner/admission.py
+++ b/pimentocross/owner/admission.py
@@ -56,10 +56,10 @@
         if not _has_objective(queue, spec) or not self._is_sure():
             return 0.0
         account = Account(queue.service, spec.steps[0].fills)
-        if not self._backlog.has_entries(account):
+        if not self._backlog.work(account):
             return 0.0
         load = self._load(account, Job(job_id, queue, spec, wall.now()))
-        if load is None or not is_in_vain(load):
+        if load is None:
             return 0.0
         seconds = retry_after(load, job_id)
         meters.add(f'jobs_refused_total{{queue="{queue.name}"}}')
@@ -82,23 +82,27 @@
         return age <= _FRESH and self._settled_for() >= _SETTLED_FOR
 
     def _load(self, account: Account, job: Job) -> Load | None:
-        """Returns what a job would wait for, None if that isn't known."""
+        """Returns what a job would wait for in vain, None if it may not."""
         now = trio.current_time()
         rate = self._learned.finished_cores(account, now)
         if rate is None:
             return None
         durations = self._learned.durations
         step = job.occurrences[0].steps[0]
-        order = self._backlog.order(
-            urgency(step, durations, job.accepted_at), step
-        )
-        return Load(
-            self._backlog.work_before(account, order),
+        load = Load(
+            self._backlog.work(account),
             max(self._backlog.recent_room(account, now), rate),
             self._backlog.whole_work(step),
             durations.chain(step.occurrence),
             objective(step, durations),
         )
+        # Most jobs aren't in question even if all that waits went first.
+        if not is_in_vain(load):
+            return None
+        rank = urgency(step, durations, job.accepted_at)
+        order = self._backlog.order(rank, step)
+        load = load._replace(ahead=self._backlog.work_before(account, order))
+        return load if is_in_vain(load) else None
 
 
 def _has_objective(queue: Queue, spec: JobSpec) -> bool:
--- a/pimentocross/owner/backlog.py
+++ b/pimentocross/owner/backlog.py
@@ -4,7 +4,7 @@
 wait, a look costs about as much as ranking them.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 from weakref import WeakKeyDictionary, WeakSet
@@ -36,8 +36,8 @@
 _TOOK_MOST: Final = 0.1
 # Seconds between two lines in the log.
 _LOG_INTERVAL: Final = 1.0
-# Share of a new job in the running mean of its queue's work.
-_LEARNING: Final = 0.05
+# A queue's mean work is that of about so many jobs.
+_MEAN_OF: Final = 20
 # Thousandths of a core in a core.
 CORE: Final = 1000.0
 
@@ -84,8 +84,11 @@
         # Work of whole jobs, and the mean of it by queue, core-seconds.
         self._works: WeakKeyDictionary[Occurrence, float] = WeakKeyDictionary()
         self._means: dict[str, float] = {}
+        self._jobs_seen: Counter[str] = Counter()
         self._recent: dict[Account, RecentRoom] = defaultdict(RecentRoom)
         self._entries: dict[Account, list[_Entry]] = {}
+        # Core-seconds of those.
+        self._totals: dict[Account, float] = {}
         # Priorities of which work is short of room.
         self._short: dict[Account, set[int]] = {}
         self._logged_at = float("-inf")
@@ -119,6 +122,10 @@
         ranks = [each for each in ranks if not each[1].spec.lasting]
         scarce = self._scarce(step for _, step in ranks)
         self._entries = self._read(ranks, scarce)
+        self._totals = {
+            account: sum(entry.waiting.work for entry in entries)
+            for account, entries in self._entries.items()
+        }
         self._short = {
             account: short
             for account, entries in self._entries.items()
@@ -184,8 +191,10 @@
         work = sum(self._work(each, each.spec.width) for each in steps)
         self._works[step.occurrence] = work
         queue = step.job.queue.name
-        mean = self._means.get(queue, work)
-        self._means[queue] = mean + _LEARNING * (work - mean)
+        self._jobs_seen[queue] += 1
+        mean = self._means.get(queue, 0.0)
+        share = 1 / min(self._jobs_seen[queue], _MEAN_OF)
+        self._means[queue] = mean + share * (work - mean)
         return work
 
     def work_before(self, account: Account, order: Order) -> float:
@@ -196,9 +205,9 @@
             if self.order(entry.waiting.rank, entry.step) < order
         )
 
-    def has_entries(self, account: Account) -> bool:
-        """True if more waits for a room than is free of it."""
-        return bool(self._entries.get(account))
+    def work(self, account: Account) -> float:
+        """Returns the core-seconds that wait for a room, 0 if it isn't scarce."""
+        return self._totals.get(account, 0.0)
 
     def recent_room(self, account: Account, now: float) -> float:
         """Returns the most cores there were lately."""
@@ -258,7 +267,7 @@
                 priorities=sorted(short),
                 jobs=len(entries),
                 put_back=len(put_back),
-                work=round(sum(e.waiting.work for e in entries)),
+                work=round(self._totals[account]),
                 room=round(self.rooms[account].whole),
                 free=round(self.rooms[account].free),
             )
