--- a/pimentocross/gateway/hand_over.py
+++ b/pimentocross/gateway/hand_over.py
@@ -13,6 +13,7 @@
 
 from pimentocross.gateway.messages import (
     GATEWAY_MESSAGES,
+    FullAnswer,
     GatewayMessage,
     JobAnswer,
 )
@@ -149,9 +150,9 @@
         sent: Whether another VM may have done what was asked: no refusal of
             this one is true then.
     """
-    if not isinstance(answer, JobAnswer):
-        return False
-    return answer.outcome is Outcome.OK or not sent
+    if isinstance(answer, JobAnswer):
+        return answer.outcome is Outcome.OK or not sent
+    return isinstance(answer, FullAnswer) and not sent
 
 
 async def _keep(link: PeerLink[GatewayMessage], ended: trio.Event) -> None:
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -22,6 +22,7 @@
     AskState,
     BriefStanding,
     CancelJob,
+    FullAnswer,
     GatewayMessage,
     HandOver,
     Heartbeat,
@@ -41,8 +42,10 @@
 )
 from pimentocross.observe.decisions import note, write_lines
 from pimentocross.observe.late_log import LateLog
+from pimentocross.owner.desk import Outcome
 from pimentocross.owner.owner import CellPlatform, Owner
 from pimentocross.work.queue import Queue, WorkConfig
+from pimentocross.work.spec import JobSpec
 
 
 class Surfaces(NamedTuple):
@@ -170,7 +173,11 @@
     def gauges(self) -> dict[str, float]:
         """Returns present values for the metrics page."""
         config, owner = self._configs.config, self._election.owner
+        backlog = owner.backlog() if owner is not None else {}
         return {
+            f'backlog_core_seconds{{queue="{queue}"}}': work
+            for queue, work in backlog.items()
+        } | {
             "config_version": config.version if config is not None else 0,
             "config_age_seconds": (
                 self._configs.age() if config is not None else 0
@@ -263,14 +270,30 @@
                     known = await self._configs.in_force(queue)
                 if known is None:
                     return NotOwner("the queue is not in force")
-                return JobAnswer(*await owner.desk.submit(job, known, spec))
+                return await _submit(owner, job, known, spec)
             case AskState(job):
                 await owner.learn_of(job)
-                return JobAnswer(*owner.desk.state(job))
+                reply = owner.desk.state(job)
+                return JobAnswer(reply.outcome, reply.state)
             case CancelJob(job):
                 await owner.learn_of(job)
-                return JobAnswer(*await owner.desk.cancel(job))
+                reply = await owner.desk.cancel(job)
+                return JobAnswer(reply.outcome, reply.state)
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
             case _:
                 return NotOwner("not a question")
+
+
+async def _submit(
+    owner: Owner, job: str, queue: Queue, spec: JobSpec
+) -> GatewayMessage:
+    reply = await owner.desk.submit(job, queue, spec)
+    if reply.outcome is Outcome.FULL:
+        # A refusal is only true if no VM has taken the job in before.
+        await owner.learn_of(job)
+        if owner.desk.knows(job):
+            reply = await owner.desk.submit(job, queue, spec)
+    if reply.outcome is Outcome.FULL:
+        return FullAnswer(reply.retry_after)
+    return JobAnswer(reply.outcome, reply.state)
