Learn tails of durations by queue, and blame no worker for long tasks

Cause: durations were a mean and a spread of the logarithm, the spread capped. A queue of which a few tasks take several times as long made its sound workers look slow: two runs of two jobs, one of them seven times too long, had a median under a third of the usual. Change: a decayed histogram of durations over what was expected, by queue. It tells whether there is a tail, what is left of a run by its progress, and how likely a run that has come so far is a long one. A worker is slow if as many slow runs as it has are unlikely (under 0.02) to be of long tasks; where no tail was seen the median alone judges, as before.

--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -14,6 +14,7 @@
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
 from pimentocross.placement.soundness import (
     MEASURED_AFTER,
+    SLOW_BELOW,
     Progress,
     Speeds,
     is_sick,
@@ -74,12 +75,22 @@
             )
             if run is not None and run.decided_at and not run.paced_at:
                 took = trio.current_time() - run.decided_at
-                self.durations.note(task.step.job.queue.name, took)
+                self._note_duration(worker, task, run, took)
         elif ending.how is EndKind.FAILED:
             self.hold_against(worker, task)
         elif not task.step.spec.lasting:
             self.quarantine.note_lost(worker.life.id)
 
+    def _note_duration(
+        self, worker: Worker, task: Task, run: Run, took: float
+    ) -> None:
+        queue = task.step.job.queue.name
+        if worker.unsound_until <= run.decided_at:
+            # What a worker in trouble adds is no tail of the queue.
+            usual = self.durations.task(queue, task.step.spec)
+            self.durations.note_ratio(queue, took / usual)
+        self.durations.note(queue, took)
+
     def hold_against(self, worker: Worker, task: Task) -> None:
         """Holds a failure or a standstill against a worker."""
         now = trio.current_time()
@@ -133,8 +144,13 @@
             if step not in expected:
                 queue = step.job.queue.name
                 expected[step] = self.durations.task(queue, step.spec)
+            excused = self.durations.share_over(
+                step.job.queue.name,
+                1 / SLOW_BELOW,
+                elapsed / expected[step],
+            )
             progress = Progress(
-                step.job.id, expected[step], run.percent, elapsed
+                step.job.id, expected[step], run.percent, elapsed, excused
             )
             found.append((run, progress))
         return found
--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -2,6 +2,9 @@
 
 A step lasts as long as its slowest task: the wider it is, the longer. Without
 that, jobs of wide steps look late while they can still be in time.
+
+Load pattern: some queues have a few tasks that take several times as long as
+the rest. What a run has done tells them apart long before they end.
 """
 
 from collections.abc import Mapping
@@ -10,6 +13,7 @@
 import statistics
 from typing import Final
 
+from pimentocross.placement.tails import Tail
 from pimentocross.work.spec import StepSpec
 from pimentocross.work.state import Occurrence, Step
 
@@ -25,6 +29,11 @@
 # the most that is believed: failures and slow workers stretch the tail.
 _SPREAD: Final = 0.45
 _SPREAD_MOST: Final = 0.7
+# Progress is listed in whole percent: from a few on it tells more of what is
+# left than durations of other tasks.
+_PERCENT_HALF: Final = 3
+# What has taken longer than expected takes on for this share of that at least.
+_LEFT_LEAST: Final = 0.25
 
 
 class Durations:
@@ -34,6 +43,7 @@
         """Knows nothing yet."""
         self._means: dict[str, float] = {}
         self._variances: dict[str, float] = {}
+        self._tails: dict[str, Tail] = {}
 
     def means(self) -> dict[str, float]:
         """Returns the mean logarithm of durations by queue."""
@@ -52,6 +62,14 @@
         surprise = (logarithm - before) ** 2 - variance
         self._variances[queue] = variance + _LEARNING * surprise
 
+    def note_ratio(self, queue: str, ratio: float) -> None:
+        """Takes in how long a task took over what was expected of it.
+
+        Also that of a run that was cut short while its copy won, as far as its
+        progress told: tails would else be forgotten where copies help.
+        """
+        self._tails.setdefault(queue, Tail()).note(ratio)
+
     def task(self, queue: str, spec: StepSpec) -> float:
         """Returns how long a task of a step is expected to take."""
         known = self._means.get(queue)
@@ -62,6 +80,56 @@
         guess = math.log(spec.estimate)
         return math.exp(known + _ESTIMATE_WEIGHT * (guess - known))
 
+    def has_tail(self, queue: str) -> bool:
+        """True if some tasks of a queue were seen to take several times long.
+
+        A new owner has to see that anew.
+        """
+        tail = self._tails.get(queue)
+        return tail is not None and tail.is_seen
+
+    def share_over(self, queue: str, times: float, lived: float = 0.0) -> float:
+        """Returns the share of tasks that take over some times the usual.
+
+        Args:
+            queue: The queue.
+            times: How many times.
+            lived: Only of tasks that have come to this many times the usual.
+
+        Returns:
+            0 while no tail was seen.
+        """
+        if not self.has_tail(queue):
+            return 0.0
+        return self._tails[queue].share_over(times, lived)
+
+    def remaining(
+        self, queue: str, spec: StepSpec, elapsed: float, percent: int
+    ) -> float:
+        """Returns how many seconds a run is expected to take on.
+
+        Args:
+            queue: Its queue.
+            spec: Its step.
+            elapsed: Seconds that it has worked.
+            percent: Progress that it has come to in these.
+        """
+        usual = self.task(queue, spec)
+        left = max(self._total(queue, usual, elapsed) - elapsed, 0.0)
+        left = max(left, _LEFT_LEAST * usual)
+        if percent <= 0:
+            return left
+        told = elapsed * (100 - percent) / percent
+        trust = percent / (percent + _PERCENT_HALF)
+        return trust * told + (1 - trust) * left
+
+    def _total(self, queue: str, usual: float, elapsed: float) -> float:
+        """Returns how long a run takes that has worked for some seconds."""
+        tail = self._tails.get(queue)
+        if tail is None or not tail.is_seen:
+            return usual
+        return tail.mean_beyond(elapsed / usual) * usual
+
     def chain(self, occurrence: Occurrence) -> float:
         """Returns the longest chain of steps."""
         return self._longest(occurrence, whole=True)
--- a/pimentocross/placement/soundness.py
+++ b/pimentocross/placement/soundness.py
@@ -17,6 +17,9 @@
 # a third of what it is on other workers is most likely the worker's doing.
 SLOW_BELOW: Final = 0.33
 SLOW_JOBS: Final = 2
+# Where long tasks are known, as many slow runs as these have to be less likely
+# than this on a sound worker: each one blamed has its work begun again.
+_CHANCE_MOST: Final = 0.02
 # Workers that have to be known to judge one, and for how many seconds.
 SLOW_OTHERS: Final = 3
 _SPEED_KEPT: Final = 3.0
@@ -42,12 +45,15 @@
         expected: Seconds that its task is expected to take in all.
         percent: Progress.
         elapsed: Seconds that it took to come there.
+        excused: How likely a task of its queue that has come to so many seconds
+            is to be a long one, which a sound worker shows as slow.
     """
 
     job: str
     expected: float
     percent: int
     elapsed: float
+    excused: float = 0.0
 
     @property
     def speed(self) -> float:
@@ -97,7 +103,9 @@
         if len(others) < SLOW_OTHERS:
             return False
         usual = min(statistics.median(others), 1.0)
-        return speed < SLOW_BELOW * usual
+        if speed >= SLOW_BELOW * usual:
+            return False
+        return _chance_long(measured, SLOW_BELOW * usual) <= _CHANCE_MOST
 
 
 class _Speed(NamedTuple):
@@ -105,6 +113,22 @@
     at: float
 
 
+def _chance_long(runs: Sequence[Progress], slow_below: float) -> float:
+    """Returns how likely as many runs are slow for being of long tasks.
+
+    0 where none is known to be: then the median alone judges.
+    """
+    slow = sum(run.speed < slow_below for run in runs)
+    # Chances that so many of the runs looked at so far are of long tasks.
+    chances = [1.0] + [0.0] * len(runs)
+    for run in runs:
+        for count in range(len(runs), 0, -1):
+            fewer = chances[count - 1] * run.excused
+            chances[count] = chances[count] * (1 - run.excused) + fewer
+        chances[0] *= 1 - run.excused
+    return sum(chances[slow:])
+
+
 def is_sick(readings: Sequence[Reading], explained: float) -> bool:
     """True if all that serves on a worker suffers, and not by fillers.
 
