Start a copy of a run that holds its step up, and learn whether copies win

Cause: a step ends with its slowest task. Steps that allow several runs of a task at once had one, also while single long runs held them up beside free workers. Change: once all that waits was looked at, a run that is expected to take on more than twice a fresh one, of a step with a quarter of its tasks left or fewer, gets one copy on another sound worker, in room beyond what waits and beyond the headroom, copies together bounded to a fiftieth. Only where the step allows it and a tail of its queue was seen. The first run to end counts, the other is stopped. Queues whose copies lose are tried rarely. A start is not sent any more once another run of its task has ended well; one that may come late holds no task of which several runs may be on.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -7,13 +7,14 @@
 import trio
 
 from pimentocross.contracts.adviser import Adviser
-from pimentocross.contracts.worker_link import StartVerdict
+from pimentocross.contracts.worker_link import Ending, StartVerdict
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const, wall
 from pimentocross.owner.advice import AdviceDesk
 from pimentocross.owner.arranger import Arranger
 from pimentocross.owner.care import Care
+from pimentocross.owner.copier import Copier
 from pimentocross.owner.isolation import Isolation
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.learned import Learned
@@ -29,7 +30,7 @@
 from pimentocross.placement.reclaim import TASKS_MOST
 from pimentocross.placement.urgency import Chance, Urgency, urgency
 from pimentocross.work.queue import WorkConfig
-from pimentocross.work.state import Step, Task
+from pimentocross.work.state import Run, Step, Task
 
 # Steps without room after which a pass gives up on their kind: what follows is
 # less urgent, and most of it as large. Those that fill are of one kind if they
@@ -91,6 +92,7 @@
         self._arranger = Arranger(learned)
         self._reclaimer = Reclaimer()
         self._room = RoomKeeper()
+        self._copier = Copier(book, learned, self._arranger, self._room)
         self._load_log = LoadLog()
         self._isolation = Isolation()
         self._share = PassShare()
@@ -123,8 +125,17 @@
             self._round = Round()
         self._round.begin_pass()
         self._start_waiting(orders)
+        if not self._round.cut:
+            self._start_copies(orders)
         self._log_load()
 
+    def judge(
+        self, worker: Worker, task: Task, run: Run | None, ending: Ending
+    ) -> None:
+        """Learns from an ending that was taken in."""
+        self._learned.judge(worker, task, run, ending)
+        self._copier.note_ended(task, run, ending)
+
     def forget_life(self, life: str) -> None:
         """Forgets what was known of a life, as the next one has its id."""
         self.advice.forget_life(life)
@@ -207,6 +218,14 @@
         if not self._round.cut:
             self._reclaimer.pass_over(missed, sound, orders, self._room, now)
 
+    def _start_copies(self, orders: Orders) -> None:
+        """Starts copies of what lags, in room that is left over."""
+        placements = self._copier.pass_over(
+            lambda now: self._sound(self._roster.usable(), now),
+            trio.current_time(),
+        )
+        self._send(placements, orders)
+
     def _ranked(
         self, steps: Sequence[Step], now: float, today: float
     ) -> list[_Ranked]:
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -140,6 +140,10 @@
             if step.waiting_count and step.occurrence.due <= today
         ]
 
+    def steps_at_work(self) -> Iterator[Step]:
+        """Yields the steps whose turn has come and that aren't done."""
+        yield from self._open_steps
+
     def pending(self, queue: str) -> int:
         """Returns how many accepted jobs of a queue have not started."""
         return sum(
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -160,6 +160,9 @@
         now = trio.current_time()
         if run.late_until <= now or task.done or task.step.job.ended:
             return
+        if task.step.spec.copies and not task.step.spec.gang:
+            # Several runs may be on at once; one that comes late is stopped.
+            return
         run.enter(RunState.HELD, now)
         task.add_run(run)
         note(
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -107,7 +107,9 @@
                 return
             if run.state is not RunState.DECIDED:
                 return
-            if task.step.job.ended or not self._may_start(task, worker):
+            # Another run of it may have ended well meanwhile.
+            unneeded = task.done or task.step.job.ended
+            if unneeded or not self._may_start(task, worker):
                 self._drop(worker, task, run)
                 return
             reply = await self._send(placement)
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -212,7 +212,7 @@
             self._book,
             self._ledger,
             self._dispatcher.wake,
-            self._learned.judge,
+            self._dispatcher.judge,
             self._learned.on_listed,
             Crashes(self._book, self._roster.workers, self._doubts, self._ends),
             self._roster.may_start_on,
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,338 @@
+"""Copies of runs that hold their step up.
+
+Load pattern: a step of ten tasks of 0.7 s, one of which takes seven times as
+long, in jobs that allow copies.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from unittest import mock
+
+import trio
+
+from pimentocross.contracts.worker_link import Ending, EndKind
+from pimentocross.owner import wall
+from pimentocross.owner.arranger import Arranger
+from pimentocross.owner.copier import Copier
+from pimentocross.owner.endings import apply_ending
+from pimentocross.owner.jobs import JobBook
+from pimentocross.owner.learned import Learned
+from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.orders import Placement
+from pimentocross.owner.owner import Owner
+from pimentocross.owner.room import RoomKeeper
+from pimentocross.placement.copies import (
+    CopyHistory,
+    CopyRoom,
+    Straggler,
+    is_worth_copy,
+)
+from pimentocross.placement.durations import Durations
+from pimentocross.placement.urgency import Chance
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import RunEvent, TaskPlan
+from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work.spec import Size, StepSpec, TaskName
+from pimentocross.work.state import JobState, Run, RunState, Step, Task
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    count,
+    find_again,
+    life,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+    wait_until,
+)
+from tests.pass_fixtures import make_worker
+
+_USUAL = 0.7
+_LONG = 7 * _USUAL
+_STEP = StepSpec(10, SMALL, _USUAL, copies=True)
+_LATE = Straggler(3.5, _USUAL, 1, 10, Chance.BEGUN)
+
+
+def test_a_copy_is_worth_it_for_what_holds_up_its_step() -> None:
+    assert is_worth_copy(_LATE)
+    assert is_worth_copy(_LATE._replace(chance=Chance.LATE_BEGUN))
+    assert not is_worth_copy(_LATE._replace(chance=Chance.HOPELESS))
+    assert not is_worth_copy(_LATE._replace(undone=5))
+    assert not is_worth_copy(_LATE._replace(left=1.5))
+
+
+def test_copies_leave_room_for_what_waits() -> None:
+    room = CopyRoom(100_000, 50_000, 0)
+    assert room.admits(4000)
+    assert room.after(1000).admits(1000)
+    assert not room.after(1000).admits(1500)
+    assert not room._replace(spare=500).admits(1000)
+
+
+def test_a_queue_whose_copies_lose_is_tried_rarely() -> None:
+    history = CopyHistory()
+    assert history.admits("q", 3, 0.0)
+    assert not history.admits("q", 4, 0.0)
+    for _ in range(4):
+        history.note_started("q", 1.0)
+        history.note_verdict("q", won=False)
+    assert not history.admits("q", 0, 2.0)
+    assert history.admits("other", 0, 2.0)
+    assert history.admits("q", 0, 60.0)
+    assert not history.admits("q", 1, 60.0)
+    for _ in range(6):
+        history.note_verdict("q", won=True)
+    assert history.admits("q", 9, 61.0)
+
+
+class _Scene:
+    """A step of which nine tasks are done, and a copier that looks at it."""
+
+    def __init__(self) -> None:
+        store = StoreStandin().client("a")
+        self.book = JobBook(Ledger(store, "jobs", "owner", 1), 150.0)
+        self.learned = Learned()
+        for number in range(150):
+            ratio = 7.0 if number % 30 == 0 else 1.0
+            self.learned.durations.note_ratio(QUEUE.name, ratio)
+        self.workers = [make_worker(life(n), n) for n in range(4)]
+        self.copier = Copier(
+            self.book, self.learned, Arranger(self.learned), RoomKeeper()
+        )
+
+    def begin(self, job_id: str, step: StepSpec) -> None:
+        """Has the tasks of a job run, and all but one end."""
+        self.book.accept(job_id, QUEUE, spec(step))
+        job = self.book.find(job_id)
+        assert job is not None
+        self.step: Step = job.occurrences[0].steps[0]
+        self.long: Task = self.step.tasks[0]
+        now = trio.current_time()
+        for task in self.step.tasks:
+            run = Run(1, 0, now)
+            run.enter(RunState.RUNNING, now)
+            run.began_at = now
+            task.add_run(run)
+            self.workers[0].add(task, run)
+        for task in self.step.tasks[1:]:
+            self.end(task, 1, EndKind.DONE)
+
+    async def look(self) -> list[Placement]:
+        """Returns the copies decided on after 1 s, at a fifth of the work."""
+        await trio.sleep(1.0)
+        run = self.long.runs[1]
+        run.percent, run.percent_at = 20, trio.current_time()
+        return self.copier.pass_over(
+            lambda _: self.workers, trio.current_time()
+        )
+
+    def end(self, task: Task, number: int, how: EndKind) -> None:
+        """Has a run end."""
+        worker = self.workers[task.runs[number].worker]
+        ending = Ending(1, task.name, number, how, "")
+        self.copier.note_ended(task, apply_ending(task, ending, worker), ending)
+
+
+@asynccontextmanager
+async def _scene(step: StepSpec = _STEP) -> AsyncIterator[_Scene]:
+    with mock.patch.object(wall, "now", trio.current_time):
+        # At 0 runs count as a former owner's.
+        await trio.sleep(1.0)
+        scene = _Scene()
+        scene.begin("j", step)
+        yield scene
+
+
+async def test_a_copy_goes_to_another_worker_with_room() -> None:
+    async with _scene() as scene:
+        [placement] = await scene.look()
+        assert placement.task is scene.long
+        assert placement.run.number == 2
+        assert placement.worker.number != 0
+        await trio.sleep(1.0)
+        assert not await scene.look(), "one copy at most"
+
+
+async def test_no_copy_without_room_or_leave() -> None:
+    async with _scene() as scene:
+        for worker in scene.workers:
+            worker.committed = worker.life.capacity
+        assert not await scene.look()
+    async with _scene(_STEP._replace(copies=False)) as scene:
+        assert not await scene.look()
+    async with _scene() as scene:
+        scene.long.failed_on = {1, 2, 3}
+        assert not await scene.look()
+    async with _scene() as scene:
+        # Either run may fail, which would be all attempts.
+        scene.long.failures = QUEUE.attempts - 1
+        assert not await scene.look()
+    async with _scene() as scene:
+        scene.learned.durations = Durations()
+        assert not await scene.look(), "no tail was seen"
+
+
+async def test_both_runs_count_for_the_most_on_one_worker() -> None:
+    async with _scene(_STEP._replace(per_worker=1)) as scene:
+        for worker in scene.workers[1:3]:
+            worker.add(scene.step.tasks[1], Run(5, worker.number))
+        [placement] = await scene.look()
+        assert placement.worker.number == 3
+
+
+async def test_copies_that_never_win_are_given_up() -> None:
+    copied = 0
+    async with _scene() as scene:
+        for number in range(8):
+            scene.begin(f"j{number + 1}", _STEP)
+            for _, run, _, _ in await scene.look():
+                copied += 1
+                run.enter(RunState.RUNNING, trio.current_time())
+            scene.end(scene.long, 1, EndKind.DONE)
+            for run in list(scene.long.runs.values()):
+                scene.end(scene.long, run.number, EndKind.STOPPED)
+    assert copied == 4, copied
+
+
+_QUICK = TaskPlan(_USUAL, SMALL)
+
+
+class _Plans:
+    """Tasks of 0.7 s; the first run of one takes seven times as long."""
+
+    def __init__(self, copy: TaskPlan = _QUICK) -> None:
+        self._copy = copy
+        self._starts: Counter[TaskName] = Counter()
+
+    def __call__(self, task: TaskName) -> TaskPlan:
+        """Returns the plan of a task's next run."""
+        self._starts[task] += 1
+        if task.position == 0 and self._starts[task] == 1:
+            return TaskPlan(_LONG, SMALL)
+        if task.position == 0 and self._starts[task] == 2:
+            return self._copy
+        return _QUICK
+
+
+@asynccontextmanager
+async def _cell(
+    plans: _Plans, store: StoreStandin | None = None
+) -> AsyncIterator[tuple[WorkerHall, Owner]]:
+    """Runs an owner that has a job whose first task is copied."""
+    hall = make_hall(4, plans)
+    seen = mock.patch.object(Durations, "has_tail", lambda *_: True)
+    with mock.patch.object(wall, "now", trio.current_time), seen:
+        async with running(
+            make_owner(store or StoreStandin(), hall, 1)
+        ) as owner:
+            await owner.settled.wait()
+            await owner.desk.submit("j", QUEUE, spec(_STEP))
+            yield hall, owner
+
+
+def _events(hall: WorkerHall, run: int, *whats: str) -> list[RunEvent]:
+    """Returns what happened to a run of the long task."""
+    return [
+        event
+        for event in hall.journal
+        if event.task.position == 0
+        and event.run == run
+        and (event.what in whats)
+    ]
+
+
+def _ended(owner: Owner) -> Callable[[], bool]:
+    return lambda: owner.desk.state("j").state is JobState.COMPLETED
+
+
+async def _copied(hall: WorkerHall) -> None:
+    await wait_until(lambda: bool(_events(hall, 2, "start")))
+
+
+def _check_settled(hall: WorkerHall) -> None:
+    """Checks that nothing runs on, or began after a task had ended."""
+    for worker in hall.workers.values():
+        assert worker.committed == Size(0, 0, 0)
+    assert not find_again(hall.journal)
+
+
+async def test_a_copy_ends_its_step_and_the_other_run_is_stopped() -> None:
+    async with _cell(_Plans()) as (hall, owner):
+        began = trio.current_time()
+        await wait_until(_ended(owner))
+        assert trio.current_time() - began < _LONG / 2 + 0.6
+        await trio.sleep(0.5)
+        assert _events(hall, 1, "stopped")
+        _check_settled(hall)
+        assert count(hall.journal, "start") == 11
+
+
+async def test_the_original_ends_first_and_its_copy_is_stopped() -> None:
+    async with _cell(_Plans(TaskPlan(9.0, SMALL))) as (hall, owner):
+        await wait_until(_ended(owner))
+        await trio.sleep(0.5)
+        assert _events(hall, 1, "done")
+        assert _events(hall, 2, "stopped")
+        _check_settled(hall)
+
+
+async def test_a_copy_that_fails_leaves_the_original_to_end() -> None:
+    fails = TaskPlan(_USUAL, SMALL, fails=True)
+    async with _cell(_Plans(fails)) as (hall, owner):
+        await wait_until(_ended(owner))
+        assert _events(hall, 2, "failed")
+        await trio.sleep(0.5)
+        _check_settled(hall)
+
+
+async def test_a_copy_whose_worker_crashes_takes_no_run_along() -> None:
+    crashes = TaskPlan(_USUAL, SMALL, crashes_after=0.2)
+    async with _cell(_Plans(crashes)) as (hall, owner):
+        await _copied(hall)
+        await wait_until(_ended(owner))
+        assert _events(hall, 2, "crashed")
+        assert len(_events(hall, 1, "start")) == 1
+
+
+async def test_a_cancel_stops_both_runs() -> None:
+    async with _cell(_Plans(TaskPlan(9.0, SMALL))) as (hall, owner):
+        await _copied(hall)
+        await owner.desk.cancel("j")
+        await trio.sleep(1.0)
+        assert _events(hall, 1, "stopped")
+        assert _events(hall, 2, "stopped")
+        _check_settled(hall)
+
+
+async def test_a_new_owner_finds_both_runs_and_stops_the_second_to_end() -> (
+    None
+):
+    store = StoreStandin()
+    async with _cell(_Plans(TaskPlan(1.5, SMALL)), store) as (hall, _):
+        await _copied(hall)
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(store, hall, 2, vm="b")) as owner:
+            await wait_until(_ended(owner))
+            await trio.sleep(0.5)
+    assert _events(hall, 2, "done")
+    assert _events(hall, 1, "stopped")
+    _check_settled(hall)
+
+
+async def test_a_copy_that_was_recorded_and_not_sent_is_given_up() -> None:
+    store = StoreStandin()
+    async with _cell(_Plans(), store) as (hall, _):
+        await wait_until(lambda: count(hall.journal, "start") == 10)
+        for worker in hall.workers.values():
+            worker.faults.lost = 0.0
+            worker.faults.late = 1.0
+        await trio.sleep(1.6)
+    for worker in hall.workers.values():
+        worker.faults.late = 0.0
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(store, hall, 2, vm="b")) as owner:
+            await wait_until(_ended(owner))
+            await trio.sleep(13.0)
+    _check_settled(hall)
