--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -116,6 +116,23 @@
     _check(hall)
 
 
+async def test_a_task_that_may_run_twice_does_not_wait_for_its_late_start() -> (
+    None
+):
+    hall = make_hall(2, _plan)
+    async with running(make_owner(StoreStandin(), hall, 1)) as owner:
+        await trio.sleep(0.5)
+        twice = spec(StepSpec(1, SMALL, 0.5, copies=True))
+        with _late_orders(hall):
+            await owner.desk.submit("job", QUEUE, twice)
+            await trio.sleep(0.1)
+        sent_at = trio.current_time()
+        await wait_until(lambda: _is_done(owner, "job"))
+        assert trio.current_time() - sent_at < const.LEASE + _SOON
+        await trio.sleep(const.LATE_START_MOST)
+    _check(hall)
+
+
 async def test_a_repeated_start_stays_open_until_its_first_can_not_come() -> (
     None
 ):
