--- a/pimentocross/owner/copier.py
+++ b/pimentocross/owner/copier.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Final, NamedTuple
 
+import trio
+
 from pimentocross.contracts.worker_link import Ending, EndKind
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
@@ -131,10 +133,11 @@
     def _judge(self, task: Task, other: Run, *, won: bool) -> None:
         queue = task.step.job.queue.name
         durations = self._learned.durations
-        left = self._left(task.step, other, self._passed_at)
+        now = trio.current_time()
+        left = self._left(task.step, other, now)
         self._history.note_verdict(queue, won=won)
         if won:
-            took = self._passed_at - other.decided_at + left
+            took = now - other.decided_at + left
             usual = durations.task(queue, task.step.spec)
             durations.note_ratio(queue, took / usual)
         kind = "copy_won" if won else "copy_lost"
