Expect long steps by their estimates and their own tasks, not single long tasks

Twenty long tasks that end together moved the queue's mean, over the last twenty tasks, several times up. Change: where a tail was seen, durations learn by how far an estimate is off the mean what it tells, tasks that ended tell of the rest of their step, and single measurements move the mean less. A worker's runs are judged against those of the same step elsewhere; the chance of long tasks is taken by job. Without a tail all is expected as before.

--- a/pimentocross/owner/copier.py
+++ b/pimentocross/owner/copier.py
@@ -132,14 +132,9 @@
 
     def _judge(self, task: Task, other: Run, *, won: bool) -> None:
         queue = task.step.job.queue.name
-        durations = self._learned.durations
         now = trio.current_time()
         left = self._left(task.step, other, now)
         self._history.note_verdict(queue, won=won)
-        if won:
-            took = now - other.decided_at + left
-            usual = durations.task(queue, task.step.spec)
-            durations.note_ratio(queue, took / usual)
         kind = "copy_won" if won else "copy_lost"
         meters.add(f"{kind}_total")
         note(
@@ -183,15 +178,14 @@
         """Returns how many seconds a run is expected to take on."""
         heard_at = run.percent_at if run.percent else now
         left = self._learned.durations.remaining(
-            step.job.queue.name,
-            step.spec,
+            step,
             max(heard_at - run.state_at, 0.0),
             run.percent,
         )
         return max(left - (now - heard_at), 0.0)
 
     def _fresh(self, step: Step) -> float:
-        return self._learned.durations.task(step.job.queue.name, step.spec)
+        return self._learned.durations.of_step(step)
 
     def _free_room(self, sound: Sequence[Worker], now: float) -> CopyRoom:
         waiting = self._book.open_steps(wall.now())
--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -1,6 +1,6 @@
 """What an owner learns from endings and listings, for all its decisions."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Final, NamedTuple
 
 import trio
@@ -11,6 +11,7 @@
 from pimentocross.placement.disturbance import Disturbance, Pair
 from pimentocross.placement.durations import Durations
 from pimentocross.placement.pacing import Reading
+from pimentocross.placement.projections import Projections
 from pimentocross.placement.quarantine import Quarantine, QuarantineTerms
 from pimentocross.placement.soundness import (
     MEASURED_AFTER,
@@ -39,6 +40,13 @@
     progress: Progress
 
 
+class _Expected(NamedTuple):
+    """Seconds that a task takes, and whether its own step tells so."""
+
+    seconds: float
+    is_sure: bool
+
+
 class Learned:
     """Durations, pairs that disturb, and workers to be left alone.
 
@@ -54,6 +62,7 @@
         self.disturbance = Disturbance()
         self.quarantine = Quarantine(_QUARANTINE)
         self._speeds = Speeds()
+        self._projections = Projections()
 
     def encode(self) -> bytes:
         """Returns the record that a successor begins with."""
@@ -84,12 +93,11 @@
     def _note_duration(
         self, worker: Worker, task: Task, run: Run, took: float
     ) -> None:
-        queue = task.step.job.queue.name
         if worker.unsound_until <= run.decided_at:
+            self.durations.note_task(task.step, took)
+        else:
             # What a worker in trouble adds is no tail of the queue.
-            usual = self.durations.task(queue, task.step.spec)
-            self.durations.note_ratio(queue, took / usual)
-        self.durations.note(queue, took)
+            self.durations.note(task.step.job.queue.name, took)
 
     def hold_against(self, worker: Worker, task: Task) -> None:
         """Holds a failure or a standstill against a worker."""
@@ -130,31 +138,42 @@
         """Returns the same of runs that took at least some seconds."""
         found = []
         # A worker often has several tasks of one step.
-        expected: dict[Step, float] = {}
-        for (task, _), run in worker.runs.items():
-            elapsed = run.percent_at - run.state_at
-            if elapsed <= 0 or elapsed < least:
-                continue
-            if run.state is not RunState.RUNNING:
-                continue
-            step = task.step
-            if step.spec.lasting or run.paced_at or not run.decided_at:
-                # Adopted: how long and how fast it worked isn't known.
-                continue
+        expected: dict[Step, _Expected] = {}
+        for step, run, elapsed in _measurable(worker, least):
             if step not in expected:
-                queue = step.job.queue.name
-                expected[step] = self.durations.task(queue, step.spec)
-            excused = self.durations.share_over(
-                step.job.queue.name,
-                1 / SLOW_BELOW,
-                elapsed / expected[step],
-            )
+                expected[step] = self._expected(step, worker)
+            seconds, is_sure = expected[step]
+            excused = 0.0
+            if not is_sure:
+                excused = self.durations.chance_over(
+                    step.job.queue.name, seconds / SLOW_BELOW, elapsed
+                )
             progress = Progress(
-                step.job.id, expected[step], run.percent, elapsed, excused
+                step.job.id, seconds, run.percent, elapsed, excused
             )
             found.append((run, progress))
         return found
 
+    def _expected(self, step: Step, worker: Worker) -> _Expected:
+        """Returns how long tasks of a step take on sound workers.
+
+        Where a queue has a tail, others of the step tell first of a long one.
+        """
+        durations = self.durations
+        if durations.knows(step):
+            return _Expected(durations.of_step(step), is_sure=True)
+        elsewhere = self._projections.elsewhere(step, worker.number)
+        if elsewhere is None:
+            return _Expected(durations.of_step(step), is_sure=False)
+        return _Expected(elsewhere, is_sure=True)
+
+    def _project(self, worker: Worker) -> None:
+        """Notes what progress tells of steps whose tasks may be long ones."""
+        for step, run, elapsed in _measurable(worker, MEASURED_AFTER):
+            if run.percent and self.durations.has_tail(step.job.queue.name):
+                seconds = elapsed * 100 / run.percent
+                self._projections.note(step, worker.number, seconds)
+
     def _check_soundness(
         self,
         worker: Worker,
@@ -168,6 +187,7 @@
         sick = is_sick(readings, 0.0) and is_sick(
             readings, self._explained(worker, loads)
         )
+        self._project(worker)
         runs = [found for _, found in self._progress(worker, MEASURED_AFTER)]
         slow = self._speeds.is_slow(worker.number, runs, now)
         if not sick and not slow:
@@ -182,3 +202,24 @@
             (self.disturbance.added(s, loads) for s in worker.serving),
             default=0.0,
         )
+
+
+def _measurable(
+    worker: Worker, least: float
+) -> Iterator[tuple[Step, Run, float]]:
+    """Yields runs that end and were never slowed, and how long they worked.
+
+    Args:
+        worker: Where they run.
+        least: Seconds that each has worked at least.
+    """
+    for (task, _), run in worker.runs.items():
+        elapsed = run.percent_at - run.state_at
+        if elapsed <= 0 or elapsed < least:
+            continue
+        if run.state is not RunState.RUNNING:
+            continue
+        # Adopted: how long and how fast it worked isn't known.
+        if task.step.spec.lasting or run.paced_at or not run.decided_at:
+            continue
+        yield task.step, run, elapsed
--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -3,16 +3,19 @@
 A step lasts as long as its slowest task: the wider it is, the longer. Without
 that, jobs of wide steps look late while they can still be in time.
 
-Load pattern: some queues have a few tasks that take several times as long as
-the rest. What a run has done tells them apart long before they end.
+Load pattern: some queues have a few steps whose tasks take several times as
+long as the rest. Callers' estimates, tasks of the same step and what a run has
+done tell them apart before they end. All this is on once a tail was seen.
 """
 
 from collections.abc import Mapping
 import functools
 import math
 import statistics
-from typing import Final
+from typing import Final, NamedTuple
+from weakref import WeakKeyDictionary
 
+from pimentocross.placement.estimates import ESTIMATE_WEIGHT, Estimates
 from pimentocross.placement.tails import Tail
 from pimentocross.work.spec import StepSpec
 from pimentocross.work.state import Occurrence, Step
@@ -22,9 +25,10 @@
 # Share of a new measurement in the running mean of logarithms: about the last
 # twenty tasks count.
 _LEARNING: Final = 0.05
-# How much an estimate counts against its queue's mean: estimates are off by a
-# factor of 2.5 either way, durations of one queue spread by 1.6.
-_ESTIMATE_WEIGHT: Final = 0.3
+# The same where a tail was seen, and how far off a measurement counts: twenty
+# long tasks that end together would else make the next ones look as long.
+_LEARNING_BESIDE_TAIL: Final = 0.01
+_OFF_MOST: Final = 1.0
 # Spread of the logarithm of durations within a queue, until it was seen, and
 # the most that is believed: failures and slow workers stretch the tail.
 _SPREAD: Final = 0.45
@@ -32,10 +36,20 @@
 # Progress is listed in whole percent: from a few on it tells more of what is
 # left than durations of other tasks.
 _PERCENT_HALF: Final = 3
+# Tasks of a step that tell as much of the next one as all that was known
+# before: they differ by far less than steps do.
+_TASKS_HALF: Final = 0.5
 # What has taken longer than expected takes on for this share of that at least.
 _LEFT_LEAST: Final = 0.25
 
 
+class _Ended(NamedTuple):
+    """Tasks of one step that have ended."""
+
+    tasks: int
+    mean: float
+
+
 class Durations:
     """Mean durations by queue, and what is left of a job's chain."""
 
@@ -44,6 +58,8 @@
         self._means: dict[str, float] = {}
         self._variances: dict[str, float] = {}
         self._tails: dict[str, Tail] = {}
+        self._estimates: dict[str, Estimates] = {}
+        self._steps: WeakKeyDictionary[Step, _Ended] = WeakKeyDictionary()
 
     def means(self) -> dict[str, float]:
         """Returns the mean logarithm of durations by queue."""
@@ -57,18 +73,28 @@
         """Takes in how long one task of a queue took."""
         logarithm = math.log(max(seconds, 0.01))
         before = self._means.get(queue, logarithm)
-        self._means[queue] = before + _LEARNING * (logarithm - before)
+        off, learning = logarithm - before, _LEARNING
+        if self.has_tail(queue):
+            off = min(max(off, -_OFF_MOST), _OFF_MOST)
+            learning = _LEARNING_BESIDE_TAIL
+        self._means[queue] = before + learning * off
         variance = self._variances.get(queue, _SPREAD**2)
-        surprise = (logarithm - before) ** 2 - variance
-        self._variances[queue] = variance + _LEARNING * surprise
+        self._variances[queue] = variance + learning * (off**2 - variance)
 
-    def note_ratio(self, queue: str, ratio: float) -> None:
-        """Takes in how long a task took over what was expected of it.
-
-        Also that of a run that was cut short while its copy won, as far as its
-        progress told: tails would else be forgotten where copies help.
-        """
-        self._tails.setdefault(queue, Tail()).note(ratio)
+    def note_task(self, step: Step, seconds: float) -> None:
+        """Takes in how long a task took that ended on a sound worker."""
+        queue = step.job.queue.name
+        logarithm = math.log(max(seconds, 0.01))
+        usual = self._means.get(queue, logarithm)
+        self._tails.setdefault(queue, Tail()).note(math.exp(logarithm - usual))
+        if step.spec.estimate > 0:
+            told = math.log(step.spec.estimate) - usual
+            known = self._estimates.setdefault(queue, Estimates())
+            known.note(told, logarithm - usual, 1 / step.spec.width)
+        tasks, mean = self._steps.get(step, _Ended(0, 0.0))
+        mean += (logarithm - mean) / (tasks + 1)
+        self._steps[step] = _Ended(tasks + 1, mean)
+        self.note(queue, seconds)
 
     def task(self, queue: str, spec: StepSpec) -> float:
         """Returns how long a task of a step is expected to take."""
@@ -78,7 +104,10 @@
         if known is None:
             return spec.estimate
         guess = math.log(spec.estimate)
-        return math.exp(known + _ESTIMATE_WEIGHT * (guess - known))
+        if self.has_tail(queue) and queue in self._estimates:
+            told = self._estimates[queue].expect(guess - known)
+            return math.exp(known + told)
+        return math.exp(known + ESTIMATE_WEIGHT * (guess - known))
 
     def has_tail(self, queue: str) -> bool:
         """True if some tasks of a queue were seen to take several times long.
@@ -88,48 +117,52 @@
         tail = self._tails.get(queue)
         return tail is not None and tail.is_seen
 
-    def share_over(self, queue: str, times: float, lived: float = 0.0) -> float:
-        """Returns the share of tasks that take over some times the usual.
+    def knows(self, step: Step) -> bool:
+        """True if tasks of a step tell how long the others take."""
+        return step in self._steps and self.has_tail(step.job.queue.name)
+
+    def of_step(self, step: Step) -> float:
+        """Returns how long a task of a step takes, by those that have ended."""
+        queue = step.job.queue.name
+        prior = self.task(queue, step.spec)
+        if not self.knows(step):
+            return prior
+        ended = self._steps[step]
+        trust = ended.tasks / (ended.tasks + _TASKS_HALF)
+        return math.exp(trust * ended.mean + (1 - trust) * math.log(prior))
+
+    def chance_over(self, queue: str, seconds: float, elapsed: float) -> float:
+        """Returns how likely a task takes longer than some seconds.
 
         Args:
             queue: The queue.
-            times: How many times.
-            lived: Only of tasks that have come to this many times the usual.
+            seconds: How long.
+            elapsed: Seconds that it has come to without an end.
 
         Returns:
             0 while no tail was seen.
         """
         if not self.has_tail(queue):
             return 0.0
-        return self._tails[queue].share_over(times, lived)
+        usual = math.exp(self._means[queue])
+        return self._tails[queue].share_over(seconds / usual, elapsed / usual)
 
-    def remaining(
-        self, queue: str, spec: StepSpec, elapsed: float, percent: int
-    ) -> float:
+    def remaining(self, step: Step, elapsed: float, percent: int) -> float:
         """Returns how many seconds a run is expected to take on.
 
         Args:
-            queue: Its queue.
-            spec: Its step.
+            step: Its step.
             elapsed: Seconds that it has worked.
             percent: Progress that it has come to in these.
         """
-        usual = self.task(queue, spec)
-        left = max(self._total(queue, usual, elapsed) - elapsed, 0.0)
-        left = max(left, _LEFT_LEAST * usual)
+        usual = self.of_step(step)
+        left = max(usual - elapsed, _LEFT_LEAST * usual)
         if percent <= 0:
             return left
         told = elapsed * (100 - percent) / percent
         trust = percent / (percent + _PERCENT_HALF)
         return trust * told + (1 - trust) * left
 
-    def _total(self, queue: str, usual: float, elapsed: float) -> float:
-        """Returns how long a run takes that has worked for some seconds."""
-        tail = self._tails.get(queue)
-        if tail is None or not tail.is_seen:
-            return usual
-        return tail.mean_beyond(elapsed / usual) * usual
-
     def chain(self, occurrence: Occurrence) -> float:
         """Returns the longest chain of steps."""
         return self._longest(occurrence, whole=True)
@@ -150,7 +183,7 @@
             return 0.0
         queue = step.job.queue.name
         wide = self._slowest(queue, step.spec.width)
-        return self.task(queue, step.spec) * wide
+        return self.of_step(step) * wide
 
     def _slowest(self, queue: str, width: int) -> float:
         """Returns the slowest of some tasks over the typical one."""
--- a/pimentocross/placement/soundness.py
+++ b/pimentocross/placement/soundness.py
@@ -17,8 +17,8 @@
 # a third of what it is on other workers is most likely the worker's doing.
 SLOW_BELOW: Final = 0.33
 SLOW_JOBS: Final = 2
-# Where long tasks are known, as many slow runs as these have to be less likely
-# than this on a sound worker: each one blamed has its work begun again.
+# Where long tasks are known, as many slow jobs have to be less likely than this
+# on a sound worker: each one blamed has its work begun again.
 _CHANCE_MOST: Final = 0.02
 # Workers that have to be known to judge one, and for how many seconds.
 SLOW_OTHERS: Final = 3
@@ -45,8 +45,8 @@
         expected: Seconds that its task is expected to take in all.
         percent: Progress.
         elapsed: Seconds that it took to come there.
-        excused: How likely a task of its queue that has come to so many seconds
-            is to be a long one, which a sound worker shows as slow.
+        excused: How likely a task that has come to so many seconds is to be a
+            long one, which a sound worker shows as slow.
     """
 
     job: str
@@ -114,19 +114,25 @@
 
 
 def _chance_long(runs: Sequence[Progress], slow_below: float) -> float:
-    """Returns how likely as many runs are slow for being of long tasks.
+    """Returns how likely as many jobs are slow here for being long ones.
 
-    0 where none is known to be: then the median alone judges.
+    0 where none is known to be: then the median alone judges. Tasks of one job
+    are long together.
     """
-    slow = sum(run.speed < slow_below for run in runs)
-    # Chances that so many of the runs looked at so far are of long tasks.
-    chances = [1.0] + [0.0] * len(runs)
+    jobs: dict[str, list[Progress]] = {}
     for run in runs:
-        for count in range(len(runs), 0, -1):
-            fewer = chances[count - 1] * run.excused
-            chances[count] = chances[count] * (1 - run.excused) + fewer
-        chances[0] *= 1 - run.excused
-    return sum(chances[slow:])
+        jobs.setdefault(run.job, []).append(run)
+    slow = 0
+    # Chances that so many of the jobs looked at so far are long.
+    chances = [1.0] + [0.0] * len(jobs)
+    for found in jobs.values():
+        slow += statistics.median([run.speed for run in found]) < slow_below
+        excused = max(run.excused for run in found)
+        for count in range(len(jobs), 0, -1):
+            fewer = chances[count - 1] * excused
+            chances[count] = chances[count] * (1 - excused) + fewer
+        chances[0] *= 1 - excused
+    return sum(chances[slow:]) if slow else 1.0
 
 
 def is_sick(readings: Sequence[Reading], explained: float) -> bool:
--- a/pimentocross/placement/tails.py
+++ b/pimentocross/placement/tails.py
@@ -1,8 +1,8 @@
-"""How far tasks of a queue exceed what is expected of them.
+"""How far tasks of a queue exceed the usual.
 
-Load pattern: most tasks take about as long as expected, and a few several times
-as long. A mean and a spread tell nothing of those few, and a step lasts until
-the last of them has ended.
+Load pattern: most tasks of a queue take about as long, and a few several times
+as long, single ones or all of a step. A mean and a spread tell nothing of those
+few.
 """
 
 import math
@@ -29,7 +29,7 @@
 
 
 class Tail:
-    """Ratios of durations to what was expected, as a decayed histogram.
+    """Ratios of durations to the usual one, as a decayed histogram.
 
     Attributes:
         is_seen: Whether enough is known, and enough of it takes long.
@@ -43,7 +43,7 @@
         self.is_seen = False
 
     def note(self, ratio: float) -> None:
-        """Takes in how long a task took over what was expected."""
+        """Takes in how long a task took over the usual."""
         # A later ratio weighs more, which spares touching all bins.
         self._weight /= 1 - _LEARNING
         self._bins[_bin_of(ratio)] += self._weight
@@ -67,25 +67,8 @@
         over = sum(self._bins[_bin_of(max(ratio, lived)) :])
         return over / beyond
 
-    def mean_beyond(self, lived: float) -> float:
-        """Returns the mean ratio of tasks that exceed one, 0 if none did."""
-        counts = [
-            (max(_ratio_of(number), lived), count)
-            for number, count in enumerate(self._bins)
-            if count and number >= _bin_of(lived)
-        ]
-        whole = sum(count for _, count in counts)
-        if whole <= 0:
-            return 0.0
-        return sum(ratio * count for ratio, count in counts) / whole
-
 
 def _bin_of(ratio: float) -> int:
     exponent = math.log2(max(ratio, 1e-3))
     number = math.floor(exponent * _BINS_AN_OCTAVE) - _LOWEST
     return min(max(number, 0), _BINS - 1)
-
-
-def _ratio_of(number: int) -> float:
-    """Returns the middle of a bin."""
-    return float(2 ** ((number + _LOWEST + 0.5) / _BINS_AN_OCTAVE))
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -47,7 +47,7 @@
     spec,
     wait_until,
 )
-from tests.pass_fixtures import make_worker
+from tests.pass_fixtures import make_step, make_worker
 
 _USUAL = 0.7
 _LONG = 7 * _USUAL
@@ -95,8 +95,9 @@
         self.book = JobBook(Ledger(store, "jobs", "owner", 1), 150.0)
         self.learned = Learned()
         for number in range(150):
-            ratio = 7.0 if number % 30 == 0 else 1.0
-            self.learned.durations.note_ratio(QUEUE.name, ratio)
+            took = _LONG if number % 30 == 29 else _USUAL
+            former = make_step(f"former{number}", _STEP)
+            self.learned.durations.note_task(former, took)
         self.workers = [make_worker(life(n), n) for n in range(4)]
         self.copier = Copier(
             self.book, self.learned, Arranger(self.learned), RoomKeeper()
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -1,69 +1,120 @@
 """Queues of which a few tasks take several times as long as the rest.
 
-Load pattern: 3 of 100 tasks take seven times as long, on whatever worker.
+Load pattern: all tasks of 4 of 100 steps take seven times as long, on whatever
+worker.
 """
 
 import math
 import random
 
 from pimentocross.placement.durations import Durations
+from pimentocross.placement.projections import Projections
 from pimentocross.placement.soundness import (
     SLOW_BELOW,
     Progress,
     Speeds,
 )
 from pimentocross.work.spec import StepSpec
-from tests.owner_fixtures import SMALL
+from pimentocross.work.state import Job, Step
+from tests.owner_fixtures import QUEUE, SMALL
+from tests.owner_fixtures import spec as spec_of
 
-_STEP = StepSpec(10, SMALL, 0.7)
+_SPEC = StepSpec(10, SMALL, 0.7)
 _USUAL = 0.7
 
 
-def _learn(durations: Durations, tail: float, times: float = 7.0) -> None:
+def _step(name: str, spec: StepSpec = _SPEC) -> Step:
+    return Job(name, QUEUE, spec_of(spec), 0.0).occurrences[0].steps[0]
+
+
+def _learn(durations: Durations, tail: float) -> None:
+    """Has 300 steps end, some of long tasks; estimates are off by half."""
     draw = random.Random(1)
-    for _ in range(1500):
-        took = _USUAL * math.exp(draw.gauss(0, 0.35))
+    for number in range(300):
+        usual = _USUAL * math.exp(draw.gauss(0, 0.3))
         if draw.random() < tail:
-            took *= times
-        durations.note_ratio("q", took / durations.task("q", _STEP))
-        durations.note("q", took)
+            usual *= 7
+        estimate = usual * math.exp(draw.gauss(0, 0.5))
+        step = _step(f"j{number}", _SPEC._replace(estimate=estimate))
+        for _ in step.tasks:
+            durations.note_task(step, usual * math.exp(draw.gauss(0, 0.25)))
 
 
-def _with_tail(tail: float = 0.03) -> Durations:
+def _with_tail(tail: float = 0.04) -> Durations:
     durations = Durations()
     _learn(durations, tail)
     return durations
 
 
 def test_a_tail_is_told_from_ordinary_spread() -> None:
-    assert not _with_tail(0.0).has_tail("q")
-    assert _with_tail().has_tail("q")
+    assert not _with_tail(0.0).has_tail(QUEUE.name)
+    assert _with_tail().has_tail(QUEUE.name)
     assert not _with_tail().has_tail("other")
-    share = _with_tail().share_over("q", 4.0)
-    assert 0.01 < share < 0.06, share
 
 
 def test_few_tasks_show_no_tail() -> None:
     durations = Durations()
-    for ratio in (1.0, 7.0, 7.0, 1.0):
-        durations.note_ratio("q", ratio)
-    assert not durations.has_tail("q")
+    for took in (0.7, 5.0, 5.0, 0.7):
+        durations.note_task(_step("j"), took)
+    assert not durations.has_tail(QUEUE.name)
 
 
-def test_what_is_expected_does_not_change_without_a_tail() -> None:
-    durations = _with_tail(0.0)
-    assert abs(durations.task("q", _STEP) / _USUAL - 1) < 0.1
-    started = durations.remaining("q", _STEP, 0.0, 0)
-    assert abs(started / durations.task("q", _STEP) - 1) < 0.01
+def test_without_a_tail_all_is_expected_as_before() -> None:
+    learned, plain = _with_tail(0.0), Durations()
+    plain.restore(learned.means())
+    step = _step("j")
+    learned.note_task(step, 0.7)
+    plain.restore(learned.means())
+    for estimate in (0.0, 0.2, 0.7, 5.0):
+        spec = _SPEC._replace(estimate=estimate)
+        assert learned.task(QUEUE.name, spec) == plain.task(QUEUE.name, spec)
+    assert learned.of_step(step) == plain.of_step(step)
+    assert not learned.chance_over(QUEUE.name, 2.0, 1.0)
 
 
-def test_progress_tells_what_is_left_of_a_long_run() -> None:
+def test_an_estimate_far_above_the_usual_is_believed() -> None:
     durations = _with_tail()
-    left = durations.remaining("q", _STEP, 1.0, 20)
+    usual = durations.task(QUEUE.name, _SPEC)
+    long = durations.task(QUEUE.name, _SPEC._replace(estimate=5.0))
+    assert 0.6 < usual < 1.0, usual
+    assert 2.0 < long < 6.0, long
+    # As estimates counted before, half as long.
+    plain = Durations()
+    plain.restore(durations.means())
+    assert plain.task(QUEUE.name, _SPEC._replace(estimate=5.0)) < 1.6
+
+
+def test_one_long_step_does_not_make_the_next_look_long() -> None:
+    durations = _with_tail()
+    usual = durations.task(QUEUE.name, _SPEC)
+    for _ in range(20):
+        durations.note_task(_step("long"), 5.0)
+    assert durations.task(QUEUE.name, _SPEC) < 1.3 * usual
+
+
+def test_tasks_that_ended_tell_of_the_rest_of_their_step() -> None:
+    durations, step = _with_tail(), _step("j")
+    for _ in range(3):
+        durations.note_task(step, 4.9)
+    assert 3.0 < durations.of_step(step) < 5.0
+
+
+def test_progress_tells_what_is_left_of_a_long_run() -> None:
+    durations, step = _with_tail(), _step("j")
+    left = durations.remaining(step, 1.0, 20)
     assert 3.2 < left < 4.2, left
-    # Without any progress, what has come this far is most likely long.
-    assert durations.remaining("q", _STEP, 2.0, 0) > 1.0
-    assert durations.remaining("q", _STEP, 0.5, 70) < 0.4
+    assert durations.remaining(step, 0.5, 70) < 0.4
+    whole = durations.remaining(step, 0.0, 0)
+    assert whole == durations.of_step(step)
+
+
+def test_others_of_a_long_step_speak_for_its_worker() -> None:
+    projections, step = Projections(), _step("j")
+    projections.note(step, 1, 4.8)
+    assert projections.elsewhere(step, 0) is None
+    projections.note(step, 2, 5.2)
+    projections.note(step, 0, 30.0)
+    assert projections.elsewhere(step, 0) == 5.0
 
 
 def _is_slow(runs: list[Progress]) -> bool:
@@ -77,13 +128,8 @@
 def _progress(
     durations: Durations, job: str, percent: int, elapsed: float = 1.0
 ) -> Progress:
-    return Progress(
-        job,
-        _USUAL,
-        percent,
-        elapsed,
-        durations.share_over("q", 1 / SLOW_BELOW, elapsed / _USUAL),
-    )
+    excused = durations.chance_over(QUEUE.name, _USUAL / SLOW_BELOW, elapsed)
+    return Progress(job, _USUAL, percent, elapsed, excused)
 
 
 def test_a_sound_worker_is_not_blamed_for_long_tasks() -> None:
@@ -94,8 +140,13 @@
     ]
     assert not _is_slow(lone)
     # Short tasks end before they are measured, long ones stay to be seen.
-    two = [_progress(durations, "a", 20), _progress(durations, "b", 18)]
+    two = [
+        _progress(durations, "a", 32, 1.6),
+        _progress(durations, "b", 30, 1.6),
+    ]
     assert not _is_slow(two)
+    # Tasks of one job are long together.
+    assert not _is_slow([lone[0]] * 4 + [lone[1]])
 
 
 def test_a_worker_slow_for_all_is_found_beside_long_tasks() -> None:
