Tell long steps from single long tasks, by the time that they worked

Change: two histograms, of steps over the usual and of tasks over their step, by the time since a task was started. Copies ask the second.

--- a/pimentocross/owner/copier.py
+++ b/pimentocross/owner/copier.py
@@ -135,6 +135,9 @@
         now = trio.current_time()
         left = self._left(task.step, other, now)
         self._history.note_verdict(queue, won=won)
+        if won:
+            worked = now - other.state_at + left
+            self._learned.durations.note_long_task(task.step, worked)
         kind = "copy_won" if won else "copy_lost"
         meters.add(f"{kind}_total")
         note(
@@ -157,7 +160,7 @@
         for step in self._book.steps_at_work():
             if not _may_have_copies(step):
                 continue
-            if not self._learned.durations.has_tail(step.job.queue.name):
+            if not self._learned.durations.has_stragglers(step.job.queue.name):
                 continue
             chance = urgency(step, self._learned.durations, wall.now()).chance
             for task in step.tasks:
--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -94,7 +94,8 @@
         self, worker: Worker, task: Task, run: Run, took: float
     ) -> None:
         if worker.unsound_until <= run.decided_at:
-            self.durations.note_task(task.step, took)
+            worked = trio.current_time() - run.state_at
+            self.durations.note_task(task.step, took, worked)
         else:
             # What a worker in trouble adds is no tail of the queue.
             self.durations.note(task.step.job.queue.name, took)
--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -36,6 +36,14 @@
 # Progress is listed in whole percent: from a few on it tells more of what is
 # left than durations of other tasks.
 _PERCENT_HALF: Final = 3
+# Steps and tasks before a tail is believed, and how many are remembered: some
+# in a hundred of them make one.
+_STEPS_LEAST: Final = 50
+_STEPS_REMEMBERED: Final = 200
+_TASKS_LEAST: Final = 100
+_TASKS_REMEMBERED: Final = 500
+# Tasks that have ended from which on a step is judged by them.
+_TASKS_JUDGED: Final = 3
 # Tasks of a step that tell as much of the next one as all that was known
 # before: they differ by far less than steps do.
 _TASKS_HALF: Final = 0.5
@@ -57,7 +65,9 @@
         """Knows nothing yet."""
         self._means: dict[str, float] = {}
         self._variances: dict[str, float] = {}
-        self._tails: dict[str, Tail] = {}
+        # Steps over the usual of their queue; tasks over the others of a step.
+        self._long_steps: dict[str, Tail] = {}
+        self._long_tasks: dict[str, Tail] = {}
         self._estimates: dict[str, Estimates] = {}
         self._steps: WeakKeyDictionary[Step, _Ended] = WeakKeyDictionary()
 
@@ -81,21 +91,52 @@
         variance = self._variances.get(queue, _SPREAD**2)
         self._variances[queue] = variance + learning * (off**2 - variance)
 
-    def note_task(self, step: Step, seconds: float) -> None:
-        """Takes in how long a task took that ended on a sound worker."""
+    def note_task(self, step: Step, seconds: float, worked: float) -> None:
+        """Takes in how long a task took that ended on a sound worker.
+
+        Args:
+            step: Its step.
+            seconds: Since it was decided on.
+            worked: Since it was started.
+        """
         queue = step.job.queue.name
-        logarithm = math.log(max(seconds, 0.01))
+        logarithm = math.log(max(worked, 0.01))
         usual = self._means.get(queue, logarithm)
-        self._tails.setdefault(queue, Tail()).note(math.exp(logarithm - usual))
         if step.spec.estimate > 0:
             told = math.log(step.spec.estimate) - usual
             known = self._estimates.setdefault(queue, Estimates())
             known.note(told, logarithm - usual, 1 / step.spec.width)
+        self.note_long_task(step, worked)
         tasks, mean = self._steps.get(step, _Ended(0, 0.0))
         mean += (logarithm - mean) / (tasks + 1)
         self._steps[step] = _Ended(tasks + 1, mean)
+        if tasks + 1 == min(_TASKS_JUDGED, step.spec.width):
+            self._note_step(queue, math.exp(mean - usual))
         self.note(queue, seconds)
 
+    def note_long_task(self, step: Step, worked: float) -> None:
+        """Takes in how long a task worked, for how it compares to its step.
+
+        Also a run that was cut short as its copy won, as far as its progress
+        told: such tasks would else be forgotten where copies help.
+        """
+        ended = self._steps.get(step)
+        if ended is None or ended.tasks < _TASKS_JUDGED:
+            return
+        queue = step.job.queue.name
+        known = self._long_tasks.get(queue)
+        if known is None:
+            known = Tail(_TASKS_LEAST, _TASKS_REMEMBERED)
+            self._long_tasks[queue] = known
+        known.note(worked / math.exp(ended.mean))
+
+    def _note_step(self, queue: str, ratio: float) -> None:
+        known = self._long_steps.get(queue)
+        if known is None:
+            known = Tail(_STEPS_LEAST, _STEPS_REMEMBERED)
+            self._long_steps[queue] = known
+        known.note(ratio)
+
     def task(self, queue: str, spec: StepSpec) -> float:
         """Returns how long a task of a step is expected to take."""
         known = self._means.get(queue)
@@ -110,12 +151,17 @@
         return math.exp(known + ESTIMATE_WEIGHT * (guess - known))
 
     def has_tail(self, queue: str) -> bool:
-        """True if some tasks of a queue were seen to take several times long.
+        """True if some steps of a queue were seen to take several times long.
 
         A new owner has to see that anew.
         """
-        tail = self._tails.get(queue)
-        return tail is not None and tail.is_seen
+        known = self._long_steps.get(queue)
+        return known is not None and known.is_seen
+
+    def has_stragglers(self, queue: str) -> bool:
+        """True if single tasks were seen to take far longer than their step."""
+        known = self._long_tasks.get(queue)
+        return known is not None and known.is_seen
 
     def knows(self, step: Step) -> bool:
         """True if tasks of a step tell how long the others take."""
@@ -145,7 +191,8 @@
         if not self.has_tail(queue):
             return 0.0
         usual = math.exp(self._means[queue])
-        return self._tails[queue].share_over(seconds / usual, elapsed / usual)
+        known = self._long_steps[queue]
+        return known.share_over(seconds / usual, elapsed / usual)
 
     def remaining(self, step: Step, elapsed: float, percent: int) -> float:
         """Returns how many seconds a run is expected to take on.
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -94,10 +94,10 @@
         store = StoreStandin().client("a")
         self.book = JobBook(Ledger(store, "jobs", "owner", 1), 150.0)
         self.learned = Learned()
-        for number in range(150):
-            took = _LONG if number % 30 == 29 else _USUAL
+        for number in range(15):
             former = make_step(f"former{number}", _STEP)
-            self.learned.durations.note_task(former, took)
+            for took in [*[_USUAL] * 9, _LONG]:
+                self.learned.durations.note_task(former, took, took)
         self.workers = [make_worker(life(n), n) for n in range(4)]
         self.copier = Copier(
             self.book, self.learned, Arranger(self.learned), RoomKeeper()
@@ -172,7 +172,7 @@
         assert not await scene.look()
     async with _scene() as scene:
         scene.learned.durations = Durations()
-        assert not await scene.look(), "no tail was seen"
+        assert not await scene.look(), "no stragglers were seen"
 
 
 async def test_both_runs_count_for_the_most_on_one_worker() -> None:
@@ -223,7 +223,7 @@
 ) -> AsyncIterator[tuple[WorkerHall, Owner]]:
     """Runs an owner that has a job whose first task is copied."""
     hall = make_hall(4, plans)
-    seen = mock.patch.object(Durations, "has_tail", lambda *_: True)
+    seen = mock.patch.object(Durations, "has_stragglers", lambda *_: True)
     with mock.patch.object(wall, "now", trio.current_time), seen:
         async with running(
             make_owner(store or StoreStandin(), hall, 1)
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -37,7 +37,8 @@
         estimate = usual * math.exp(draw.gauss(0, 0.5))
         step = _step(f"j{number}", _SPEC._replace(estimate=estimate))
         for _ in step.tasks:
-            durations.note_task(step, usual * math.exp(draw.gauss(0, 0.25)))
+            took = usual * math.exp(draw.gauss(0, 0.25))
+            durations.note_task(step, took, took)
 
 
 def _with_tail(tail: float = 0.04) -> Durations:
@@ -50,12 +51,34 @@
     assert not _with_tail(0.0).has_tail(QUEUE.name)
     assert _with_tail().has_tail(QUEUE.name)
     assert not _with_tail().has_tail("other")
+    assert not _with_tail().has_stragglers(QUEUE.name)
+
+
+def test_single_long_tasks_are_told_from_long_steps() -> None:
+    durations = Durations()
+    for number in range(60):
+        step = _step(f"j{number}")
+        for position in range(10):
+            took = 7 * _USUAL if position == 9 and number % 3 else _USUAL
+            durations.note_task(step, took, took)
+    assert durations.has_stragglers(QUEUE.name)
+    assert not durations.has_tail(QUEUE.name)
+
+
+def test_what_waits_for_its_record_shows_no_tail() -> None:
+    durations = Durations()
+    for number in range(60):
+        delay = 4.0 if number % 10 == 0 else 0.0
+        step = _step(f"j{number}")
+        for _ in step.tasks:
+            durations.note_task(step, _USUAL + delay, _USUAL)
+    assert not durations.has_tail(QUEUE.name)
 
 
 def test_few_tasks_show_no_tail() -> None:
     durations = Durations()
     for took in (0.7, 5.0, 5.0, 0.7):
-        durations.note_task(_step("j"), took)
+        durations.note_task(_step("j"), took, took)
     assert not durations.has_tail(QUEUE.name)
 
 
@@ -63,7 +86,7 @@
     learned, plain = _with_tail(0.0), Durations()
     plain.restore(learned.means())
     step = _step("j")
-    learned.note_task(step, 0.7)
+    learned.note_task(step, 0.7, 0.7)
     plain.restore(learned.means())
     for estimate in (0.0, 0.2, 0.7, 5.0):
         spec = _SPEC._replace(estimate=estimate)
@@ -88,14 +111,14 @@
     durations = _with_tail()
     usual = durations.task(QUEUE.name, _SPEC)
     for _ in range(20):
-        durations.note_task(_step("long"), 5.0)
+        durations.note_task(_step("long"), 5.0, 5.0)
     assert durations.task(QUEUE.name, _SPEC) < 1.3 * usual
 
 
 def test_tasks_that_ended_tell_of_the_rest_of_their_step() -> None:
     durations, step = _with_tail(), _step("j")
     for _ in range(3):
-        durations.note_task(step, 4.9)
+        durations.note_task(step, 4.9, 4.9)
     assert 3.0 < durations.of_step(step) < 5.0
 
 
