--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -168,14 +168,17 @@
         return step in self._steps and self.has_tail(step.job.queue.name)
 
     def of_step(self, step: Step) -> float:
-        """Returns how long a task of a step takes, by those that have ended."""
-        queue = step.job.queue.name
-        prior = self.task(queue, step.spec)
-        if not self.knows(step):
-            return prior
-        ended = self._steps[step]
-        trust = ended.tasks / (ended.tasks + _TASKS_HALF)
-        return math.exp(trust * ended.mean + (1 - trust) * math.log(prior))
+        """Returns how long a task of a step is expected to take."""
+        if self.knows(step):
+            return self.by_tasks(step)
+        return self.task(step.job.queue.name, step.spec)
+
+    def by_tasks(self, step: Step) -> float:
+        """Returns the same by those of its tasks that have ended, if any."""
+        prior = self.task(step.job.queue.name, step.spec)
+        tasks, mean = self._steps.get(step, _Ended(0, 0.0))
+        trust = tasks / (tasks + _TASKS_HALF)
+        return math.exp(trust * mean + (1 - trust) * math.log(prior))
 
     def chance_over(self, queue: str, seconds: float, elapsed: float) -> float:
         """Returns how likely a task takes longer than some seconds.
--- a/pimentocross/placement/tails.py
+++ b/pimentocross/placement/tails.py
@@ -19,8 +19,6 @@
 # What is this many times over the usual belongs to the tail: ordinary durations
 # spread by less.
 TAIL_FROM: Final = 4.0
-
-
 # Weights are brought down to 1 again from here on.
 _WEIGHT_MOST: Final = 1e6
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -175,6 +175,13 @@
         assert not await scene.look(), "no stragglers were seen"
 
 
+async def test_no_copy_where_all_of_a_step_takes_long() -> None:
+    async with _scene() as scene:
+        for _ in range(3):
+            scene.learned.durations.note_task(scene.step, _LONG, _LONG)
+        assert not await scene.look()
+
+
 async def test_both_runs_count_for_the_most_on_one_worker() -> None:
     async with _scene(_STEP._replace(per_worker=1)) as scene:
         for worker in scene.workers[1:3]:
