--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -65,6 +65,8 @@
         """Knows nothing yet."""
         self._means: dict[str, float] = {}
         self._variances: dict[str, float] = {}
+        # The same within steps.
+        self._inner_variances: dict[str, float] = {}
         # Steps over the usual of their queue; tasks over the others of a step.
         self._long_steps: dict[str, Tail] = {}
         self._long_tasks: dict[str, Tail] = {}
@@ -108,6 +110,8 @@
             known.note(told, logarithm - usual, 1 / step.spec.width)
         self.note_long_task(step, worked)
         tasks, mean = self._steps.get(step, _Ended(0, 0.0))
+        if tasks >= _TASKS_JUDGED:
+            self._note_spread(queue, logarithm - mean)
         mean += (logarithm - mean) / (tasks + 1)
         self._steps[step] = _Ended(tasks + 1, mean)
         if tasks + 1 == min(_TASKS_JUDGED, step.spec.width):
@@ -130,6 +134,12 @@
             self._long_tasks[queue] = known
         known.note(worked / math.exp(ended.mean))
 
+    def _note_spread(self, queue: str, off: float) -> None:
+        variance = self._inner_variances.get(queue, _SPREAD**2)
+        off = min(abs(off), _OFF_MOST)
+        variance += _LEARNING_BESIDE_TAIL * (off**2 - variance)
+        self._inner_variances[queue] = variance
+
     def _note_step(self, queue: str, ratio: float) -> None:
         known = self._long_steps.get(queue)
         if known is None:
@@ -237,7 +247,10 @@
 
     def _slowest(self, queue: str, width: int) -> float:
         """Returns the slowest of some tasks over the typical one."""
-        spread = math.sqrt(self._variances.get(queue, _SPREAD**2))
+        # Where steps differ by more than their tasks do, only these count.
+        inner = self.has_tail(queue)
+        variances = self._inner_variances if inner else self._variances
+        spread = math.sqrt(variances.get(queue, _SPREAD**2))
         return math.exp(min(spread, _SPREAD_MOST) * _deviations_of_most(width))
 
 
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -122,6 +122,13 @@
     assert 3.0 < durations.of_step(step) < 5.0
 
 
+def test_the_slowest_of_a_step_is_told_by_the_spread_within_steps() -> None:
+    durations, step = _with_tail(), _step("j")
+    wide = durations.chain(step.occurrence) / durations.of_step(step)
+    # 1.5 deviations of 0.25 in the logarithm.
+    assert 1.3 < wide < 1.7, wide
+
+
 def test_progress_tells_what_is_left_of_a_long_run() -> None:
     durations, step = _with_tail(), _step("j")
     left = durations.remaining(step, 1.0, 20)
