--- a/pimentocross/contracts/switches.py
+++ b/pimentocross/contracts/switches.py
@@ -5,7 +5,7 @@
 """
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 
 class Part(StrEnum):
@@ -16,6 +16,7 @@
     ADMISSION = "admission"
     TRIAGE = "triage"
     COPIES = "copies"
+    TAILS = "tails"
 
 
 class UnknownPartError(Exception):
@@ -32,6 +33,9 @@
         return part not in self.off
 
 
+ALL_ON: Final = Switches()
+
+
 def read_switches(text: str) -> Switches:
     """Reads names of parts that are off, separated by commas.
 
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -9,7 +9,7 @@
 
 from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import FencedError, StoreUnavailableError
-from pimentocross.contracts.switches import Switches
+from pimentocross.contracts.switches import ALL_ON, Switches
 from pimentocross.contracts.worker_link import WorkerFencedError, WorkerLife
 from pimentocross.contracts.zones import EveryZone, ZoneAccess
 from pimentocross.owner.former_leases import Predecessor
@@ -42,7 +42,6 @@
 _ON_ITS_WAY = 0.01
 
 
-ALL_ON = Switches()
 ZONES = ("north", "south", "west")
 
 
