Judge workers by the median alone where no task may be a long one

Cause: with no tail seen a worker whose runs differ within each job could be excused, which the median alone would have blamed. Change: without any excuse none is looked for. Measured: tests of tails, copies, placement under load, sight and failing workers pass.

--- a/pimentocross/placement/soundness.py
+++ b/pimentocross/placement/soundness.py
@@ -119,6 +119,8 @@
     0 where none is known to be: then the median alone judges. Tasks of one job
     are long together.
     """
+    if not any(run.excused for run in runs):
+        return 0.0
     jobs: dict[str, list[Progress]] = {}
     for run in runs:
         jobs.setdefault(run.job, []).append(run)
@@ -132,7 +134,7 @@
             fewer = chances[count - 1] * excused
             chances[count] = chances[count] * (1 - excused) + fewer
         chances[0] *= 1 - excused
-    return sum(chances[slow:]) if slow else 1.0
+    return sum(chances[slow:])
 
 
 def is_sick(readings: Sequence[Reading], explained: float) -> bool:
