--- a/pimentocross/owner/backlog.py
+++ b/pimentocross/owner/backlog.py
@@ -206,7 +206,7 @@
         )
 
     def work(self, account: Account) -> float:
-        """Returns the core-seconds that wait for a room, 0 if it isn't scarce."""
+        """Returns the core-seconds that wait for a room if it is scarce."""
         return self._totals.get(account, 0.0)
 
     def recent_room(self, account: Account, now: float) -> float:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -141,6 +141,15 @@
             await trio.sleep(0.1)
 
 
+async def test_without_a_backlog_nothing_is_refused() -> None:
+    store, hall = StoreStandin(), make_hall(4)
+    async with running(make_owner(store, hall, 1, config=_TWO)) as owner:
+        for number in range(60):
+            reply = await _submit(owner, f"j{number}", chain(8, 1))
+            assert reply.outcome is Outcome.OK
+            await trio.sleep(0.2)
+
+
 class _Full:
     """An owner without room; see `OwnerAccess`."""
 
