--- a/pimentocross/gateway/messages.py
+++ b/pimentocross/gateway/messages.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple, TypeAlias
 
 from pimentocross.codec import MessageTags
-from pimentocross.owner.desk import Outcome
+from pimentocross.owner.desk import JobReply, Outcome
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec
 from pimentocross.work.state import JobState
@@ -148,3 +148,10 @@
         "not-owner": NotOwner,
     }
 )
+
+
+def job_answer(reply: JobReply) -> JobAnswer | FullAnswer:
+    """Returns the message that tells a reply of the owner's desk."""
+    if reply.outcome is Outcome.FULL:
+        return FullAnswer(reply.retry_after)
+    return JobAnswer(reply.outcome, reply.state)
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -19,13 +19,12 @@
     AskState,
     BriefStanding,
     CancelJob,
-    FullAnswer,
     GatewayMessage,
     Heartbeat,
-    JobAnswer,
     NotOwner,
     PendingAnswer,
     SubmitJob,
+    job_answer,
 )
 from pimentocross.gateway.owner_link import CREDENTIALS
 from pimentocross.gateway.settings import GatewaySettings
@@ -34,7 +33,6 @@
 from pimentocross.links.peer import PeerListener, PeerUnreachableError
 from pimentocross.observe.decisions import note, write_lines
 from pimentocross.observe.late_log import LateLog
-from pimentocross.owner.desk import Outcome
 from pimentocross.owner.owner import CellPlatform, Owner
 from pimentocross.work.queue import Queue, WorkConfig
 
@@ -240,16 +238,11 @@
                     known = await self._configs.in_force(queue)
                 if known is None:
                     return NotOwner("the queue is not in force")
-                reply = await owner.desk.submit(job, known, spec)
-                if reply.outcome is Outcome.FULL:
-                    return FullAnswer(reply.retry_after)
-                return JobAnswer(reply.outcome, reply.state)
+                return job_answer(await owner.desk.submit(job, known, spec))
             case AskState(job):
-                reply = owner.desk.state(job)
-                return JobAnswer(reply.outcome, reply.state)
+                return job_answer(owner.desk.state(job))
             case CancelJob(job):
-                reply = await owner.desk.cancel(job)
-                return JobAnswer(reply.outcome, reply.state)
+                return job_answer(await owner.desk.cancel(job))
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
             case _:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,6 +11,7 @@
     FullAnswer,
     GatewayMessage,
     JobAnswer,
+    job_answer,
 )
 from pimentocross.links.asgi import HttpRequest
 from pimentocross.observe import meters
@@ -186,5 +187,7 @@
     taken = JobAnswer(Outcome.OK, JobState.QUEUED)
     assert GATEWAY_MESSAGES.pack(taken) == ["job+", "ok", "queued"]
     assert GATEWAY_MESSAGES.unpack(["job+", "ok", "queued"]) == taken
-    full = FullAnswer(3.5)
+    assert job_answer(JobReply(Outcome.OK, JobState.QUEUED)) == taken
+    full = job_answer(JobReply(Outcome.FULL, retry_after=3.5))
+    assert full == FullAnswer(3.5)
     assert GATEWAY_MESSAGES.unpack(GATEWAY_MESSAGES.pack(full)) == full
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,6 +19,7 @@
 from pimentocross.gateway.heard_peers import HeardPeers
 from pimentocross.gateway.messages import (
     AskState,
+    FullAnswer,
     GatewayMessage,
     JobAnswer,
     NotOwner,
@@ -300,6 +301,7 @@
     for later in (
         PeerUnreachableError("no owner is known", sent=False),
         JobAnswer(Outcome.STORE_AWAY, None),
+        FullAnswer(5.0),
         NotOwner("moved"),
     ):
         owner = _Owner(later, first=[unsure])
