--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -158,6 +158,7 @@
         now, today = trio.current_time(), wall.now()
         steps = self._book.open_steps(today)
         if not steps:
+            self.backlog.look((), (), 0.0, now)
             return
         usable = self._roster.usable()
         sound = self._sound(usable, now)
--- a/tests/test_triage.py
+++ b/tests/test_triage.py
@@ -26,7 +26,7 @@
 )
 from pimentocross.work.spec import Size, StepSpec
 from pimentocross.work.state import Step
-from tests.owner_fixtures import life
+from tests.owner_fixtures import QUEUE, life
 from tests.pass_fixtures import make_step, make_worker, put_to_work
 
 _CORES_A_TASK = 3.6
@@ -219,7 +219,10 @@
     first = min(zip(orders, ranks, strict=True), key=lambda pair: pair[0])
     assert first[1][1].spec.width == 2
     assert any(order.is_put_back for order in orders)
+    assert backlog.work_by_queue()[QUEUE.name] > 1000
     assert not any(o.burden for o in _looked(backlog, ranks, 60, 1.6))
+    # What is free again, or waits no more, is no backlog.
+    assert not backlog.work_by_queue()
 
 
 async def test_what_fills_is_not_short_as_what_reserves_is() -> None:
