--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -22,14 +22,13 @@
     AskState,
     BriefStanding,
     CancelJob,
-    FullAnswer,
     GatewayMessage,
     HandOver,
     Heartbeat,
-    JobAnswer,
     NotOwner,
     PendingAnswer,
     SubmitJob,
+    job_answer,
 )
 from pimentocross.gateway.owner_link import CREDENTIALS
 from pimentocross.gateway.settings import GatewaySettings
@@ -42,7 +41,7 @@
 )
 from pimentocross.observe.decisions import note, write_lines
 from pimentocross.observe.late_log import LateLog
-from pimentocross.owner.desk import Outcome
+from pimentocross.owner.desk import JobReply, Outcome
 from pimentocross.owner.owner import CellPlatform, Owner
 from pimentocross.work.queue import Queue, WorkConfig
 from pimentocross.work.spec import JobSpec
@@ -270,15 +269,13 @@
                     known = await self._configs.in_force(queue)
                 if known is None:
                     return NotOwner("the queue is not in force")
-                return await _submit(owner, job, known, spec)
+                return job_answer(await _submit(owner, job, known, spec))
             case AskState(job):
                 await owner.learn_of(job)
-                reply = owner.desk.state(job)
-                return JobAnswer(reply.outcome, reply.state)
+                return job_answer(owner.desk.state(job))
             case CancelJob(job):
                 await owner.learn_of(job)
-                reply = await owner.desk.cancel(job)
-                return JobAnswer(reply.outcome, reply.state)
+                return job_answer(await owner.desk.cancel(job))
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
             case _:
@@ -287,13 +284,11 @@
 
 async def _submit(
     owner: Owner, job: str, queue: Queue, spec: JobSpec
-) -> GatewayMessage:
+) -> JobReply:
     reply = await owner.desk.submit(job, queue, spec)
     if reply.outcome is Outcome.FULL:
         # A refusal is only true if no VM has taken the job in before.
         await owner.learn_of(job)
         if owner.desk.knows(job):
             reply = await owner.desk.submit(job, queue, spec)
-    if reply.outcome is Outcome.FULL:
-        return FullAnswer(reply.retry_after)
-    return JobAnswer(reply.outcome, reply.state)
+    return reply
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,6 +11,7 @@
     FullAnswer,
     GatewayMessage,
     JobAnswer,
+    job_answer,
 )
 from pimentocross.links.asgi import HttpRequest
 from pimentocross.observe import meters
@@ -141,6 +142,15 @@
             await trio.sleep(0.1)
 
 
+async def test_without_a_backlog_nothing_is_refused() -> None:
+    store, hall = StoreStandin(), make_hall(4)
+    async with running(make_owner(store, hall, 1, config=_TWO)) as owner:
+        for number in range(60):
+            reply = await _submit(owner, f"j{number}", chain(8, 1))
+            assert reply.outcome is Outcome.OK
+            await trio.sleep(0.2)
+
+
 class _Full:
     """An owner without room; see `OwnerAccess`."""
 
@@ -177,5 +187,7 @@
     taken = JobAnswer(Outcome.OK, JobState.QUEUED)
     assert GATEWAY_MESSAGES.pack(taken) == ["job+", "ok", "queued"]
     assert GATEWAY_MESSAGES.unpack(["job+", "ok", "queued"]) == taken
-    full = FullAnswer(3.5)
+    assert job_answer(JobReply(Outcome.OK, JobState.QUEUED)) == taken
+    full = job_answer(JobReply(Outcome.FULL, retry_after=3.5))
+    assert full == FullAnswer(3.5)
     assert GATEWAY_MESSAGES.unpack(GATEWAY_MESSAGES.pack(full)) == full
