Tell callers that are turned away apart when to come back

Cause: all were told one second, so a burst of refusals comes back as a burst. Change: one module assigns the second, at most 20 a second and VM, and not before room is foreseen.

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -17,6 +17,7 @@
     PendingAnswer,
     SubmitJob,
 )
+from pimentocross.gateway.return_times import ReturnTimes
 from pimentocross.links.peer import PeerUnreachableError
 from pimentocross.observe.decisions import note
 from pimentocross.observe.histograms import Histograms, Label
@@ -97,19 +98,6 @@
         ...
 
 
-_NO_CONFIG = Answer(
-    AnswerKind.NOT_ACCEPTED,
-    reason="no configuration yet",
-    retry_after=const.RETRY_AFTER,
-)
-
-_NOT_CURRENT = Answer(
-    AnswerKind.NOT_ACCEPTED,
-    reason="the configuration may have changed",
-    retry_after=const.RETRY_AFTER,
-)
-
-
 class CallerDesk:
     """Finds the queue, asks the owner, and words the answer.
 
@@ -122,6 +110,7 @@
         """Takes the configuration in force and how the owner is reached."""
         self.draining = False
         self.histograms = Histograms()
+        self._returns = ReturnTimes()
         self._configs = configs
         self._owner = owner
 
@@ -134,7 +123,7 @@
     async def find(self, host: str, path: str) -> Place | Answer:
         """Returns the queue of a path, or what to answer without one."""
         if self._configs.config is None:
-            return _NO_CONFIG
+            return self._not_accepted("no configuration yet")
         place = self._place(host, path)
         if place is not None:
             return place
@@ -146,7 +135,7 @@
         version = self._configs.config.version
         if not current:
             note("queue_unsure", host=host, version=version)
-            return _NOT_CURRENT
+            return self._not_accepted("the configuration may have changed")
         note("no_such_queue", host=host, version=version)
         return Answer(AnswerKind.NO_SUCH_QUEUE)
 
@@ -198,12 +187,10 @@
             if reply.outcome is Outcome.OK:
                 return Answer(AnswerKind.ACCEPTED)
             if reply.outcome is Outcome.UNSURE:
-                return _unsure(reply)
+                return self._unsure(reply)
         if isinstance(reply, FullAnswer):
-            return Answer(
-                AnswerKind.FULL,
-                reason=Outcome.FULL.value,
-                retry_after=reply.retry_after,
+            return self._with_return(
+                AnswerKind.FULL, Outcome.FULL.value, reply.retry_after
             )
         return self._refused(place.rest, reply)
 
@@ -218,10 +205,10 @@
             else:
                 reply = await self._ask(AskState(place.rest), deadline)
         except PeerUnreachableError as error:
-            return _unavailable(str(error))
+            return self._unavailable(str(error))
         if isinstance(reply, PendingAnswer) and reply.pending is not None:
             return Answer(AnswerKind.PENDING, pending=reply.pending)
-        return _job_answer(reply, AnswerKind.STATE)
+        return self._job_answer(reply, AnswerKind.STATE)
 
     async def cancel(self, host: str, path: str, deadline: float) -> Answer:
         """Cancels a job."""
@@ -233,8 +220,8 @@
         except PeerUnreachableError as error:
             if error.sent:
                 return Answer(AnswerKind.UNKNOWN, reason=str(error))
-            return _unavailable(str(error))
-        return _job_answer(reply, AnswerKind.CANCELLED)
+            return self._unavailable(str(error))
+        return self._job_answer(reply, AnswerKind.CANCELLED)
 
     async def _ask(
         self, message: GatewayMessage, deadline: float
@@ -247,40 +234,45 @@
         note("submit_unanswered", job=job, sent=error.sent, reason=str(error))
         if error.sent:
             return Answer(AnswerKind.UNKNOWN, reason=str(error))
-        return Answer(
-            AnswerKind.NOT_ACCEPTED,
-            reason=str(error),
-            retry_after=const.RETRY_AFTER,
-        )
+        return self._not_accepted(str(error))
 
     def _refused(self, job: str, reply: GatewayMessage) -> Answer:
         reason = _reason(reply)
         note("submit_refused", job=job, reason=reason)
-        return Answer(
-            AnswerKind.NOT_ACCEPTED,
-            reason=reason,
-            retry_after=const.RETRY_AFTER,
-        )
+        return self._not_accepted(reason)
 
+    def _job_answer(self, reply: GatewayMessage, kind: AnswerKind) -> Answer:
+        if isinstance(reply, JobAnswer):
+            if reply.outcome is Outcome.OK:
+                return Answer(kind, state=reply.state)
+            if reply.outcome is Outcome.NO_SUCH_JOB:
+                return Answer(AnswerKind.NO_SUCH_JOB)
+            if reply.outcome is Outcome.UNSURE:
+                return self._unsure(reply)
+        return self._unavailable(_reason(reply))
 
-def _job_answer(reply: GatewayMessage, kind: AnswerKind) -> Answer:
-    if isinstance(reply, JobAnswer):
-        if reply.outcome is Outcome.OK:
-            return Answer(kind, state=reply.state)
-        if reply.outcome is Outcome.NO_SUCH_JOB:
-            return Answer(AnswerKind.NO_SUCH_JOB)
-        if reply.outcome is Outcome.UNSURE:
-            return _unsure(reply)
-    return _unavailable(_reason(reply))
+    def _not_accepted(self, reason: str) -> Answer:
+        return self._with_return(AnswerKind.NOT_ACCEPTED, reason)
+
+    def _unavailable(self, reason: str) -> Answer:
+        return self._with_return(AnswerKind.UNAVAILABLE, reason)
+
+    def _unsure(self, reply: JobAnswer) -> Answer:
+        """Words an open outcome: asked at once again, it is no clearer."""
+        return self._with_return(AnswerKind.UNKNOWN, reply.outcome.value)
 
+    def _with_return(
+        self, kind: AnswerKind, reason: str, earliest: float = 0.0
+    ) -> Answer:
+        """Words an answer that tells when to come back.
 
-def _unsure(reply: JobAnswer) -> Answer:
-    """Words an open outcome: asked at once again, it would be no clearer."""
-    return Answer(
-        AnswerKind.UNKNOWN,
-        reason=reply.outcome.value,
-        retry_after=const.RETRY_AFTER,
-    )
+        Args:
+            kind: What it says.
+            reason: Why.
+            earliest: Seconds before which it surely is no better, or 0.
+        """
+        seconds = self._returns.assign(earliest, trio.current_time())
+        return Answer(kind, reason=reason, retry_after=seconds)
 
 
 def _reason(reply: GatewayMessage) -> str:
@@ -289,9 +281,3 @@
     if isinstance(reply, NotOwner):
         return reply.reason
     return "the owner isn't sure"
-
-
-def _unavailable(reason: str) -> Answer:
-    return Answer(
-        AnswerKind.UNAVAILABLE, reason=reason, retry_after=const.RETRY_AFTER
-    )
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -104,7 +104,13 @@
 
 # Of the time that a caller waits, what the owner may take.
 OWNER_SHARE: Final = 0.9
+# Callers come back after this at the least.
 RETRY_AFTER: Final = 1.0
+# So many of one VM's callers are told to come back in the same second: it takes
+# them in beside those who come for the first time. The others are told a later
+# one, by so many seconds at the most.
+RETURNS_A_SECOND: Final = 20
+RETURNS_SPREAD: Final = 2
 # A successor is asked this often for a job of which its predecessor left it
 # open whether it runs, and given this long for an answer: it needs a record.
 ASK_AGAIN_PAUSE: Final = 0.1
