--- a/pimentocross/contracts/switches.py
+++ b/pimentocross/contracts/switches.py
@@ -12,7 +12,6 @@
     """A part that can be switched off."""
 
     INTAKE = "intake"
-    WAITING = "waiting"
     ADMISSION = "admission"
     TRIAGE = "triage"
     COPIES = "copies"
