Pass on for how long runs have lived that may crash their workers

Cause: each new owner counted from its own first listing for how long a run has lived.

Change: a record of how long runs of suspected tasks have lived, written with the next append while there are any; a new owner credits its runs with that, on the same life only.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -361,5 +361,6 @@
         (task, run.number) in worker.isolated,
     )
     if _is_unheard(run) and history.crashes and not history.early:
-        return crash._replace(lived=history.survived, hazard=math.inf)
+        lived = max(history.survived, crash.lived)
+        return crash._replace(lived=lived, hazard=math.inf)
     return crash
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -27,6 +27,7 @@
 from pimentocross.owner.learned import Learned
 from pimentocross.owner.ledger import Ledger, PlainRecord
 from pimentocross.owner.listing_pace import ListingPace
+from pimentocross.owner.lived_runs import LivedRuns
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.parts import CellParts
 from pimentocross.owner.patience import CallPatience
@@ -125,6 +126,7 @@
         )
         self._doubts = Doubts(self._ledger)
         self._ends = WorkerEnds(self._ledger)
+        self._lived_runs = LivedRuns(self._ledger, self._roster.workers)
         self.desk = Desk(self._book, self._ledger, self._dispatcher.wake)
         self._release = trio.Event()
 
@@ -185,6 +187,7 @@
             self._former_leases.relate()
             await self._roster.poll()
             # Keepers begin afterwards: none may hear of a run before.
+            self._lived_runs.adopt(runs)
             self._roster.adopt(runs)
             self._former_leases.begin_record(self._roster.lease_rows)
             self.ready.set()
@@ -193,6 +196,7 @@
             await self._roster.start_keepers()
             nursery.start_soon(self._settle)
             nursery.start_soon(self._roster.follow)
+            nursery.start_soon(self._lived_runs.follow)
             nursery.start_soon(self._sweep, parts.crashes)
             nursery.start_soon(self._log.follow_adoption, self._roster.workers)
             nursery.start_soon(self._log.note_start, orders.started)
@@ -304,6 +308,8 @@
             self._doubts.restore(records.decode_doubt(value))
         elif kind == records.ENDS:
             self._ends.restore(value)
+        elif kind == records.LIVED:
+            self._lived_runs.restore(value)
         elif kind == records.LEASES:
             self._former_leases.restore(value)
         elif kind == records.WORKER:
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -341,7 +341,7 @@
         for task, run in runs:
             run.worker = worker.number
             run.enter(RunState.UNSURE, now)
-            run.began_at = 0.0
+            run.began_at = run.lived_before = 0.0
             worker.add(task, run)
             task.step.record = None
             self._parts.cell.book.changed(task.step.job)
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -334,10 +334,10 @@
         A run that its worker never listed may have lived for no time at all.
         """
         if not run.began_at:
-            return 0.0
+            return run.lived_before
         running = run.state is RunState.RUNNING
         since = run.state_at if running else run.began_at
-        return max(self.heard_at - since, 0.0)
+        return run.lived_before + max(self.heard_at - since, 0.0)
 
     def isolate(self, task: Task, run: Run) -> None:
         """Lets nothing else start here until a run has proved harmless."""
--- a/pimentocross/work/crash_history.py
+++ b/pimentocross/work/crash_history.py
@@ -177,7 +177,8 @@
 
         Not if all of them went as the task started, which tells enough.
         """
-        if self.survived < PROVEN_AFTER:
+        # What a new owner only infers counts as lived for just so long.
+        if self.survived <= PROVEN_AFTER:
             return False
         expected = hazard * self.survived * self.crashes
         likely = expected**self.crashes / math.factorial(self.crashes)
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -31,6 +31,7 @@
 LEASES: Final = "g"
 DOUBTS: Final = "d"
 ENDS: Final = "e"
+LIVED: Final = "v"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -172,6 +173,29 @@
     isolated: bool
 
 
+class LivedRow(NamedTuple):
+    """A run that may crash its worker, and how long it has lived.
+
+    Attributes:
+        task: The task.
+        run: The run's number.
+        worker: Number of the worker's life in the roster.
+        lived: Seconds for which it was seen to live there.
+    """
+
+    task: TaskName
+    run: int
+    worker: int
+    lived: float
+
+
+class LivedRecord(NamedTuple):
+    """Runs that may crash their workers, and how long they have lived."""
+
+    form: int
+    rows: tuple[LivedRow, ...]
+
+
 class EndRow(NamedTuple):
     """An end of a worker.
 
@@ -390,6 +414,20 @@
     return _decode(value, DoubtRecord)
 
 
+def encode_lived(rows: Sequence[LivedRow]) -> bytes:
+    """Returns the record of how long runs have lived."""
+    return _encode(LivedRecord(FORM, tuple(rows)))
+
+
+def decode_lived(value: bytes) -> tuple[LivedRow, ...]:
+    """Reads how long runs have lived.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, LivedRecord).rows
+
+
 def encode_ends(rows: Sequence[EndRow]) -> bytes:
     """Returns the record of workers that have ended of late."""
     return _encode(EndsRecord(FORM, tuple(rows)))
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -55,6 +55,7 @@
         paced_at: When that was last changed, monotonic.
         stopped_at: When the worker confirmed that it stops it, or 0.
         starts_sent: How often its start was sent.
+        lived_before: Seconds for which former owners saw it live.
         late_until: Until when a start of it that wasn't answered may be carried
             out by a life that has its worker's id, monotonic, or 0.
     """
@@ -76,6 +77,7 @@
         self.paced_at = 0.0
         self.stopped_at = 0.0
         self.starts_sent = 0
+        self.lived_before = 0.0
         self.late_until = 0.0
 
     @property
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -34,6 +34,7 @@
     NO_CRASHES,
     PROVEN_AFTER,
     Crash,
+    CrashHistory,
     is_outage,
 )
 from pimentocross.work.records import CRASHES, encode_crashes
@@ -406,6 +407,13 @@
     assert lived.patience(lasting=False) < 6.0
 
 
+def test_a_run_that_only_seems_to_have_lived_explains_no_crash_loop() -> None:
+    # A new owner infers that it had lived, and the task was started once more.
+    history = CrashHistory(crashes=5, early=2, survived=PROVEN_AFTER, run=5)
+    crash = Crash(5, lived=0.0, sure=False, isolated=True, hazard=0.5)
+    assert history.gives_up(crash, lasting=False)
+
+
 def test_crashes_that_others_explain_give_nothing_up() -> None:
     # As seen of a lasting task beside workers that start again every 20 s.
     crash = Crash(0, lived=0.0, sure=False, isolated=True, hazard=0.05)
--- /dev/null
+++ b/tests/test_lived_runs.py
@@ -0,0 +1,87 @@
+"""How long runs have lived that may crash their workers passes on."""
+
+import trio
+
+from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.lived_runs import LivedRuns
+from pimentocross.owner.worker import Worker
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import LASTS, TaskPlan
+from pimentocross.work import records
+from pimentocross.work.crash_history import CrashHistory
+from pimentocross.work.records import LivedRow
+from pimentocross.work.spec import StepSpec, TaskName
+from pimentocross.work.state import Run, RunState, Step
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    count,
+    life,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+    wait_until,
+)
+from tests.pass_fixtures import make_step, make_worker
+
+_LIVED = 4.0
+
+
+def _plan(_: TaskName) -> TaskPlan:
+    return TaskPlan(LASTS, SMALL)
+
+
+def _lived_runs(step: Step, worker: int) -> LivedRuns:
+    """Returns what a former owner has recorded of the first run of a task."""
+    ledger = Ledger(StoreStandin().client("a"), "jobs", "owner", 1)
+    lived_runs = LivedRuns(ledger, list)
+    row = LivedRow(step.tasks[0].name, 1, worker, _LIVED)
+    lived_runs.restore(records.encode_lived([row]))
+    return lived_runs
+
+
+def _suspect(worker: Worker) -> Step:
+    """Returns the step of a task that needs isolation, at work on a worker."""
+    step = make_step("suspect", StepSpec(1, SMALL))
+    (task,) = step.tasks
+    task.crash_history = CrashHistory(3, 3, 0, _LIVED, 0)
+    run = Run(1, worker.number)
+    run.state = RunState.RUNNING
+    task.add_run(run)
+    worker.add(task, run)
+    return step
+
+
+def test_an_isolated_run_is_credited_with_what_a_former_owner_saw() -> None:
+    worker = make_worker(life(0), 7)
+    step = _suspect(worker)
+    (run,) = worker.runs.values()
+    _lived_runs(step, 7).adopt([(step.tasks[0], run)])
+    worker.isolate_adopted()
+    run.began_at = run.state_at = 10.0
+    worker.heard_at = 10.4
+    worker.end_isolation()
+    assert worker.is_isolating
+    worker.heard_at = 10.6
+    worker.end_isolation()
+    assert not worker.is_isolating
+
+
+def test_a_run_is_not_credited_with_what_it_lived_on_another_life() -> None:
+    worker = make_worker(life(0), 7)
+    step = _suspect(worker)
+    (run,) = worker.runs.values()
+    _lived_runs(step, 6).adopt([(step.tasks[0], run)])
+    assert not worker.lived(run)
+
+
+async def test_nothing_is_recorded_while_no_run_may_crash_its_worker() -> None:
+    store, hall = StoreStandin(), make_hall(2, _plan)
+    async with running(make_owner(store, hall, 1)) as owner:
+        watch = spec(StepSpec(2, SMALL, lasting=True))
+        await owner.desk.submit("watch", QUEUE, watch)
+        await wait_until(lambda: count(hall.journal, "start") == 2)
+        await trio.sleep(1.5)
+        page = await store.client("a").newest("jobs", 1.0)
+    assert not [r for r in page.records if r.key == records.LIVED]
