--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -95,14 +95,12 @@
             run: The run, as it was recorded.
             life: Where it was to start, None if that isn't known any more.
         """
-        left = 0.0
-        if not self.was_open(task, run):
-            # Its start was answered, or this isn't recorded.
+        left = (self._former or {}).get((task.name, run.number))
+        if left is None:
+            # Its start was answered, or a former version doesn't tell.
             task.note_begun()
-        if self._former is not None:
-            if not self.was_open(task, run):
+            if self._former is not None:
                 return
-            left = self._former[task.name, run.number]
         if life is not None and not life.born:
             return
         left = min(left or const.ADOPTED_LATE_MOST, const.ADOPTED_LATE_MOST)
