--- a/tests/test_starts_held.py
+++ b/tests/test_starts_held.py
@@ -146,3 +146,24 @@
         await wait_until(lambda: heir.desk.pending(QUEUE.name) == 0)
     async with running(make_owner(store, hall, 3)) as third:
         assert third.desk.pending(QUEUE.name) == 0
+
+
+async def test_what_was_carried_out_once_is_not_held_by_the_next_owner() -> (
+    None
+):
+    # LOST: a new owner takes any start of what lasts for a repeated one, and
+    # the end of the run that it brought about settles only one of them.
+    store, hall = StoreStandin(), make_hall(2, _plan)
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(0.5)
+        for worker in hall.workers.values():
+            worker.faults.lost = 1.0
+        await owner.desk.submit("watch", QUEUE, _WATCH)
+        await wait_until(lambda: count(hall.journal, "start") == 1)
+    for worker in hall.workers.values():
+        worker.faults.lost = 0.0
+    # Until its lease has lapsed, nobody owns.
+    await trio.sleep(const.LEASE)
+    async with running(make_owner(store, hall, 2)):
+        await wait_until(lambda: count(hall.journal, "start") == 2, _AWAY_MOST)
+    assert not find_twice(hall.journal)
