Settle a former owner's start that was sent once as its run is listed

Cause: an owner that is killed before it records an answer leaves a start as on its way. Change: starts that may have been sent more than once are recorded under the owner's epoch, stored before a repeat is sent; a successor trusts the record of the newest former owner only.

--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -40,6 +40,7 @@
 from pimentocross.owner.listing_pace import ListingPace
 from pimentocross.owner.parts import CellParts
 from pimentocross.owner.patience import CallPatience
+from pimentocross.owner.repeats import Repeats
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.worker import Worker
 from pimentocross.owner.worker_ends import WorkerEnds
@@ -163,7 +164,7 @@
         Crashes(book, lambda: (), Doubts(ledger), WorkerEnds(ledger)),
         lambda _: True,
         _NoRestarts(),
-        LateStarts(book, ledger, lambda: None),
+        LateStarts(book, ledger, lambda: None, Repeats(1, None, ledger)),
         FormerLeases(1, (), OwnerTerms(_LEASE), ledger, quiet=True),
     )
 
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -21,6 +21,7 @@
 from pimentocross.owner.endings import drop_run
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Ledger, PlainRecord
+from pimentocross.owner.repeats import Repeats
 from pimentocross.owner.worker import RunKey, Worker
 from pimentocross.work import records
 from pimentocross.work.records import LateStart
@@ -59,8 +60,17 @@
         book: JobBook,
         ledger: Ledger,
         wake: Callable[[], None],
+        repeats: Repeats,
     ) -> None:
-        """Takes the jobs, where to record, and what has decisions made anew."""
+        """Takes what it goes by.
+
+        Args:
+            book: The jobs.
+            ledger: Where to record.
+            wake: Has decisions made anew.
+            repeats: Starts that may have been sent more than once.
+        """
+        self._repeats = repeats
         self._book = book
         self._wake = wake
         self._ledger = ledger
@@ -105,7 +115,12 @@
             return
         left = min(left or const.ADOPTED_LATE_MOST, const.ADOPTED_LATE_MOST)
         run.late_until = trio.current_time() + left
-        run.starts_sent = 2 if may_be_repeated(task) else 1
+        run.starts_sent = 1
+        if may_be_repeated(task) and not self._repeats.were_sent_once(
+            task, run
+        ):
+            run.starts_sent = 2
+            self._repeats.adopt(task, run)
         self._open[task, run.number] = run
         self._ledger.put_with_next(self._record)
 
@@ -127,6 +142,14 @@
             self._open[task, run.number] = run
             self._ledger.put(self._record)
 
+    def note_repeated(self, task: Task, run: Run) -> trio.Event:
+        """Has it recorded that a start is to be sent again.
+
+        Returns:
+            Set once it may be.
+        """
+        return self._repeats.note(task, run)
+
     def note_sent(self, run: Run, life: WorkerLife, timeout: float) -> None:
         """Notes that a start is on its way.
 
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -31,6 +31,7 @@
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.parts import CellParts
 from pimentocross.owner.patience import CallPatience
+from pimentocross.owner.repeats import Repeats
 from pimentocross.owner.roster import Roster, RosterParts
 from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
@@ -121,8 +122,12 @@
         self._dispatcher = Dispatcher(
             self._book, self._roster, self._learned, config, platform.adviser
         )
+        formers = claim.predecessors
+        self._repeats = Repeats(
+            claim.epoch, formers[0].epoch if formers else None, self._ledger
+        )
         self._late_starts = LateStarts(
-            self._book, self._ledger, self._dispatcher.wake
+            self._book, self._ledger, self._dispatcher.wake, self._repeats
         )
         self._doubts = Doubts(self._ledger)
         self._ends = WorkerEnds(self._ledger)
@@ -189,6 +194,7 @@
             # Keepers begin afterwards: none may hear of a run before.
             self._lived_runs.adopt(runs)
             self._roster.adopt(runs)
+            self._repeats.begin()
             self._former_leases.begin_record(self._roster.lease_rows)
             self.ready.set()
             self._log.note("owner_ready", jobs=len(self._book))
@@ -308,6 +314,8 @@
             self._doubts.restore(records.decode_doubt(value))
         elif kind == records.ENDS:
             self._ends.restore(value)
+        elif kind == records.REPEATS:
+            self._repeats.restore(value)
         elif kind == records.LIVED:
             self._lived_runs.restore(value)
         elif kind == records.LEASES:
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -32,6 +32,7 @@
 DOUBTS: Final = "d"
 ENDS: Final = "e"
 LIVED: Final = "v"
+REPEATS: Final = "r"
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
@@ -173,6 +174,20 @@
     isolated: bool
 
 
+class RepeatsRecord(NamedTuple):
+    """Starts that may have been sent more than once.
+
+    Attributes:
+        form: Version of the form.
+        epoch: Of the owner that wrote it.
+        runs: Names of tasks and numbers of runs.
+    """
+
+    form: int
+    epoch: int
+    runs: tuple[tuple[TaskName, int], ...]
+
+
 class LivedRow(NamedTuple):
     """A run that may crash its worker, and how long it has lived.
 
@@ -414,6 +429,20 @@
     return _decode(value, DoubtRecord)
 
 
+def encode_repeats(epoch: int, runs: tuple[tuple[TaskName, int], ...]) -> bytes:
+    """Returns the record of starts that may have been sent again."""
+    return _encode(RepeatsRecord(FORM, epoch, runs))
+
+
+def decode_repeats(value: bytes) -> RepeatsRecord:
+    """Reads which starts may have been sent again.
+
+    Raises:
+        RecordError: It is of another form.
+    """
+    return _decode(value, RepeatsRecord)
+
+
 def encode_lived(rows: Sequence[LivedRow]) -> bytes:
     """Returns the record of how long runs have lived."""
     return _encode(LivedRecord(FORM, tuple(rows)))
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,68 @@
+"""What a new owner may take for a start that was sent once."""
+
+import trio
+
+from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.repeats import Repeats
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.task_worker import LASTS, TaskPlan
+from pimentocross.work import records
+from pimentocross.work.spec import StepSpec, TaskName
+from pimentocross.work.state import Run
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    count,
+    find_twice,
+    make_hall,
+    make_owner,
+    running,
+    spec,
+    wait_until,
+)
+from tests.pass_fixtures import make_step
+
+_WATCH = spec(StepSpec(1, SMALL, lasting=True))
+
+
+def _plan(_: TaskName) -> TaskPlan:
+    return TaskPlan(LASTS, SMALL)
+
+
+def test_only_the_newest_former_owner_tells_what_was_sent_once() -> None:
+    (task,) = make_step("watch", StepSpec(1, SMALL, lasting=True)).tasks
+    for former, recorded, runs, expected in (
+        (3, 3, (), True),
+        (3, 3, ((task.name, 1),), False),
+        # A former version owned since, which repeats without a record.
+        (3, 2, (), False),
+        (None, 3, (), False),
+    ):
+        ledger = Ledger(StoreStandin().client("a"), "jobs", "owner", 4)
+        repeats = Repeats(4, former, ledger)
+        assert not repeats.were_sent_once(task, Run(1, 0))
+        repeats.restore(records.encode_repeats(recorded, runs))
+        assert repeats.were_sent_once(task, Run(1, 0)) is expected
+
+
+async def test_no_start_is_repeated_before_that_is_recorded() -> None:
+    # Else the next owner takes it for settled, and a late one runs it twice.
+    store, hall = StoreStandin(), make_hall(1, _plan)
+    (worker,) = hall.workers.values()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(0.5)
+        worker.faults.late = 1.0
+        await owner.desk.submit("watch", QUEUE, _WATCH)
+        await trio.sleep(0.1)
+        worker.faults.late = 0.0
+        store.faults.away = True
+        await trio.sleep(1.5)
+        before = count(hall.journal, "start")
+        store.faults.away = False
+        await wait_until(lambda: count(hall.journal, "start") == 1)
+        page = await store.client("a").newest("jobs", 1.0)
+    assert not before
+    (value,) = [r.value for r in page.records if r.key == records.REPEATS]
+    assert value is not None
+    assert [run for _, run in records.decode_repeats(value).runs] == [1]
+    assert not find_twice(hall.journal)
