Asking a store repeatedly: a refused repeat hides no lost question

The error of the question that ended last was told. Where an append went unanswered and its repeat was refused, or found no connection, that error said that nothing had been sent; an entry VM then refused a submission that may be stored and run. An error of a question that may have taken effect now stays.

--- a/pimentocross/contracts/asking.py
+++ b/pimentocross/contracts/asking.py
@@ -59,7 +59,8 @@
 
     Attributes:
         answer: The first answer, or None.
-        error: Why a question failed, or None.
+        error: Why a question failed, or None; of one that may have taken
+            effect, if any may have.
         done: Set once there is an answer, or none can come.
     """
 
@@ -81,7 +82,8 @@
         try:
             value = await self._ask(question)
         except StoreUnavailableError as error:
-            self.error = error
+            if self.error is None or not self.error.sent:
+                self.error = error
         else:
             if self.answer is None:
                 self.answer = Answered(value, asked_at, question.wait)
@@ -108,7 +110,8 @@
         urgent: Once set, the next question is asked at once.
 
     Raises:
-        StoreUnavailableError: None was answered, or all were refused.
+        StoreUnavailableError: None was answered, or all were refused; `sent`
+            tells whether any of them may have taken effect.
     """
     until = trio.current_time() + wait + timeout
     asking = _Asking(ask)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -120,3 +120,20 @@
 async def _set_later(event: trio.Event) -> None:
     await trio.sleep(0.2)
     event.set()
+
+
+async def test_a_refused_repeat_does_not_make_a_lost_question_refused() -> None:
+    # The first may have taken effect, whichever of them ends last.
+    async def ask(question: Question) -> int:
+        if not question.again:
+            await trio.sleep(0.5)
+            raise StoreUnavailableError("no answer", sent=True)
+        await trio.sleep(0.3)
+        raise StoreUnavailableError("not connected", sent=False)
+
+    try:
+        await first_answer(ask, 0.0, 1.0, 0.4)
+    except StoreUnavailableError as error:
+        assert error.sent, "it may have taken effect"
+    else:
+        raise AssertionError("answered")
