Intake: an owner leaves what it can't read for another version

A record that the owner couldn't decode was removed as if taken up. While versions are mixed, a job that a VM of the newer version had accepted would be lost for good; a record of a kind unknown to the owner was even taken for a cancel of the job whose id followed. Both stay in the topic now, and each owner names them once it reads them. The new test failed before.

--- a/pimentocross/owner/intake.py
+++ b/pimentocross/owner/intake.py
@@ -124,22 +124,29 @@
 
     def _take(self, key: str, value: bytes) -> None:
         kind, job_id = key[:1], key[1:]
-        if kind == records.SUBMISSION:
-            batch = self._take_submission(job_id, value)
-        else:
-            batch = self._take_cancel(job_id)
+        try:
+            if kind == records.SUBMISSION:
+                batch = self._take_submission(job_id, value)
+            elif kind == records.CANCEL:
+                batch = self._take_cancel(job_id)
+            else:
+                raise RecordError("of an unknown kind")
+        except RecordError as error:
+            # An owner of another version may be able to read it.
+            note("record_unreadable", key=key, reason=str(error))
+            return
         self._taken.append(_Taken(key, batch or self._ledger.barrier()))
         self._has_taken.set()
 
     def _take_submission(self, job_id: str, value: bytes) -> Batch | None:
-        """Takes a job in; returns its record's batch, None if it is known."""
+        """Takes a job in; returns its record's batch, None if it is known.
+
+        Raises:
+            RecordError: It can't be read.
+        """
         if self._book.find(job_id) is not None:
             return None
-        try:
-            job = records.decode_submission(job_id, value)
-        except RecordError as error:
-            note("record_unreadable", key=job_id, reason=str(error))
-            return None
+        job = records.decode_submission(job_id, value)
         # Its VM may have known an older or a newer form of the queue.
         job.queue = self._config().newest_form(job.queue)
         note("job_taken_up", job=job_id, queue=job.queue.name)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -350,6 +350,20 @@
         assert not find_twice(hall.journal), "no task ran twice"
 
 
+async def test_what_an_owner_can_not_read_stays_for_another_version() -> None:
+    store, hall = StoreStandin(), make_hall()
+    await _store_submissions(store, "job1")
+    unread = [
+        Record(submission_key("job2"), b"\x91\x63"),
+        Record("?job1", b"1"),
+    ]
+    await store.client("vm").append(TOPIC, unread, 1.0)
+    async with running(make_owner(store, hall, 1)) as owner:
+        await wait_until(lambda: _completed(owner, "job1"))
+        await trio.sleep(2.0)
+    assert _left(store) == [record.key for record in unread], _left(store)
+
+
 async def test_a_cancel_that_was_stored_with_its_job_starts_nothing() -> None:
     store, hall = StoreStandin(), make_hall()
     await _store_submissions(store, "job1")
