Intake: no false "no such job" for a cancel, and few reads for unknown jobs

An owner that failed to read the topic when a cancel came relied on a copy of up to 2.5 s before: a cancel of a job that a VM had stored within that time was answered as one of an unknown job, and the job then ran. The owner now says that it can't tell, whereupon the VM stores the cancel.

Each question for an unknown job cost a read of the topic of its own: 100 at once cost 100 calls. Those who ask while one reads share the next read, also where that fails.

--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -268,8 +268,7 @@
                 await owner.learn_of(job)
                 return JobAnswer(*owner.desk.state(job))
             case CancelJob(job):
-                await owner.learn_of(job)
-                return JobAnswer(*await owner.desk.cancel(job))
+                return JobAnswer(*await owner.cancel(job))
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
             case _:
--- a/pimentocross/owner/intake.py
+++ b/pimentocross/owner/intake.py
@@ -74,6 +74,8 @@
         self._reader = TopicReader(store, TOPIC)
         self._pace = PollPace(_FOLLOW_WAIT)
         self._known_at = float("-inf")
+        self._catching_up = trio.Lock()
+        self._tried_at = float("-inf")
         self._taken: list[_Taken] = []
         self._has_taken = trio.Event()
 
@@ -96,8 +98,19 @@
             nursery.start_soon(self._follow)
             nursery.start_soon(self._remove)
 
-    async def catch_up(self) -> None:
-        """Takes up what is there by now, if the store tells."""
+    async def catch_up(self) -> bool:
+        """Returns whether all that is there by now is taken up.
+
+        Those who ask while another reads share the next read.
+        """
+        asked_at = trio.current_time()
+        async with self._catching_up:
+            if self._tried_at < asked_at:
+                self._tried_at = trio.current_time()
+                await self._try_read()
+        return self._known_at >= asked_at
+
+    async def _try_read(self) -> None:
         try:
             await self._read(0.0)
         except StoreUnavailableError as error:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -19,7 +19,7 @@
 from pimentocross.owner.breather import Breather
 from pimentocross.owner.collector import survivors_left_out, uncollected
 from pimentocross.owner.crashes import Crashes
-from pimentocross.owner.desk import Desk
+from pimentocross.owner.desk import Desk, JobReply, Outcome
 from pimentocross.owner.dispatcher import Dispatcher
 from pimentocross.owner.doubts import Doubts
 from pimentocross.owner.former_leases import FormerLeases, Predecessor
@@ -257,13 +257,23 @@
         """Notes that a former owner surely renews no lease any more."""
         self._roster.note_former_ended(epoch)
 
-    async def learn_of(self, job_id: str) -> None:
+    async def learn_of(self, job_id: str) -> bool:
         """Has a job known that an entry VM has just stored.
 
         Its caller may ask for it before it was taken up.
+
+        Returns:
+            Whether it is known now, or surely wasn't stored before.
         """
-        if self._takes_up and not self.desk.knows(job_id):
-            await self._intake.catch_up()
+        if not self._takes_up or self.desk.knows(job_id):
+            return True
+        return await self._intake.catch_up() or self.desk.knows(job_id)
+
+    async def cancel(self, job_id: str) -> JobReply:
+        """Cancels a job, unless it may be one that isn't known here yet."""
+        if not await self.learn_of(job_id):
+            return JobReply(Outcome.STORE_AWAY)
+        return await self.desk.cancel(job_id)
 
     def release(self) -> None:
         """Has `run` return once all changes so far are stored."""
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -396,6 +396,29 @@
         )
 
 
+async def test_no_cancel_of_a_job_that_may_be_in_the_topic_is_refused() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(2.0)
+        store.faults.refused.add("a")
+        await _store_submissions(store, "job1")
+        assert (await owner.cancel("job1")).outcome is Outcome.STORE_AWAY
+        store.faults.refused.clear()
+        assert (await owner.cancel("job1")).outcome is Outcome.OK, "known"
+        assert (await owner.cancel("job9")).outcome is Outcome.NO_SUCH_JOB
+
+
+async def test_many_questions_for_unknown_jobs_share_few_reads() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(2.0)
+        calls = store.calls
+        async with trio.open_nursery() as nursery:
+            for number in range(100):
+                nursery.start_soon(owner.learn_of, f"job{number}")
+        assert store.calls - calls <= 5, f"{store.calls - calls} calls"
+
+
 async def test_switched_off_an_owner_asks_the_store_nothing_more() -> None:
     store, hall = StoreStandin(), make_hall()
     await _store_submissions(store, "job1")
