Callers' desk: an id too long for a key of the store is no job's

A key of the store has 255 bytes at most. Framing a longer one raises a ValueError in the writer of the owner's records or of the intake, which ends the process, and with the same request sent again that of each VM in turn. Such a path is now answered as one of no queue. The new test failed before.

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -150,7 +150,12 @@
     def _place(self, host: str, path: str) -> Place | None:
         config = self._configs.config
         queue = config.find_queue(host, path) if config is not None else None
-        return Place(queue, path[len(queue.prefix) :]) if queue else None
+        if queue is None:
+            return None
+        rest = path[len(queue.prefix) :]
+        if len(rest.encode()) > const.JOB_ID_BYTES_MOST:
+            return None
+        return Place(queue, rest)
 
     async def submit(
         self, place: Place, spec: JobSpec, deadline: float
--- a/pimentocross/gateway/const.py
+++ b/pimentocross/gateway/const.py
@@ -118,3 +118,6 @@
 DRAIN_NOTICE: Final = 2.6
 # Kept of the grace time for the end itself.
 DRAIN_RESERVE: Final = 1.2
+
+# Longest id of a job: keys of the store have 255 bytes, some for its kind.
+JOB_ID_BYTES_MOST: Final = 250
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -344,6 +344,16 @@
     assert AskState("j1").job == "j1"
 
 
+async def test_what_is_too_long_for_an_id_is_no_job_of_a_queue() -> None:
+    # The store's keys have at most 255 bytes; a longer one can't be written.
+    desk = CallerDesk(FixedConfig(CONFIG), _Owner(NotOwner("moved")))
+    for rest, taken in (("a" * 200, True), ("a" * 300, False)):
+        found = await desk.find("host", "/plans/" + rest)
+        assert isinstance(found, Answer) is not taken, len(rest)
+    found = await desk.find("host", "/plans/" + "\xe9" * 200)
+    assert isinstance(found, Answer), "by its bytes"
+
+
 def test_readiness_follows_configuration_owner_and_drain() -> None:
     configs = FixedConfig(None)
     owner = _Owner(NotOwner(""), absent=0.0)
