Intake: appends of an entry VM stay within what the store takes

All that waited went into one append: up to 500 records, of which the store takes 2 MB at once. Behind a slow append, submissions of some kilobytes would exceed that and be refused together, at each try. They are split as the owner's records are. The new test failed before (one append of 2.4 MB).

--- a/pimentocross/gateway/intake.py
+++ b/pimentocross/gateway/intake.py
@@ -31,6 +31,7 @@
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import wall
+from pimentocross.owner.const import APPEND_BYTES
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
 from pimentocross.work import records
@@ -135,13 +136,26 @@
         while True:
             await self._wake.wait()
             await trio.sleep(_BATCH_PAUSE)
-            entries, self._waiting = self._waiting, []
-            self._wake = trio.Event()
+            entries = self._take_some()
+            if not self._waiting:
+                self._wake = trio.Event()
             error = await self._append([entry.record for entry in entries])
             for entry in entries:
                 entry.error = error
                 entry.done.set()
 
+    def _take_some(self) -> list[_Entry]:
+        """Returns those that are next and fit into one append."""
+        taken = 0
+        room = APPEND_BYTES
+        for entry in self._waiting:
+            room -= len(entry.record.key) + len(entry.record.value or b"")
+            if room < 0 and taken:
+                break
+            taken += 1
+        some, self._waiting = self._waiting[:taken], self._waiting[taken:]
+        return some
+
     async def _append(
         self, batch: list[Record]
     ) -> StoreUnavailableError | None:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,8 +1,9 @@
 """Submissions that entry VMs take in while no owner can be asked."""
 
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from typing import Any
 
 import trio
 
@@ -30,7 +31,7 @@
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
 from pimentocross.owner.owner import Owner
-from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.store import StoreClientStandin, StoreStandin
 from pimentocross.work import records
 from pimentocross.work.state import JobState
 from tests.gateway_fixtures import FixedConfig
@@ -279,6 +280,34 @@
     assert store.calls <= 3, f"{store.calls} calls for 100 callers"
 
 
+class _SizeNoted(StoreClientStandin):
+    """Notes how many bytes each append has; the platform takes 2 MB."""
+
+    sizes: list[int]
+
+    async def append(
+        self, topic: str, records: Sequence[Record], timeout: float, **rest: Any
+    ) -> int:
+        """Appends records."""
+        self.sizes.append(sum(len(record.value or b"") for record in records))
+        return await super().append(topic, records, timeout, **rest)
+
+
+async def test_what_waits_goes_to_the_store_in_appends_that_it_takes() -> None:
+    client = _SizeNoted(StoreStandin(), "vm")
+    client.sizes = []
+    writer = IntakeWriter(client)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        async with trio.open_nursery() as callers:
+            for number in range(400):
+                record = Record(f"j{number}", bytes(6000))
+                callers.start_soon(writer.put, record)
+        nursery.cancel_scope.cancel()
+    assert sum(client.sizes) == 400 * 6000, "all are stored, and once"
+    assert max(client.sizes) <= 1_000_000, client.sizes
+
+
 async def _store_submissions(store: StoreStandin, *jobs: str) -> None:
     value = records.encode_accepted(QUEUE, chain(), 0.0)
     await store.client("vm").append(
