Callers' desk: nobody is held longer than it waits

Without an owner a submission or cancel may wait for the owner's silence, an append and up to three other VMs, each with a limit of its own: some 5 s in all in a total outage, beyond the time that callers wait. They are now told within that time that it isn't known whether the job runs. The new test failed before (10 s of an owner access that overran).

--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -170,7 +170,7 @@
         message = SubmitJob(place.rest, place.queue, spec)
         timeout = deadline * const.OWNER_SHARE
         until = trio.current_time() + timeout
-        answer = await self._submit_once(place, message, timeout)
+        answer = await self._submit_once(place, message, timeout, timeout)
         while answer.kind is AnswerKind.UNKNOWN:
             if trio.current_time() + const.ASK_AGAIN_PAUSE >= until:
                 break
@@ -179,7 +179,7 @@
             await trio.sleep(const.ASK_AGAIN_PAUSE)
             left = max(until - trio.current_time(), 0.0)
             again = await self._submit_once(
-                place, message, min(left, const.ASK_AGAIN_MOST)
+                place, message, min(left, const.ASK_AGAIN_MOST), left
             )
             # A refusal says nothing of what was asked before.
             if again.kind is AnswerKind.ACCEPTED:
@@ -187,11 +187,11 @@
         return answer
 
     async def _submit_once(
-        self, place: Place, message: SubmitJob, timeout: float
+        self, place: Place, message: SubmitJob, timeout: float, most: float
     ) -> Answer:
         asked_at = trio.current_time()
         try:
-            reply = await self._owner.ask_owner(message, timeout)
+            reply = await self._ask_within(message, timeout, most)
         except PeerUnreachableError as error:
             return self._unanswered(place.rest, error)
         took = trio.current_time() - asked_at
@@ -235,9 +235,20 @@
     async def _ask(
         self, message: GatewayMessage, deadline: float
     ) -> GatewayMessage:
-        return await self._owner.ask_owner(
-            message, deadline * const.OWNER_SHARE
-        )
+        timeout = deadline * const.OWNER_SHARE
+        return await self._ask_within(message, timeout, timeout)
+
+    async def _ask_within(
+        self, message: GatewayMessage, timeout: float, most: float
+    ) -> GatewayMessage:
+        """Asks the owner for a time, and for longer what does without it.
+
+        Raises:
+            PeerUnreachableError: No answer, as once the most time is over.
+        """
+        with trio.move_on_after(most):
+            return await self._owner.ask_owner(message, timeout)
+        raise PeerUnreachableError("no answer in time", sent=True)
 
     def _unanswered(self, job: str, error: PeerUnreachableError) -> Answer:
         note("submit_unanswered", job=job, sent=error.sent, reason=str(error))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -344,6 +344,30 @@
     assert AskState("j1").job == "j1"
 
 
+class _SlowOwner(_Owner):
+    """Takes longer than it was given, as through other VMs it may."""
+
+    async def ask_owner(
+        self, message: GatewayMessage, timeout: float
+    ) -> GatewayMessage:
+        await trio.sleep(10.0)
+        return await super().ask_owner(message, timeout)
+
+
+async def test_callers_are_told_while_they_still_wait() -> None:
+    desk = CallerDesk(FixedConfig(CONFIG), _SlowOwner(NotOwner("moved")))
+    place = await desk.find("host", "/plans/j1")
+    assert not isinstance(place, Answer)
+    began = trio.current_time()
+    answer = await desk.submit(place, chain(1, 1), 3.0)
+    assert trio.current_time() - began < 3.0
+    assert answer.kind is AnswerKind.UNKNOWN, "it may run"
+    began = trio.current_time()
+    answer = await desk.cancel("host", "/plans/j1", 3.0)
+    assert trio.current_time() - began < 3.0
+    assert answer.kind is AnswerKind.UNKNOWN, "it may be cancelled"
+
+
 async def test_what_is_too_long_for_an_id_is_no_job_of_a_queue() -> None:
     # The store's keys have at most 255 bytes; a longer one can't be written.
     desk = CallerDesk(FixedConfig(CONFIG), _Owner(NotOwner("moved")))
