Random faults: jobs and cancels that are stored without an owner

Between two owners of a random history an entry VM now stores jobs in the intake topic, some with a cancel, while the store loses answers and carries some appends out seconds later.

--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -13,9 +13,11 @@
 
 import trio
 
+from pimentocross.contracts.store import Record, StoreUnavailableError
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.owner import wall
 from pimentocross.owner.desk import Outcome
+from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
 from pimentocross.owner.owner import Owner
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.supervisor import Supervisor
@@ -25,6 +27,7 @@
     TaskWorkerStandin,
 )
 from pimentocross.standins.worker_hall import WorkerHall
+from pimentocross.work import records
 from pimentocross.work.spec import TaskName
 from pimentocross.work.state import TERMINAL, JobState
 from tests import run_virtual
@@ -72,8 +75,12 @@
         often: bool,
         evacuations: bool,
         births: bool,
+        intake: bool,
     ) -> None:
         self.random = random.Random(seed)
+        self._stores = random.Random(seed)
+        self.cancelled: set[str] = set()
+        self.intake = intake
         self._often = often
         self._births = births
         self._restarts = restarts
@@ -92,6 +99,7 @@
             worker.faults.lost = 0.1
             worker.life = self._listed(worker.life)
         self.store.faults.lost = 0.1
+        self.store.faults.late = 0.1 if intake else 0.0
 
     def plan(self, name: TaskName) -> TaskPlan:
         """Returns how a run of a task goes."""
@@ -115,6 +123,28 @@
                 if reply.outcome is Outcome.OK:
                     self.accepted.add(job)
 
+    async def store_some(self) -> None:
+        """Has an entry VM store jobs while no owner is there."""
+        for _ in range(2):
+            self._submitted += 1
+            job = f"j{self._submitted}"
+            value = records.encode_accepted(QUEUE, chain(3, 2), wall.now())
+            if not await self._is_stored(Record(submission_key(job), value)):
+                continue
+            self.accepted.add(job)
+            cancels = self._stores.random() < 0.3
+            if cancels and await self._is_stored(
+                Record(cancel_key(job), b"\x01")
+            ):
+                self.cancelled.add(job)
+
+    async def _is_stored(self, record: Record) -> bool:
+        try:
+            await self.store.client("entry").append(TOPIC, [record], 0.5)
+        except StoreUnavailableError:
+            return False
+        return True
+
     async def strike(self, vm: str) -> None:
         """Brings some faults about, and takes others back."""
         cut = self.hall.cut.setdefault(vm, set())
@@ -160,7 +190,7 @@
         """Ends all faults."""
         self.zones.open_all()
         self.store.faults.away = False
-        self.store.faults.lost = 0.0
+        self.store.faults.lost = self.store.faults.late = 0.0
         for cut in self.hall.cut.values():
             cut.clear()
         for worker in self.hall.workers.values():
@@ -183,6 +213,7 @@
     often: bool = False,
     evacuations: bool = False,
     births: bool = True,
+    intake: bool = False,
 ) -> None:
     """Plays one random history.
 
@@ -192,6 +223,8 @@
         often: Whether half of the workers do so at a time.
         evacuations: Whether zones are also evacuated and taken back.
         births: Whether workers tell when they were born.
+        intake: Whether entry VMs take jobs in between two owners, and the store
+            carries some appends out seconds later.
 
     Raises:
         AssertionError: A promise was broken.
@@ -202,6 +235,7 @@
         often=often,
         evacuations=evacuations,
         births=births,
+        intake=intake,
     )
     with mock.patch.object(wall, "now", trio.current_time):
         async with trio.open_nursery() as nursery:
@@ -224,6 +258,8 @@
             former_quiet=False,
             zones=world.zones,
         )
+        if world.intake:
+            await world.store_some()
         # An owner that can't read its state gives the cell to the next one.
         with suppress_early_end():
             async with running(owner):
@@ -262,6 +298,8 @@
         and world.zones.was_closed(_zone_of(event.worker), event.at)
     ]
     assert not in_closed, (seed, in_closed[:3])
+    started = {e.task.job for e in journal if e.what == "start"}
+    assert not started & world.cancelled, (seed, started & world.cancelled)
     not_ended = [j for j, state in states.items() if state not in TERMINAL]
     assert not not_ended, (seed, not_ended)
     failed = [
@@ -305,6 +343,11 @@
         run_virtual(lambda s=seed: play(s, restarts=True), seed)  # type: ignore[misc]
 
 
+def test_random_faults_and_jobs_stored_without_owner_break_no_promise() -> None:
+    for seed in SEEDS[:4]:
+        run_virtual(lambda s=seed: play(s, intake=True), seed)  # type: ignore[misc]
+
+
 def test_random_faults_and_evacuations_break_no_promise() -> None:
     for seed in SEEDS:
         run_virtual(lambda s=seed: play(s, evacuations=True), seed)  # type: ignore[misc]
