Intake: a VM stores no job of a queue that was dropped

An owner that knew that a queue was dropped refused a job of it, whereupon the VM looked its configuration up, and stored the job all the same in the form that it had had before; the owner then ran it. The VM now asks whether the queue is in force once its copy is current. The new test failed before.

--- a/pimentocross/gateway/intake.py
+++ b/pimentocross/gateway/intake.py
@@ -353,6 +353,13 @@
         meters.add_taken_in("handed over")
         return reply
 
+    async def _may_store(self, message: _Kept) -> bool:
+        if not await self._configs.make_current():
+            return False
+        if isinstance(message, CancelJob):
+            return True
+        return await self._configs.in_force(message.queue) is not None
+
     async def _store(
         self, message: _Kept, asked: Unserved
     ) -> GatewayMessage | None:
@@ -361,7 +368,7 @@
         Raises:
             PeerUnreachableError: It may be stored, or not.
         """
-        if not await self._configs.make_current():
+        if not await self._may_store(message):
             return None
         try:
             await self._writer.put(_record_of(message))
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -257,6 +257,16 @@
             raise AssertionError("taken in by an old configuration")
 
 
+async def test_a_vm_stores_no_job_of_a_queue_that_was_dropped() -> None:
+    # Its owner knows that already, and the VM once it has looked, too.
+    store = StoreStandin()
+    refusal = NotOwner("the queue is not in force")
+    dropped = _SUBMIT._replace(queue=QUEUE._replace(name="dropped"))
+    async with _taking_in(OwnerFake(refusal), store) as intake:
+        assert await intake.ask_owner(dropped, 2.7) == refusal
+    assert not _keys(store), "nothing was stored"
+
+
 async def test_questions_for_a_state_are_left_to_the_owner() -> None:
     store = StoreStandin()
     reply = JobAnswer(Outcome.STORE_AWAY, None)
