--- a/pimentocross/gateway/caller_desk.py
+++ b/pimentocross/gateway/caller_desk.py
@@ -142,7 +142,12 @@
     def _place(self, host: str, path: str) -> Place | None:
         config = self._configs.config
         queue = config.find_queue(host, path) if config is not None else None
-        return Place(queue, path[len(queue.prefix) :]) if queue else None
+        if queue is None:
+            return None
+        rest = path[len(queue.prefix) :]
+        if len(rest.encode()) > const.JOB_ID_BYTES_MOST:
+            return None
+        return Place(queue, rest)
 
     async def submit(
         self, place: Place, spec: JobSpec, deadline: float
@@ -157,7 +162,7 @@
         message = SubmitJob(place.rest, place.queue, spec)
         timeout = deadline * const.OWNER_SHARE
         until = trio.current_time() + timeout
-        answer = await self._submit_once(place, message, timeout)
+        answer = await self._submit_once(place, message, timeout, timeout)
         while answer.kind is AnswerKind.UNKNOWN:
             if trio.current_time() + const.ASK_AGAIN_PAUSE >= until:
                 break
@@ -166,7 +171,7 @@
             await trio.sleep(const.ASK_AGAIN_PAUSE)
             left = max(until - trio.current_time(), 0.0)
             again = await self._submit_once(
-                place, message, min(left, const.ASK_AGAIN_MOST)
+                place, message, min(left, const.ASK_AGAIN_MOST), left
             )
             # A refusal says nothing of what was asked before.
             if again.kind is AnswerKind.ACCEPTED:
@@ -174,11 +179,11 @@
         return answer
 
     async def _submit_once(
-        self, place: Place, message: SubmitJob, timeout: float
+        self, place: Place, message: SubmitJob, timeout: float, most: float
     ) -> Answer:
         asked_at = trio.current_time()
         try:
-            reply = await self._owner.ask_owner(message, timeout)
+            reply = await self._ask_within(message, timeout, most)
         except PeerUnreachableError as error:
             return self._unanswered(place.rest, error)
         took = trio.current_time() - asked_at
@@ -226,9 +231,20 @@
     async def _ask(
         self, message: GatewayMessage, deadline: float
     ) -> GatewayMessage:
-        return await self._owner.ask_owner(
-            message, deadline * const.OWNER_SHARE
-        )
+        timeout = deadline * const.OWNER_SHARE
+        return await self._ask_within(message, timeout, timeout)
+
+    async def _ask_within(
+        self, message: GatewayMessage, timeout: float, most: float
+    ) -> GatewayMessage:
+        """Asks the owner for a time, and for longer what does without it.
+
+        Raises:
+            PeerUnreachableError: No answer, as once the most time is over.
+        """
+        with trio.move_on_after(most):
+            return await self._owner.ask_owner(message, timeout)
+        raise PeerUnreachableError("no answer in time", sent=True)
 
     def _unanswered(self, job: str, error: PeerUnreachableError) -> Answer:
         note("submit_unanswered", job=job, sent=error.sent, reason=str(error))
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -274,8 +274,7 @@
                 await owner.learn_of(job)
                 return job_answer(owner.desk.state(job))
             case CancelJob(job):
-                await owner.learn_of(job)
-                return job_answer(await owner.desk.cancel(job))
+                return job_answer(await owner.cancel(job))
             case AskPending(queue):
                 return PendingAnswer(owner.desk.pending(queue))
             case _:
--- a/pimentocross/owner/intake.py
+++ b/pimentocross/owner/intake.py
@@ -18,6 +18,7 @@
 from pimentocross.contracts.topic_reader import TopicNews, TopicReader
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
+from pimentocross.owner import const
 from pimentocross.owner.jobs import JobBook
 from pimentocross.owner.ledger import Batch, Ledger
 from pimentocross.work import records
@@ -28,7 +29,10 @@
 # Longest wait for news, seconds: callers ask for a job's state a moment after
 # it was taken in, and half of that time is left for a lost answer.
 _FOLLOW_WAIT: Final = 1.0
-_FOLLOW_TIMEOUT: Final = 0.5
+# VMs tell callers that a job is accepted by a store that takes so long.
+_FOLLOW_TIMEOUT: Final = 1.0
+# Who asks for a job that isn't known waits this much longer, seconds.
+_LOOK_TIMEOUT: Final = 0.5
 _FOLLOW_RETRY: Final = 0.3
 # Age of the copy up to which a job that isn't there is taken for unknown,
 # seconds: callers are told so no sooner than that after it was taken in.
@@ -74,6 +78,8 @@
         self._reader = TopicReader(store, TOPIC)
         self._pace = PollPace(_FOLLOW_WAIT)
         self._known_at = float("-inf")
+        self._catching_up = trio.Lock()
+        self._tried_at = float("-inf")
         self._taken: list[_Taken] = []
         self._has_taken = trio.Event()
 
@@ -88,7 +94,7 @@
         Raises:
             StoreUnavailableError: It can't be read.
         """
-        await self._read(0.0)
+        await self._read(0.0, const.NEWEST_TIMEOUT)
 
     async def run(self) -> None:
         """Takes up what comes, for ever."""
@@ -96,25 +102,36 @@
             nursery.start_soon(self._follow)
             nursery.start_soon(self._remove)
 
-    async def catch_up(self) -> None:
-        """Takes up what is there by now, if the store tells."""
+    async def catch_up(self) -> bool:
+        """Returns whether all that is there by now is taken up.
+
+        Those who ask while another reads share the next read.
+        """
+        asked_at = trio.current_time()
+        async with self._catching_up:
+            if self._tried_at < asked_at:
+                self._tried_at = trio.current_time()
+                await self._try_read()
+        return self._known_at >= asked_at
+
+    async def _try_read(self) -> None:
         try:
-            await self._read(0.0)
+            await self._read(0.0, _LOOK_TIMEOUT)
         except StoreUnavailableError as error:
             note("intake_unread", reason=str(error))
 
     async def _follow(self) -> None:
         while True:
             try:
-                news = await self._read(self._pace.wait)
+                news = await self._read(self._pace.wait, _FOLLOW_TIMEOUT)
             except StoreUnavailableError:
                 self._pace.restart()
                 await trio.sleep(jittered(_FOLLOW_RETRY))
             else:
                 self._pace.note_answer(news=bool(news.records))
 
-    async def _read(self, wait: float) -> TopicNews:
-        news = await self._reader.read(wait, _FOLLOW_TIMEOUT)
+    async def _read(self, wait: float, timeout: float) -> TopicNews:
+        news = await self._reader.read(wait, timeout)
         # The newest of each key come in any order: a cancel needs its job.
         for record in sorted(news.records, key=_is_cancel):
             if record.value is not None:
@@ -124,22 +141,29 @@
 
     def _take(self, key: str, value: bytes) -> None:
         kind, job_id = key[:1], key[1:]
-        if kind == records.SUBMISSION:
-            batch = self._take_submission(job_id, value)
-        else:
-            batch = self._take_cancel(job_id)
+        try:
+            if kind == records.SUBMISSION:
+                batch = self._take_submission(job_id, value)
+            elif kind == records.CANCEL:
+                batch = self._take_cancel(job_id)
+            else:
+                raise RecordError("of an unknown kind")
+        except RecordError as error:
+            # An owner of another version may be able to read it.
+            note("record_unreadable", key=key, reason=str(error))
+            return
         self._taken.append(_Taken(key, batch or self._ledger.barrier()))
         self._has_taken.set()
 
     def _take_submission(self, job_id: str, value: bytes) -> Batch | None:
-        """Takes a job in; returns its record's batch, None if it is known."""
+        """Takes a job in; returns its record's batch, None if it is known.
+
+        Raises:
+            RecordError: It can't be read.
+        """
         if self._book.find(job_id) is not None:
             return None
-        try:
-            job = records.decode_submission(job_id, value)
-        except RecordError as error:
-            note("record_unreadable", key=job_id, reason=str(error))
-            return None
+        job = records.decode_submission(job_id, value)
         # Its VM may have known an older or a newer form of the queue.
         job.queue = self._config().newest_form(job.queue)
         note("job_taken_up", job=job_id, queue=job.queue.name)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,8 +1,9 @@
 """Submissions that entry VMs take in while no owner can be asked."""
 
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from typing import Any
 
 import trio
 
@@ -30,7 +31,7 @@
 from pimentocross.owner.desk import Outcome
 from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
 from pimentocross.owner.owner import Owner
-from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.store import StoreClientStandin, StoreStandin
 from pimentocross.work import records
 from pimentocross.work.state import JobState
 from tests.gateway_fixtures import FixedConfig
@@ -256,6 +257,16 @@
             raise AssertionError("taken in by an old configuration")
 
 
+async def test_a_vm_stores_no_job_of_a_queue_that_was_dropped() -> None:
+    # Its owner knows that already, and the VM once it has looked, too.
+    store = StoreStandin()
+    refusal = NotOwner("the queue is not in force")
+    dropped = _SUBMIT._replace(queue=QUEUE._replace(name="dropped"))
+    async with _taking_in(OwnerFake(refusal), store) as intake:
+        assert await intake.ask_owner(dropped, 2.7) == refusal
+    assert not _keys(store), "nothing was stored"
+
+
 async def test_questions_for_a_state_are_left_to_the_owner() -> None:
     store = StoreStandin()
     reply = JobAnswer(Outcome.STORE_AWAY, None)
@@ -279,6 +290,59 @@
     assert store.calls <= 3, f"{store.calls} calls for 100 callers"
 
 
+async def test_who_waits_behind_a_failed_append_is_told_with_it() -> None:
+    store = StoreStandin()
+    store.faults.away = True
+    writer = IntakeWriter(store.client("vm"))
+    began = trio.current_time()
+    told: dict[str, tuple[float, bool]] = {}
+
+    async def put(key: str) -> None:
+        try:
+            await writer.put(Record(key, b"1"))
+        except StoreUnavailableError as error:
+            told[key] = trio.current_time() - began, error.sent
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        async with trio.open_nursery() as callers:
+            callers.start_soon(put, "j1")
+            await trio.sleep(0.5)
+            callers.start_soon(put, "j2")
+        nursery.cancel_scope.cancel()
+    assert told["j1"][1], "it may be stored"
+    took, sent = told["j2"]
+    assert not sent and took < 1.2, f"not sent, {took:.2f} s"
+
+
+class _SizeNoted(StoreClientStandin):
+    """Notes how many bytes each append has; the platform takes 2 MB."""
+
+    sizes: list[int]
+
+    async def append(
+        self, topic: str, records: Sequence[Record], timeout: float, **rest: Any
+    ) -> int:
+        """Appends records."""
+        self.sizes.append(sum(len(record.value or b"") for record in records))
+        return await super().append(topic, records, timeout, **rest)
+
+
+async def test_what_waits_goes_to_the_store_in_appends_that_it_takes() -> None:
+    client = _SizeNoted(StoreStandin(), "vm")
+    client.sizes = []
+    writer = IntakeWriter(client)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        async with trio.open_nursery() as callers:
+            for number in range(400):
+                record = Record(f"j{number}", bytes(6000))
+                callers.start_soon(writer.put, record)
+        nursery.cancel_scope.cancel()
+    assert sum(client.sizes) == 400 * 6000, "all are stored, and once"
+    assert max(client.sizes) <= 1_000_000, client.sizes
+
+
 async def _store_submissions(store: StoreStandin, *jobs: str) -> None:
     value = records.encode_accepted(QUEUE, chain(), 0.0)
     await store.client("vm").append(
@@ -335,6 +399,18 @@
     assert not find_again(hall.journal), "no task ran again"
 
 
+async def test_a_store_slow_as_vms_put_up_with_is_read_by_owners_too() -> None:
+    store, hall = StoreStandin(), make_hall()
+    await _store_submissions(store, "job1")
+    store.faults.delay = 0.8
+    async with running(make_owner(store, hall, 1)) as owner:
+        assert owner.desk.knows("job1"), "known as soon as it answers"
+        await _store_submissions(store, "job2")
+        await wait_until(lambda: owner.desk.knows("job2"))
+        outcome = owner.desk.state("job9").outcome
+        assert outcome is Outcome.NO_SUCH_JOB, "the topic counts as read"
+
+
 async def test_an_owner_killed_after_it_took_jobs_up_loses_none() -> None:
     # Killed at each point between reading, recording and removing.
     for moment in (0.0, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1):
@@ -350,6 +426,20 @@
         assert not find_twice(hall.journal), "no task ran twice"
 
 
+async def test_what_an_owner_can_not_read_stays_for_another_version() -> None:
+    store, hall = StoreStandin(), make_hall()
+    await _store_submissions(store, "job1")
+    unread = [
+        Record(submission_key("job2"), b"\x91\x63"),
+        Record("?job1", b"1"),
+    ]
+    await store.client("vm").append(TOPIC, unread, 1.0)
+    async with running(make_owner(store, hall, 1)) as owner:
+        await wait_until(lambda: _completed(owner, "job1"))
+        await trio.sleep(2.0)
+    assert _left(store) == [record.key for record in unread], _left(store)
+
+
 async def test_a_cancel_that_was_stored_with_its_job_starts_nothing() -> None:
     store, hall = StoreStandin(), make_hall()
     await _store_submissions(store, "job1")
@@ -382,6 +472,29 @@
         )
 
 
+async def test_no_cancel_of_a_job_that_may_be_in_the_topic_is_refused() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(2.0)
+        store.faults.refused.add("a")
+        await _store_submissions(store, "job1")
+        assert (await owner.cancel("job1")).outcome is Outcome.STORE_AWAY
+        store.faults.refused.clear()
+        assert (await owner.cancel("job1")).outcome is Outcome.OK, "known"
+        assert (await owner.cancel("job9")).outcome is Outcome.NO_SUCH_JOB
+
+
+async def test_many_questions_for_unknown_jobs_share_few_reads() -> None:
+    store, hall = StoreStandin(), make_hall()
+    async with running(make_owner(store, hall, 1)) as owner:
+        await trio.sleep(2.0)
+        calls = store.calls
+        async with trio.open_nursery() as nursery:
+            for number in range(100):
+                nursery.start_soon(owner.learn_of, f"job{number}")
+        assert store.calls - calls <= 5, f"{store.calls - calls} calls"
+
+
 async def test_switched_off_an_owner_asks_the_store_nothing_more() -> None:
     store, hall = StoreStandin(), make_hall()
     await _store_submissions(store, "job1")
