Name the histories in which a late start shows

Ruled out: that the rule is needless; without it seeds 71, 124 and 159 of 40 to 159 start a task again that had ended well. The test now plays those three, and fails if none breaks.

--- a/tests/test_owner_rules.py
+++ b/tests/test_owner_rules.py
@@ -1,5 +1,6 @@
 """Each rule of the owner is needed: left out, random faults break a promise."""
 
+from collections.abc import Sequence
 from unittest import mock
 
 from pimentocross.contracts.worker_link import WorkerLife
@@ -13,7 +14,9 @@
 from tests import run_virtual
 from tests.test_owner_chaos import play
 
-_SEEDS = range(40)
+_SEEDS: Sequence[int] = range(40)
+# Histories in which a start comes late after its run was given up.
+_LATE_SEEDS: Sequence[int] = (71, 124, 159)
 
 
 def _broken_within_seeds(
@@ -22,8 +25,9 @@
     restarts: bool = False,
     often: bool = False,
     births: bool = True,
+    seeds: Sequence[int] = _SEEDS,
 ) -> None:
-    for seed in _SEEDS:
+    for seed in seeds:
         try:
             run_virtual(
                 lambda s=seed: play(  # type: ignore[misc]
@@ -122,4 +126,6 @@
         pass
 
     with mock.patch.object(LateStarts, "hold", let_go):
-        _broken_within_seeds("holding late starts", restarts=True)
+        _broken_within_seeds(
+            "holding late starts", restarts=True, seeds=_LATE_SEEDS
+        )
