--- a/pimentocross/gateway/intake.py
+++ b/pimentocross/gateway/intake.py
@@ -12,13 +12,9 @@
 
 import trio
 
-from pimentocross.contracts.asking import (
-    AGAIN_AFTER,
-    Question,
-    first_answer,
-)
 from pimentocross.contracts.store import Record, Store, StoreUnavailableError
 from pimentocross.gateway.caller_desk import OwnerAccess
+from pimentocross.gateway.intake_writer import IntakeWriter
 from pimentocross.gateway.messages import (
     CancelJob,
     GatewayMessage,
@@ -31,9 +27,8 @@
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import wall
-from pimentocross.owner.const import APPEND_BYTES
 from pimentocross.owner.desk import Outcome
-from pimentocross.owner.intake import TOPIC, cancel_key, submission_key
+from pimentocross.owner.intake import cancel_key, submission_key
 from pimentocross.work import records
 from pimentocross.work.queue import Queue
 from pimentocross.work.state import JobState
@@ -46,16 +41,6 @@
 # What another VM waits for has to come within this, seconds: it waits for
 # little more.
 _PEER_TIMEOUT: Final = 0.3
-# Records gathered into one append, seconds.
-_BATCH_PAUSE: Final = 0.015
-# A store that takes longer is away for a caller that waits, seconds.
-_APPEND_TIMEOUT: Final = 1.0
-# Records that wait for an append on one VM: as many as its callers send within
-# a few seconds, and some megabytes.
-_WAITING_MOST: Final = 500
-# After a failed append nothing is tried for this long, seconds: callers of a
-# store that is away are told so at once.
-_AWAY_PAUSE: Final = 0.3
 
 _Kept: TypeAlias = SubmitJob | CancelJob
 
@@ -88,94 +73,6 @@
         ...
 
 
-class _Entry:
-    """A record on its way to the store.
-
-    Attributes:
-        record: The record.
-        done: Set once its append has ended.
-        error: Why it isn't known to be stored, or None.
-    """
-
-    def __init__(self, record: Record) -> None:
-        """Takes the record."""
-        self.record = record
-        self.done = trio.Event()
-        self.error: StoreUnavailableError | None = None
-
-
-class IntakeWriter:
-    """Appends records to the topic, gathered into few calls."""
-
-    def __init__(self, store: Store) -> None:
-        """Takes the store."""
-        self._store = store
-        self._waiting: list[_Entry] = []
-        self._wake = trio.Event()
-        self._away_until = float("-inf")
-
-    async def put(self, record: Record) -> None:
-        """Stores a record.
-
-        Raises:
-            StoreUnavailableError: It isn't stored, or may be if `sent`.
-        """
-        if trio.current_time() < self._away_until:
-            raise StoreUnavailableError("store away", sent=False)
-        if len(self._waiting) >= _WAITING_MOST:
-            raise StoreUnavailableError("too much waits for it", sent=False)
-        entry = _Entry(record)
-        self._waiting.append(entry)
-        self._wake.set()
-        await entry.done.wait()
-        if entry.error is not None:
-            raise entry.error
-
-    async def run(self) -> None:
-        """Appends what comes, for ever."""
-        while True:
-            await self._wake.wait()
-            await trio.sleep(_BATCH_PAUSE)
-            entries = self._take_some()
-            if not self._waiting:
-                self._wake = trio.Event()
-            error = await self._append([entry.record for entry in entries])
-            for entry in entries:
-                entry.error = error
-                entry.done.set()
-
-    def _take_some(self) -> list[_Entry]:
-        """Returns those that are next and fit into one append."""
-        taken = 0
-        room = APPEND_BYTES
-        for entry in self._waiting:
-            room -= len(entry.record.key) + len(entry.record.value or b"")
-            if room < 0 and taken:
-                break
-            taken += 1
-        some, self._waiting = self._waiting[:taken], self._waiting[taken:]
-        return some
-
-    async def _append(
-        self, batch: list[Record]
-    ) -> StoreUnavailableError | None:
-        if trio.current_time() < self._away_until:
-            # They came while the append before was failing.
-            return StoreUnavailableError("store away", sent=False)
-
-        async def ask(question: Question) -> int:
-            return await self._store.append(
-                TOPIC, batch, question.timeout, fresh=question.again
-            )
-
-        try:
-            await first_answer(ask, 0.0, _APPEND_TIMEOUT, AGAIN_AFTER)
-        except StoreUnavailableError as error:
-            self._away_until = trio.current_time() + _AWAY_PAUSE
-            return error
-        return None
-
-
 class Unserved(NamedTuple):
     """What came of asking the owner in vain.
 
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -219,6 +219,18 @@
             await trio.sleep(0.05)
 
 
+def longest_away(journal: list[RunEvent]) -> float:
+    """Returns the longest time between a stop and the next start."""
+    stopped: dict[TaskName, float] = {}
+    longest = 0.0
+    for event in journal:
+        if event.what == "stopped":
+            stopped[event.task] = event.at
+        elif event.what == "start" and event.task in stopped:
+            longest = max(longest, event.at - stopped.pop(event.task))
+    return longest
+
+
 def find_twice(journal: list[RunEvent]) -> list[RunEvent]:
     """Returns starts of a task while another run of it was on a worker."""
     alive: dict[TaskName, set[tuple[str, int]]] = {}
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -16,9 +16,9 @@
 )
 from pimentocross.gateway.intake import (
     DurableIntake,
-    IntakeWriter,
     NeighbourAccess,
 )
+from pimentocross.gateway.intake_writer import IntakeWriter
 from pimentocross.gateway.messages import (
     AskState,
     CancelJob,
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -24,6 +24,7 @@
     QUEUE,
     count,
     life,
+    longest_away,
     make_hall,
     make_owner,
     running,
@@ -151,25 +152,13 @@
                 await trio.sleep(0.12)
 
 
-def _longest_away(hall: WorkerHall) -> float:
-    """Returns the longest time between a stop and the next start."""
-    stopped: dict[TaskName, float] = {}
-    longest = 0.0
-    for event in hall.journal:
-        if event.what == "stopped":
-            stopped[event.task] = event.at
-        elif event.what == "start" and event.task in stopped:
-            longest = max(longest, event.at - stopped.pop(event.task))
-    return longest
-
-
 def test_no_lasting_task_stays_away_however_much_short_work_waits() -> None:
     # On a played day one was away for 20 s: tasks of its step gave way in
     # turn, and each time the whole step had to wait anew.
     hall = make_hall(8, _plan)
     run_virtual(lambda: _play_pressure(hall))
     assert any(e.what == "stopped" for e in hall.journal)
-    assert _longest_away(hall) < 4.0, _longest_away(hall)
+    assert longest_away(hall.journal) < 4.0, longest_away(hall.journal)
 
 
 async def _play_fillers(hall: WorkerHall) -> None:
--- a/tests/test_starts_held.py
+++ b/tests/test_starts_held.py
@@ -20,6 +20,7 @@
     find_again,
     find_twice,
     life,
+    longest_away,
     make_hall,
     make_owner,
     running,
@@ -47,7 +48,7 @@
     with mock.patch.object(wall, "now", trio.current_time):
         await _play_unanswered(hall)
     assert count(hall.journal, "done")
-    assert _longest_away(hall) < _AWAY_MOST, _longest_away(hall)
+    assert longest_away(hall.journal) < _AWAY_MOST, longest_away(hall.journal)
     assert not find_twice(hall.journal)
     assert not find_again(hall.journal)
 
@@ -73,18 +74,6 @@
             await trio.sleep(1.0)
 
 
-def _longest_away(hall: WorkerHall) -> float:
-    """Returns the longest time between a stop and the next start."""
-    stopped: dict[TaskName, float] = {}
-    longest = 0.0
-    for event in hall.journal:
-        if event.what == "stopped":
-            stopped[event.task] = event.at
-        elif event.what == "start" and event.task in stopped:
-            longest = max(longest, event.at - stopped.pop(event.task))
-    return longest
-
-
 async def test_it_is_settled_once_its_start_can_not_come_any_more() -> None:
     worker, late_until = _late_worker()
     assert not worker.settled(late_until - 0.1, 0.0)
