--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -1,7 +1,7 @@
 """What an owner learns from endings and listings, for all its decisions."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
 import trio
@@ -155,15 +155,30 @@
     ) -> list[tuple[Run, Progress]]:
         """Returns the same of runs that took at least some seconds."""
         found = []
+        durations = self.durations
         # A worker often has several tasks of one step.
-        expected: dict[Step, _Expected] = {}
-        for step, run, elapsed in _measurable(worker, least):
-            if step not in expected:
+        expected: dict[Step, tuple[float, bool]] = {}
+        for (task, _), run in worker.runs.items():
+            elapsed = run.percent_at - run.state_at
+            if elapsed <= 0 or elapsed < least:
+                continue
+            if run.state is not RunState.RUNNING:
+                continue
+            step = task.step
+            if step.spec.lasting or run.paced_at or not run.decided_at:
+                # Adopted: how long and how fast it worked isn't known.
+                continue
+            if durations.sees_tails:
+                self._project(worker, step, run, elapsed)
+            if step not in expected and durations.sees_tails:
                 expected[step] = self._expected(step, worker)
+            elif step not in expected:
+                queue = step.job.queue.name
+                expected[step] = durations.task(queue, step.spec), True
             seconds, is_sure = expected[step]
             excused = 0.0
             if not is_sure:
-                excused = self.durations.chance_over(
+                excused = durations.chance_over(
                     step.job.queue.name, seconds / SLOW_BELOW, elapsed
                 )
             progress = Progress(
@@ -185,12 +200,18 @@
             return _Expected(durations.of_step(step), is_sure=False)
         return _Expected(elsewhere, is_sure=True)
 
-    def _project(self, worker: Worker) -> None:
-        """Notes what progress tells of steps whose tasks may be long ones."""
-        for step, run, elapsed in _measurable(worker, MEASURED_AFTER):
-            if run.percent and self.durations.has_tail(step.job.queue.name):
-                seconds = elapsed * 100 / run.percent
-                self._projections.note(step, worker.number, seconds)
+    def _project(
+        self, worker: Worker, step: Step, run: Run, elapsed: float
+    ) -> None:
+        """Notes what a run's progress tells of a step whose tasks may be long.
+
+        It is asked for on other workers alone.
+        """
+        if elapsed < MEASURED_AFTER or not run.percent:
+            return
+        if self.durations.has_tail(step.job.queue.name):
+            seconds = elapsed * 100 / run.percent
+            self._projections.note(step, worker.number, seconds)
 
     def _check_soundness(
         self,
@@ -205,7 +226,6 @@
         sick = is_sick(readings, 0.0) and is_sick(
             readings, self._explained(worker, loads)
         )
-        self._project(worker)
         runs = [found for _, found in self._progress(worker, MEASURED_AFTER)]
         slow = self._speeds.is_slow(worker.number, runs, now)
         if not sick and not slow:
@@ -220,24 +240,3 @@
             (self.disturbance.added(s, loads) for s in worker.serving),
             default=0.0,
         )
-
-
-def _measurable(
-    worker: Worker, least: float
-) -> Iterator[tuple[Step, Run, float]]:
-    """Yields runs that end and were never slowed, and how long they worked.
-
-    Args:
-        worker: Where they run.
-        least: Seconds that each has worked at least.
-    """
-    for (task, _), run in worker.runs.items():
-        elapsed = run.percent_at - run.state_at
-        if elapsed <= 0 or elapsed < least:
-            continue
-        if run.state is not RunState.RUNNING:
-            continue
-        # Adopted: how long and how fast it worked isn't known.
-        if task.step.spec.lasting or run.paced_at or not run.decided_at:
-            continue
-        yield task.step, run, elapsed
--- a/pimentocross/placement/durations.py
+++ b/pimentocross/placement/durations.py
@@ -59,7 +59,11 @@
 
 
 class Durations:
-    """Mean durations by queue, and what is left of a job's chain."""
+    """Mean durations by queue, and what is left of a job's chain.
+
+    Attributes:
+        sees_tails: Whether a tail was ever seen, of any queue.
+    """
 
     def __init__(self, *, knows_tails: bool = True) -> None:
         """Knows nothing yet.
@@ -67,6 +71,7 @@
         Args:
             knows_tails: Whether what is seen of tails counts.
         """
+        self.sees_tails = False
         self._knows_tails = knows_tails
         self._means: dict[str, float] = {}
         self._variances: dict[str, float] = {}
@@ -151,6 +156,8 @@
             known = Tail(_STEPS_LEAST, _STEPS_REMEMBERED)
             self._long_steps[queue] = known
         known.note(ratio)
+        if known.is_seen and self._knows_tails:
+            self.sees_tails = True
 
     def task(self, queue: str, spec: StepSpec) -> float:
         """Returns how long a task of a step is expected to take."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -112,6 +112,8 @@
         assert owner.desk.state("j1").state is JobState.RUNNING
         store.faults.away = False
         await wait_until(lambda: _ended(owner, "j1"))
+        # As entry VMs ask: one of them may have stored it meanwhile.
+        assert await owner.learn_of("j2")
         assert owner.desk.state("j2").outcome is Outcome.NO_SUCH_JOB
     assert count(hall.journal, "lapsed") == 0
     assert count(hall.journal, "start") == 4
