Log how many bytes of the configuration had arrived

config_unread and config_in_force tell received: the bytes of the answers that had arrived when the read failed or was answered. Without it the logs can't tell a store that doesn't answer from an answer that arrives too slowly. No change of logic; the stand-in store gets links of limited bandwidth.

--- a/pimentocross/contracts/hedging.py
+++ b/pimentocross/contracts/hedging.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.contracts.store import StoreUnavailableError
 
 # Seconds after which an unanswered request is repeated; a store that is merely
@@ -32,11 +33,13 @@
         timeout: Seconds to wait for an answer.
         is_hedge: Whether an earlier attempt is overdue, so that the
             connections used so far may be dead.
+        progress: Counts the bytes of the answer as they arrive.
     """
 
     wait: float
     timeout: float
     is_hedge: bool
+    progress: AnswerProgress
 
 
 SendAttempt = Callable[[RequestAttempt], Awaitable[T]]
@@ -49,11 +52,13 @@
         value: The answer.
         asked_at: When the answered attempt was sent, on the monotonic clock.
         wait: Seconds for which the store could hold that attempt.
+        received: Bytes of answers that have arrived for all attempts.
     """
 
     value: T
     asked_at: float
     wait: float
+    received: int
 
 
 class _HedgedRequest(Generic[T]):
@@ -73,10 +78,26 @@
         self.done = trio.Event()
         self._send = send
         self._open = 0
-
-    def start(self, nursery: trio.Nursery, attempt: RequestAttempt) -> None:
-        """Starts one more attempt."""
+        self._progress: list[AnswerProgress] = []
+
+    @property
+    def received(self) -> int:
+        """Bytes of answers that have arrived for all attempts."""
+        return sum(progress.received for progress in self._progress)
+
+    def start(
+        self,
+        nursery: trio.Nursery,
+        wait: float,
+        timeout: float,
+        *,
+        is_hedge: bool,
+    ) -> None:
+        """Starts one more attempt; see `RequestAttempt`."""
+        progress = AnswerProgress()
+        self._progress.append(progress)
         self._open += 1
+        attempt = RequestAttempt(wait, timeout, is_hedge, progress)
         nursery.start_soon(self._run, attempt)
 
     async def _run(self, attempt: RequestAttempt) -> None:
@@ -88,7 +109,9 @@
                 self.error = error
         else:
             if self.answer is None:
-                self.answer = FirstAnswer(value, asked_at, attempt.wait)
+                self.answer = FirstAnswer(
+                    value, asked_at, attempt.wait, self.received
+                )
         self._open -= 1
         if self.answer is not None or not self._open:
             self.done.set()
@@ -121,9 +144,7 @@
     until = trio.current_time() + wait + timeout
     request = _HedgedRequest(send)
     async with trio.open_nursery() as nursery:
-        request.start(
-            nursery, RequestAttempt(wait, wait + timeout, is_hedge=False)
-        )
+        request.start(nursery, wait, wait + timeout, is_hedge=False)
         await _wait_for_either(request.done, urgent, wait + hedge_delay)
         while True:
             await _read_arrived_answer(request.done)
@@ -131,9 +152,7 @@
             seconds_left = until - trio.current_time()
             if request.done.is_set() or seconds_left <= 0:
                 break
-            request.start(
-                nursery, RequestAttempt(0.0, seconds_left, is_hedge=True)
-            )
+            request.start(nursery, 0.0, seconds_left, is_hedge=True)
             with trio.move_on_after(hedge_delay):
                 await request.done.wait()
         # Each attempt ends by its own timeout, or as soon after it as this
@@ -142,7 +161,11 @@
         nursery.cancel_scope.cancel()
     if request.answer is not None:
         return request.answer
-    raise request.error or StoreUnavailableError("no answer in time", sent=True)
+    error = request.error or StoreUnavailableError(
+        "no answer in time", sent=True
+    )
+    error.received = request.received
+    raise error
 
 
 async def _read_arrived_answer(done: trio.Event) -> None:
--- /dev/null
+++ b/pimentocross/contracts/progress.py
@@ -0,0 +1,23 @@
+"""How much of the answer to a request has arrived."""
+
+import trio
+
+
+class AnswerProgress:
+    """Counts the bytes of an answer while they arrive.
+
+    Attributes:
+        received: Bytes that have arrived so far.
+        arrived_at: Monotonic time at which the last of them arrived; -inf
+            before the first.
+    """
+
+    def __init__(self) -> None:
+        """Initializes the progress of a request without an answer."""
+        self.received = 0
+        self.arrived_at = float("-inf")
+
+    def note_received(self, size: int) -> None:
+        """Counts bytes that have arrived just now."""
+        self.received += size
+        self.arrived_at = trio.current_time()
--- a/pimentocross/contracts/store.py
+++ b/pimentocross/contracts/store.py
@@ -7,6 +7,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
+from pimentocross.contracts.progress import AnswerProgress
+
 
 class Record(NamedTuple):
     """A record of a topic.
@@ -54,12 +56,14 @@
 
     Attributes:
         sent: True if the operation may have taken effect, or still may.
+        received: Bytes of incomplete answers that have arrived.
     """
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
-        """Initializes the error with its reason and `sent`."""
+    def __init__(self, reason: str, *, sent: bool, received: int = 0) -> None:
+        """Initializes the error with its reason and the attributes."""
         super().__init__(reason)
         self.sent = sent
+        self.received = received
 
 
 class ConditionFailedError(Exception):
@@ -141,6 +145,7 @@
         timeout: float,
         *,
         new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Reads from `start` on, waiting up to `wait` s for a record.
 
@@ -152,6 +157,7 @@
             new_connection: Whether to use no connection that was used before,
                 because an answer on one is overdue and all of them may be
                 dead.
+            progress: Counts the bytes of the answer as they arrive.
 
         Raises:
             StoreUnavailableError: The store gave no usable answer.
@@ -160,9 +166,14 @@
         ...
 
     async def newest(
-        self, topic: str, timeout: float, *, new_connection: bool = False
+        self,
+        topic: str,
+        timeout: float,
+        *,
+        new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
-        """Returns the newest record of each key.
+        """Returns the newest record of each key; see `read`.
 
         All records below the returned end are taken into account. Newer ones
         may be included as well, so a read from the end on may repeat some.
--- a/pimentocross/contracts/topic_reader.py
+++ b/pimentocross/contracts/topic_reader.py
@@ -34,12 +34,14 @@
         is_snapshot: Whether `records` are the newest of each key, so that
             keys without a record are removed.
         asked_at: Monotonic time at which the answered attempt was sent.
+        received: Bytes of answers that have arrived for all attempts.
     """
 
     records: list[Record]
     known_at: float
     is_snapshot: bool
     asked_at: float
+    received: int
 
 
 class TopicReader:
@@ -101,6 +103,7 @@
             known_at=found.asked_at,
             is_snapshot=True,
             asked_at=found.asked_at,
+            received=found.received,
         )
 
     def _page_update(
@@ -118,6 +121,7 @@
             known_at=_known_at(read, page, start),
             is_snapshot=False,
             asked_at=read.asked_at,
+            received=read.received,
         )
 
     def _advance(self, end: int) -> None:
@@ -128,17 +132,24 @@
         self, start: int, attempt: RequestAttempt
     ) -> Page | None:
         """Returns the records from `start` on, or None if they expired."""
-        wait, timeout, is_hedge = attempt
         try:
             return await self._store.read(
-                self._topic, start, wait, timeout, new_connection=is_hedge
+                self._topic,
+                start,
+                attempt.wait,
+                attempt.timeout,
+                new_connection=attempt.is_hedge,
+                progress=attempt.progress,
             )
         except HistoryExpiredError:
             return None
 
     async def _request_newest(self, attempt: RequestAttempt) -> Page:
         return await self._store.newest(
-            self._topic, attempt.timeout, new_connection=attempt.is_hedge
+            self._topic,
+            attempt.timeout,
+            new_connection=attempt.is_hedge,
+            progress=attempt.progress,
         )
 
 
--- a/pimentocross/gateway/config_follower.py
+++ b/pimentocross/gateway/config_follower.py
@@ -26,12 +26,14 @@
             if there may be something newer.
         asked_at: Time at which the answered request was sent, monotonic.
         evacuated: All availability zones that are evacuated.
+        received: Bytes of answers that have arrived.
     """
 
     config: WorkConfig | None
     known_at: float
     asked_at: float
     evacuated: frozenset[str] = frozenset()
+    received: int = 0
 
 
 class ConfigSource(Protocol):
@@ -184,17 +186,18 @@
                 "config_unread",
                 reason=str(error),
                 waited=round(trio.current_time() - asked_at, 3),
+                received=error.received,
                 age=self._age_to_log(),
             )
             return
         self.away = False
         self._pace.note_answer(has_changes=reply.config is not None)
         if reply.config is not None:
-            self._apply(reply.config, reply.asked_at)
+            self._apply(reply.config, reply)
         self.evacuations.update(reply.evacuated, reply.known_at)
         self._known_at = max(self._known_at, reply.known_at)
 
-    def _apply(self, config: WorkConfig, asked_at: float) -> None:
+    def _apply(self, config: WorkConfig, reply: ConfigReply) -> None:
         known = self._config
         if known is not None and config.version <= known.version:
             return
@@ -202,7 +205,8 @@
             "config_in_force",
             version=config.version,
             queues=len(config.queues),
-            waited=round(trio.current_time() - asked_at, 3),
+            waited=round(trio.current_time() - reply.asked_at, 3),
+            received=reply.received,
             age=self._age_to_log(),
         )
         self._config = config
--- a/pimentocross/links/http_pool.py
+++ b/pimentocross/links/http_pool.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.links.asgi import Headers, HttpReply, HttpRequest
 from pimentocross.links.target_connection import (
     TargetConnection,
@@ -46,9 +47,18 @@
         body: bytes,
         timeout: float,
         headers: Headers = _NO_HEADERS,
+        progress: AnswerProgress | None = None,
     ) -> HttpReply:
         """Sends one request and returns the complete answer.
 
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            body: Body of the request.
+            timeout: Seconds to wait for the complete answer.
+            headers: Headers of the request.
+            progress: Counts the bytes of the answer as they arrive.
+
         Raises:
             HttpCallError: There was no complete answer within `timeout`.
         """
@@ -60,7 +70,7 @@
             with trio.fail_after(timeout):
                 connection = await self._acquire()
                 sent = True
-                reply = await connection.exchange(request, [])
+                reply = await connection.exchange(request, [], progress)
         except trio.TooSlowError as error:
             raise HttpCallError("no answer in time", sent=sent) from error
         except (OSError, TargetConnectionError) as error:
--- a/pimentocross/links/target_connection.py
+++ b/pimentocross/links/target_connection.py
@@ -13,6 +13,7 @@
 import h11
 import trio
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.links import const
 from pimentocross.links.asgi import Headers, HttpReply, HttpRequest
 from pimentocross.links.plain_http import (
@@ -47,6 +48,7 @@
         # further request.
         self._open = True
         self._used_at = trio.current_time()
+        self._progress: AnswerProgress | None = None
 
     @property
     def reusable(self) -> bool:
@@ -60,13 +62,24 @@
         poll.register(self._stream.socket.fileno(), select.POLLIN)
         return bool(poll.poll(_NO_WAIT))
 
-    async def exchange(self, request: HttpRequest, extra: Headers) -> HttpReply:
+    async def exchange(
+        self,
+        request: HttpRequest,
+        extra: Headers,
+        progress: AnswerProgress | None = None,
+    ) -> HttpReply:
         """Sends a request and returns the complete answer.
 
+        Args:
+            request: The request.
+            extra: Headers to send in addition.
+            progress: Counts the bytes of the answer as they arrive.
+
         Raises:
             TargetConnectionError: There is no complete and valid answer.
         """
         self._open = False
+        self._progress = progress
         headers = self._headers(request, extra)
         try:
             await self._stream.send_all(self._encode(request, headers))
@@ -81,6 +94,13 @@
         self._used_at = trio.current_time()
         return reply
 
+    async def _receive(self) -> bytes:
+        """Returns the next bytes of the answer, b"" at its end."""
+        chunk = await self._stream.receive_some(_CHUNK)
+        if self._progress is not None:
+            self._progress.note_received(len(chunk))
+        return bytes(chunk)
+
     async def aclose(self) -> None:
         """Closes the connection without a graceful shutdown."""
         await trio.aclose_forcefully(self._stream)
@@ -108,13 +128,13 @@
     async def _read_reply(
         self, request: HttpRequest, headers: Headers
     ) -> HttpReply:
-        received = chunk = await self._stream.receive_some(_CHUNK)
+        received = chunk = await self._receive()
         while (
             chunk
             and HEAD_END not in received
             and len(received) < MAX_HEAD_BYTES
         ):
-            chunk = await self._stream.receive_some(_CHUNK)
+            chunk = await self._receive()
             received += chunk
         head = read_head(received)
         if head is None or request.method in _METHODS_WITHOUT_PLAIN_ANSWER:
@@ -127,7 +147,7 @@
         chunks = [received[head.body_start :]]
         size = len(chunks[0])
         while size < head.body_length:
-            chunk = await self._stream.receive_some(_CHUNK)
+            chunk = await self._receive()
             if not chunk:
                 raise TargetConnectionError("closed within the answer")
             chunks.append(chunk)
@@ -156,7 +176,7 @@
         while True:
             event = state.next_event()
             if event is h11.NEED_DATA:
-                state.receive_data(await self._stream.receive_some(_CHUNK))
+                state.receive_data(await self._receive())
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 answer_headers = [
--- a/pimentocross/platform/store.py
+++ b/pimentocross/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.contracts.store import (
     ConditionFailedError,
     FencedError,
@@ -116,6 +117,7 @@
         timeout: float,
         *,
         new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Reads records; see `Store`."""
         query: dict[str, str | int] = {
@@ -127,7 +129,13 @@
         if wait > 0:
             query["wait_ms"] = int(wait * 1000)
         reply = await self._call(
-            "GET", "/pimentocross/log-read", query, b"", timeout, new_connection
+            "GET",
+            "/pimentocross/log-read",
+            query,
+            b"",
+            timeout,
+            new_connection,
+            progress,
         )
         if reply.status == _GONE:
             raise HistoryExpiredError
@@ -138,7 +146,12 @@
         return _read_page(reply.body, start)
 
     async def newest(
-        self, topic: str, timeout: float, *, new_connection: bool = False
+        self,
+        topic: str,
+        timeout: float,
+        *,
+        new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Returns the newest record of each key; see `Store`."""
         records: list[Record] = []
@@ -155,6 +168,7 @@
                 b"",
                 timeout,
                 new_connection,
+                progress,
             )
             new_connection = False
             if reply.status != _OK:
@@ -185,12 +199,15 @@
         body: bytes,
         timeout: float,
         new_connection: bool,
+        progress: AnswerProgress | None = None,
     ) -> HttpReply:
         target = f"{path}?{urlencode(query)}"
         try:
             if new_connection:
                 await self._pool.aclose()
-            return await self._pool.call(method, target, body, timeout)
+            return await self._pool.call(
+                method, target, body, timeout, progress=progress
+            )
         except HttpCallError as error:
             raise StoreUnavailableError(str(error), sent=error.sent) from error
 
--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -58,7 +58,11 @@
             if found is None or config.version > found.version:
                 found = config
         return ConfigReply(
-            found, update.known_at, update.asked_at, frozenset(self._evacuated)
+            found,
+            update.known_at,
+            update.asked_at,
+            frozenset(self._evacuated),
+            update.received,
         )
 
     def _apply_evacuation(self, record: Record) -> None:
--- a/pimentocross/standins/store.py
+++ b/pimentocross/standins/store.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.contracts.store import (
     ConditionFailedError,
     FencedError,
@@ -22,6 +23,10 @@
 _MAX_SLEEP = 1e9
 # Idle connections that a client keeps open for reuse.
 _IDLE_CONNECTIONS = 3
+# Bytes that one answer gets on a VM's link before the next one has its turn.
+_LINK_CHUNK = 16 * 1024
+# Values have a third more bytes in an answer to `newest`, in base64.
+_BASE64_FACTOR = 4 / 3
 
 
 class StoreFaults:
@@ -39,6 +44,9 @@
             never answered; new connections work.
         drop_read_notifications: Waiting reads are not woken by new records;
             they are answered when their wait is over.
+        link_bytes_per_s: What the link of each VM carries, shared equally by
+            the answers that arrive at the same time; None if answers take no
+            time on it.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -50,6 +58,7 @@
         self.late = 0.0
         self.silence_count = 0
         self.drop_read_notifications = False
+        self.link_bytes_per_s: float | None = None
         self.random = random.Random(seed)
 
 
@@ -166,6 +175,10 @@
     del producer.answered[:-_MAX_KEPT_ANSWERS]
 
 
+def _size(records: Sequence[Record]) -> int:
+    return sum(len(r.key) + len(r.value or b"") for r in records)
+
+
 class StoreClientStandin:
     """One VM's client of the stand-in; see `Store`."""
 
@@ -176,6 +189,8 @@
         self._seen_silence_count = store.faults.silence_count
         # Number of idle connections that have gone silent.
         self._silent_connections = 0
+        # Held by the answer whose bytes are on the link; taken in turns.
+        self._link = trio.Lock()
 
     async def append(
         self,
@@ -208,6 +223,7 @@
         timeout: float,
         *,
         new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Reads records, waiting for new ones; see `Store`."""
         asked_at = trio.current_time()
@@ -225,17 +241,54 @@
             if self._store.faults.silence_count != silence_count:
                 await self._hang(left)
             await self._connect(left, new_connection=True)
-        return Page(found.records[start:], len(found.records))
+        page = Page(found.records[start:], len(found.records))
+        await self._transfer(_size(page.records), asked_at + timeout, progress)
+        return page
 
     async def newest(
-        self, topic: str, timeout: float, *, new_connection: bool = False
+        self,
+        topic: str,
+        timeout: float,
+        *,
+        new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Returns the newest record of each key; see `Store`."""
+        until = trio.current_time() + timeout
         await self._connect(timeout, new_connection)
         found = self._store.topic(topic)
         newest = {record.key: record for record in found.records}
         kept = [r for r in newest.values() if r.value is not None]
-        return Page(kept, len(found.records))
+        page = Page(kept, len(found.records))
+        await self._transfer(_size(kept) * _BASE64_FACTOR, until, progress)
+        return page
+
+    async def _transfer(
+        self, size: float, until: float, progress: AnswerProgress | None
+    ) -> None:
+        """Waits while an answer arrives over this VM's link.
+
+        Args:
+            size: Bytes of the answer.
+            until: Monotonic time at which the client gives up.
+            progress: Counts the bytes that have arrived.
+
+        Raises:
+            StoreUnavailableError: The answer took too long.
+        """
+        rate = self._store.faults.link_bytes_per_s
+        if rate is None:
+            return
+        with trio.move_on_at(until):
+            while size > 0:
+                chunk = min(size, _LINK_CHUNK)
+                async with self._link:
+                    await trio.sleep(chunk / rate)
+                size -= chunk
+                if progress is not None:
+                    progress.note_received(int(chunk))
+            return
+        raise StoreUnavailableError("no answer in time", sent=True)
 
     async def _append_late(
         self,
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -9,6 +9,7 @@
 import trio
 from trio.testing import memory_stream_pair
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.contracts.store import (
     Page,
     ProducerMark,
@@ -120,20 +121,31 @@
         timeout: float,
         *,
         new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Reads records."""
         return await self._client.read(
-            topic, start, wait, timeout, new_connection=new_connection
+            topic,
+            start,
+            wait,
+            timeout,
+            new_connection=new_connection,
+            progress=progress,
         )
 
     async def newest(
-        self, topic: str, timeout: float, *, new_connection: bool = False
+        self,
+        topic: str,
+        timeout: float,
+        *,
+        new_connection: bool = False,
+        progress: AnswerProgress | None = None,
     ) -> Page:
         """Returns the newest records; delays the state of jobs."""
         if topic == const.JOBS_TOPIC:
             await trio.sleep(self._cell.read_duration)
         return await self._client.newest(
-            topic, timeout, new_connection=new_connection
+            topic, timeout, new_connection=new_connection, progress=progress
         )
 
     async def wait_while_busy(self) -> None:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -29,8 +29,8 @@
 
     async def answer(self, attempt: RequestAttempt) -> int:
         """Returns the number of the attempt, from 0."""
-        _, timeout, is_hedge = attempt
-        assert is_hedge is bool(self.attempted_at)
+        timeout = attempt.timeout
+        assert attempt.is_hedge is bool(self.attempted_at)
         self.timeouts.append(timeout)
         number = len(self.attempted_at)
         self.attempted_at.append(trio.current_time())
