--- a/tests/operator_fixtures.py
+++ b/tests/operator_fixtures.py
@@ -27,10 +27,18 @@
         self.follower = ConfigFollower(source, within, evacuated_within)
         self._version = 0
 
-    async def publish(self) -> int:
-        """Writes the next version; returns it when it is acknowledged."""
+    async def publish(self, routes: int = 1) -> int:
+        """Writes the next version; returns it when it is acknowledged.
+
+        Args:
+            routes: Number of its routes.
+        """
         self._version += 1
-        value = operator_config(self._version, {f"/q{self._version}/": "stock"})
+        queues = {f"/q{self._version}/": "stock"} | {
+            f"/q{self._version}/{number}/": "stock"
+            for number in range(1, routes)
+        }
+        value = operator_config(self._version, queues)
         await self._write(Record("config", value))
         return self._version
 
