A read lasts as long as its answer arrives

Cause: a read of the store had 1.0 s for the whole answer and began again from the first byte when that was over; what was unanswered after 0.4 s was sent once more on a second connection, also while the first answer arrived, and took half of the link from it. A version of 596 KB takes 0.95 s on a link of 625 KB/s, one of 890 KB 1.43 s, so no read ever ended and the link stayed full.

Fix: an answer that is arriving is neither overdue nor given up. A read fails once no bytes have arrived for its timeout, and is repeated after the hedge delay without bytes. An answer of more than 16 KB cancels the other attempts.

--- a/pimentocross/contracts/hedging.py
+++ b/pimentocross/contracts/hedging.py
@@ -5,6 +5,10 @@
 unanswered request is therefore repeated on a connection of its own while the
 earlier ones stay open, and the first answer counts. A slow store can still
 answer the first request.
+
+An answer may take seconds on a slow link. As long as it arrives, it is not
+overdue: a repeated request would take a part of the link, and neither answer
+might ever be complete.
 """
 
 from collections.abc import Awaitable, Callable
@@ -18,6 +22,9 @@
 # Seconds after which an unanswered request is repeated; a store that is merely
 # slow answers within this time.
 HEDGE_DELAY: Final = 0.4
+# Bytes of an answer from which on it takes a noticeable part of a slow link, so
+# that other attempts must not share the link with it.
+_LARGE_ANSWER: Final = 16 * 1024
 # Passes of the event loop that it takes to read an answer that has arrived.
 _PASSES_TO_READ_ANSWER: Final = 5
 
@@ -61,6 +68,18 @@
     received: int
 
 
+class _Attempt(NamedTuple):
+    """An open attempt.
+
+    Attributes:
+        progress: How much of its answer has arrived.
+        scope: Cancels the attempt.
+    """
+
+    progress: AnswerProgress
+    scope: trio.CancelScope
+
+
 class _HedgedRequest(Generic[T]):
     """A request with all its attempts.
 
@@ -69,6 +88,7 @@
         error: The error of a failed attempt, or None. The error of an attempt
             that may have taken effect takes precedence.
         done: Set once there is an answer or all attempts have failed.
+        received: Bytes of answers that have arrived for all attempts.
     """
 
     def __init__(self, send: SendAttempt[T]) -> None:
@@ -76,14 +96,17 @@
         self.answer: FirstAnswer[T] | None = None
         self.error: StoreUnavailableError | None = None
         self.done = trio.Event()
+        self.received = 0
         self._send = send
-        self._open = 0
-        self._progress: list[AnswerProgress] = []
+        self._open: list[_Attempt] = []
 
     @property
-    def received(self) -> int:
-        """Bytes of answers that have arrived for all attempts."""
-        return sum(progress.received for progress in self._progress)
+    def arrived_at(self) -> float:
+        """Time at which bytes last arrived for an open attempt, or -inf."""
+        return max(
+            (attempt.progress.arrived_at for attempt in self._open),
+            default=float("-inf"),
+        )
 
     def start(
         self,
@@ -94,28 +117,40 @@
         is_hedge: bool,
     ) -> None:
         """Starts one more attempt; see `RequestAttempt`."""
-        progress = AnswerProgress()
-        self._progress.append(progress)
-        self._open += 1
-        attempt = RequestAttempt(wait, timeout, is_hedge, progress)
-        nursery.start_soon(self._run, attempt)
-
-    async def _run(self, attempt: RequestAttempt) -> None:
+        progress = AnswerProgress(self._note_received)
+        attempt = _Attempt(progress, trio.CancelScope())
+        self._open.append(attempt)
+        nursery.start_soon(
+            self._run,
+            attempt,
+            RequestAttempt(wait, timeout, is_hedge, progress),
+        )
+
+    async def _run(self, attempt: _Attempt, request: RequestAttempt) -> None:
         asked_at = trio.current_time()
         try:
-            value = await self._send(attempt)
+            with attempt.scope:
+                value = await self._send(request)
+                if self.answer is None:
+                    self.answer = FirstAnswer(
+                        value, asked_at, request.wait, self.received
+                    )
         except StoreUnavailableError as error:
             if self.error is None or not self.error.sent:
                 self.error = error
-        else:
-            if self.answer is None:
-                self.answer = FirstAnswer(
-                    value, asked_at, attempt.wait, self.received
-                )
-        self._open -= 1
+        self._open.remove(attempt)
         if self.answer is not None or not self._open:
             self.done.set()
 
+    def _note_received(self, progress: AnswerProgress, size: int) -> None:
+        """Counts bytes; leaves the link to an answer that takes long on it."""
+        self.received += size
+        if progress.received < _LARGE_ANSWER:
+            return
+        for attempt in self._open:
+            if attempt.progress is not progress:
+                attempt.scope.cancel()
+
 
 async def first_answer(
     send: SendAttempt[T],
@@ -126,16 +161,20 @@
 ) -> FirstAnswer[T]:
     """Sends a request, repeats it while overdue, returns the first answer.
 
+    An answer that is arriving is not overdue, however long it takes.
+
     Args:
         send: Sends one attempt. It must be idempotent and keep to the
             attempt's timeout.
         wait: Seconds for which the store may hold the first attempt until it
             has new records.
-        timeout: Seconds beyond `wait` after which the request fails.
+        timeout: Seconds beyond `wait`, or after the last bytes of an answer,
+            after which the request fails.
         hedge_delay: Seconds after which an unanswered attempt is overdue and
             the next one is sent. The store must answer later attempts at
             once.
-        urgent: Once set, the next attempt is sent at once.
+        urgent: Once set, the next attempt is sent at once, unless an answer is
+            arriving.
 
     Raises:
         StoreUnavailableError: No attempt was answered in time, or all of them
@@ -148,7 +187,13 @@
         await _wait_for_either(request.done, urgent, wait + hedge_delay)
         while True:
             await _read_arrived_answer(request.done)
+            overdue_at = request.arrived_at + hedge_delay
+            if not request.done.is_set() and trio.current_time() < overdue_at:
+                with trio.move_on_at(overdue_at):
+                    await request.done.wait()
+                continue
             # No time may be left if this process was slow.
+            until = max(until, request.arrived_at + timeout)
             seconds_left = until - trio.current_time()
             if request.done.is_set() or seconds_left <= 0:
                 break
--- a/pimentocross/contracts/store.py
+++ b/pimentocross/contracts/store.py
@@ -153,7 +153,8 @@
             topic: Name of the topic.
             start: The first offset to read.
             wait: Seconds for which the store waits for a record.
-            timeout: Seconds to wait for the answer.
+            timeout: Seconds to wait for the answer. An answer that is arriving
+                may take longer if `progress` is given.
             new_connection: Whether to use no connection that was used before,
                 because an answer on one is overdue and all of them may be
                 dead.
--- a/pimentocross/standins/store.py
+++ b/pimentocross/standins/store.py
@@ -17,6 +17,7 @@
     SequenceGapError,
     StoreUnavailableError,
 )
+from pimentocross.links.const import STALL_TIMEOUT
 
 # Newest appends per producer whose answers are kept for repeated appends.
 _MAX_KEPT_ANSWERS = 5
@@ -270,7 +271,8 @@
 
         Args:
             size: Bytes of the answer.
-            until: Monotonic time at which the client gives up.
+            until: Monotonic time at which the client gives up an answer that
+                isn't arriving; without `progress`, any answer.
             progress: Counts the bytes that have arrived.
 
         Raises:
@@ -279,7 +281,7 @@
         rate = self._store.faults.link_bytes_per_s
         if rate is None:
             return
-        with trio.move_on_at(until):
+        with trio.move_on_at(until) as scope:
             while size > 0:
                 chunk = min(size, _LINK_CHUNK)
                 async with self._link:
@@ -287,6 +289,9 @@
                 size -= chunk
                 if progress is not None:
                     progress.note_received(int(chunk))
+                    scope.deadline = max(
+                        scope.deadline, trio.current_time() + STALL_TIMEOUT
+                    )
             return
         raise StoreUnavailableError("no answer in time", sent=True)
 
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -1,7 +1,8 @@
 """Fixtures for tests of the platform adapter: the platform on loopback."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from functools import partial
 import os
 from pathlib import Path
 import socket
@@ -33,6 +34,8 @@
 
 HOST = "127.0.0.1"
 PREFIX = "/plans/"
+# Bytes that one connection gets on a slow link before the next has its turn.
+_LINK_CHUNK = 16 * 1024
 
 
 class LoopbackPlatform:
@@ -96,6 +99,56 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def slow_link(address: str, bytes_per_s: float) -> AsyncIterator[str]:
+    """Serves an address over a link of limited bandwidth for the block.
+
+    The answers that arrive at the same time share the bandwidth equally.
+
+    Args:
+        address: host:port that the connections are forwarded to.
+        bytes_per_s: What the link carries towards the clients.
+
+    Yields:
+        host:port at which clients reach the address over the link.
+    """
+    link = trio.Lock()
+
+    async def receive(
+        server: trio.SocketStream, client: trio.SocketStream
+    ) -> None:
+        while chunk := await server.receive_some(_LINK_CHUNK):
+            async with link:
+                await trio.sleep(len(chunk) / bytes_per_s)
+            await client.send_all(chunk)
+
+    async def forward(client: trio.SocketStream) -> None:
+        host, _, port = address.rpartition(":")
+        server = await trio.open_tcp_stream(host, int(port))
+        async with server, trio.open_nursery() as nursery:
+            nursery.start_soon(_send, client, server, nursery)
+            with suppress(trio.BrokenResourceError):
+                await receive(server, client)
+            nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            partial(trio.serve_tcp, forward, 0, host=HOST)
+        )
+        yield f"{HOST}:{listeners[0].socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+
+
+async def _send(
+    client: trio.SocketStream, server: trio.SocketStream, nursery: trio.Nursery
+) -> None:
+    """Forwards requests; cancels the nursery once the client has closed."""
+    with suppress(trio.BrokenResourceError):
+        while chunk := await client.receive_some(_LINK_CHUNK):
+            await server.send_all(chunk)
+    nursery.cancel_scope.cancel()
+
+
 @asynccontextmanager
 async def running_node(
     platform: LoopbackPlatform, name: str
