The owner decides whether a queue that is asked about was removed

What callers saw: 200 with a number of pending jobs for a route that had been removed, from a VM whose copy of the configuration was old.

Cause: a VM checks the age of its copy before it denies a queue, but served one that the copy has at any age. The owner judges submissions by its own copy; for the number of pending jobs it didn't look at the configuration at all.

Fix: the owner answers that the queue is not in force, if its own copy, read anew, doesn't have it; the VM tells the caller 503 and when to come back.

--- a/pimentocross/gateway/config_follower.py
+++ b/pimentocross/gateway/config_follower.py
@@ -146,14 +146,21 @@
                 change, for example while the store refuses it, or may know of
                 one that has not arrived here yet.
         """
+        if await self.is_removed(queue.name):
+            return None
+        return self._find_queue(queue.name) or queue
+
+    async def is_removed(self, name: str) -> bool:
+        """Returns whether a queue that another VM knows surely was removed.
+
+        Args:
+            name: Name of the queue; see `current_queue`.
+        """
         asked_at = trio.current_time()
-        newest = self._find_queue(queue.name)
-        if newest is None:
-            dropped = await self.check_newest_since(asked_at)
-            newest = self._find_queue(queue.name) or (
-                None if dropped else queue
-            )
-        return newest
+        if self._find_queue(name) is not None:
+            return False
+        is_newest = await self.check_newest_since(asked_at)
+        return is_newest and self._find_queue(name) is None
 
     def _find_queue(self, name: str) -> Queue | None:
         queues = self._config.queues if self._config is not None else ()
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -1,7 +1,7 @@
 """The entry VM's process: creates, starts and stops its components."""
 
 import secrets
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import trio
 
@@ -46,6 +46,8 @@
 from pimentocross.work.queue import Queue, WorkConfig
 from pimentocross.work.spec import JobSpec
 
+_QUEUE_REMOVED: Final = "the queue is not in force"
+
 
 class HttpHandlers(NamedTuple):
     """HTTP handlers of the caller, readiness and metrics listeners."""
@@ -273,7 +275,7 @@
                 if not owner.job_api.knows(job):
                     known = await self._configs.current_queue(queue)
                 if known is None:
-                    return NotOwner("the queue is not in force")
+                    return NotOwner(_QUEUE_REMOVED)
                 return job_answer(await _submit(owner, job, known, spec))
             case AskState(job):
                 await owner.import_if_stored(job)
@@ -281,6 +283,8 @@
             case CancelJob(job):
                 return job_answer(await owner.cancel(job))
             case AskPending(queue):
+                if await self._configs.is_removed(queue):
+                    return NotOwner(_QUEUE_REMOVED)
                 return PendingAnswer(owner.job_api.pending(queue))
             case _:
                 return NotOwner("not a question")
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -99,8 +99,24 @@
         nursery.cancel_scope.cancel()
 
 
+class SlowLink:
+    """A link of limited bandwidth.
+
+    Attributes:
+        address: host:port at which clients reach the other end.
+        bytes_per_s: What the link carries towards the clients.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Initializes the link without an address."""
+        self.address = ""
+        self.bytes_per_s = bytes_per_s
+
+
 @asynccontextmanager
-async def slow_link(address: str, bytes_per_s: float) -> AsyncIterator[str]:
+async def slow_link(
+    address: str, bytes_per_s: float
+) -> AsyncIterator[SlowLink]:
     """Serves an address over a link of limited bandwidth for the block.
 
     The answers that arrive at the same time share the bandwidth equally.
@@ -108,18 +124,16 @@
     Args:
         address: host:port that the connections are forwarded to.
         bytes_per_s: What the link carries towards the clients.
-
-    Yields:
-        host:port at which clients reach the address over the link.
     """
-    link = trio.Lock()
+    link = SlowLink(bytes_per_s)
+    turn = trio.Lock()
 
     async def receive(
         server: trio.SocketStream, client: trio.SocketStream
     ) -> None:
         while chunk := await server.receive_some(_LINK_CHUNK):
-            async with link:
-                await trio.sleep(len(chunk) / bytes_per_s)
+            async with turn:
+                await trio.sleep(len(chunk) / link.bytes_per_s)
             await client.send_all(chunk)
 
     async def forward(client: trio.SocketStream) -> None:
@@ -135,7 +149,8 @@
         listeners = await nursery.start(
             partial(trio.serve_tcp, forward, 0, host=HOST)
         )
-        yield f"{HOST}:{listeners[0].socket.getsockname()[1]}"
+        link.address = f"{HOST}:{listeners[0].socket.getsockname()[1]}"
+        yield link
         nursery.cancel_scope.cancel()
 
 
@@ -151,12 +166,20 @@
 
 @asynccontextmanager
 async def running_node(
-    platform: LoopbackPlatform, name: str
+    platform: LoopbackPlatform, name: str, store_address: str = ""
 ) -> AsyncIterator[tuple[GatewayNode, dict[str, str]]]:
-    """Runs an entry VM in this process; cancels it at the end."""
+    """Runs an entry VM in this process; cancels it at the end.
+
+    Args:
+        platform: The platform that the VM uses.
+        name: Name of the VM.
+        store_address: host:port at which it reaches the store, if not directly.
+    """
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings"
-        values = write_settings(path, name, platform.store_address)
+        values = write_settings(
+            path, name, store_address or platform.store_address
+        )
         node, handlers = build_node(read_settings(path))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(node.run, handlers)
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -18,7 +18,14 @@
 from pimentocross.platform.topics import OperatorTopic
 from tests import run_virtual
 from tests.operator_fixtures import VM, FollowingVm, following_vm
-from tests.platform_fixtures import loopback_platform, slow_link
+from tests.platform_fixtures import (
+    PREFIX,
+    Caller,
+    loopback_platform,
+    running_node,
+    slow_link,
+    wait_until_ready,
+)
 from tests.test_http import real_time
 
 # Seconds within which a change must be in force, as large sites require.
@@ -131,7 +138,7 @@
 async def test_a_large_version_arrives_on_real_connections() -> None:
     async with loopback_platform(0) as platform:
         async with slow_link(platform.store_address, _LINK_BYTES_PER_S) as link:
-            source = OperatorTopic(StoreClient(link))
+            source = OperatorTopic(StoreClient(link.address))
             follower = ConfigFollower(source, _APPLY_WITHIN)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(follower.run)
@@ -145,3 +152,32 @@
                         await follower.check_current()
                         await trio.sleep(0.05)
                 nursery.cancel_scope.cancel()
+
+
+@real_time
+async def test_a_removed_route_is_not_served_by_a_vm_with_an_old_copy() -> None:
+    """The owner has the version that removes it, the asked VM does not."""
+    async with (
+        loopback_platform(1) as platform,
+        slow_link(platform.store_address, _LINK_BYTES_PER_S) as first,
+        slow_link(platform.store_address, _LINK_BYTES_PER_S) as second,
+        running_node(platform, "vm1", first.address) as (node, settings),
+        running_node(platform, "vm2", second.address) as (_, other),
+    ):
+        await wait_until_ready(settings)
+        await wait_until_ready(other)
+        await platform.configure(2, PREFIX, "/removed/")
+        asked, link = settings, first
+        if node.gauges()["owned_epoch"]:
+            asked, link = other, second
+        caller = Caller(asked["listen_addrs.frontend"])
+        with trio.fail_after(5):
+            while (await caller.call("GET", "/removed/")).status != 200:
+                await trio.sleep(0.05)
+        link.bytes_per_s = 1.0
+        await platform.configure(3, PREFIX)
+        await trio.sleep(1.0)
+        assert (await caller.call("GET", PREFIX)).status == 200
+        reply = await caller.call("GET", "/removed/")
+        assert reply.status == 503, reply
+        assert int(dict(reply.headers)[b"retry-after"]) >= 1
