A new owner on a slow link reads the state as long as it arrives

A new owner had 3.0 s for each page of the cell's state, of up to 1 MB, and asked for it once. On a link of 125 KB/s a page takes 8 s: such a VM could not take the cell over, and a read that the store never got cost 3.0 s.

The read goes the way of the others: it lasts as long as bytes arrive, and is repeated while there are none.

--- a/pimentocross/contracts/topic_reader.py
+++ b/pimentocross/contracts/topic_reader.py
@@ -94,8 +94,8 @@
                 return self._page_update(read, read.value, start)
             note("history_gone", topic=self._topic, position=start)
             self._end = None
-        found = await first_answer(
-            self._request_newest, 0.0, timeout, hedge_delay
+        found = await read_newest(
+            self._store, self._topic, timeout, hedge_delay
         )
         self._advance(found.value.end)
         return TopicUpdate(
@@ -144,14 +144,36 @@
         except HistoryExpiredError:
             return None
 
-    async def _request_newest(self, attempt: RequestAttempt) -> Page:
-        return await self._store.newest(
-            self._topic,
+
+async def read_newest(
+    store: Store,
+    topic: str,
+    timeout: float,
+    hedge_delay: float = HEDGE_DELAY,
+) -> FirstAnswer[Page]:
+    """Returns the newest record of each key of a topic.
+
+    Args:
+        store: The store.
+        topic: Name of the topic.
+        timeout: Seconds without any bytes of an answer after which the read
+            fails.
+        hedge_delay: Seconds without any bytes after which it is repeated.
+
+    Raises:
+        StoreUnavailableError: The store did not answer.
+    """
+
+    async def request(attempt: RequestAttempt) -> Page:
+        return await store.newest(
+            topic,
             attempt.timeout,
             new_connection=attempt.is_hedge,
             progress=attempt.progress,
         )
 
+    return await first_answer(request, 0.0, timeout, hedge_delay)
+
 
 def _known_at(read: FirstAnswer[Page | None], page: Page, start: int) -> float:
     """Returns the latest time at which the page was surely complete."""
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -8,6 +8,7 @@
 from pimentocross.contracts.adviser import Adviser
 from pimentocross.contracts.store import Store
 from pimentocross.contracts.switches import Part, Switches
+from pimentocross.contracts.topic_reader import read_newest
 from pimentocross.contracts.worker_link import (
     WorkerDialer,
     WorkerDirectory,
@@ -342,9 +343,10 @@
         self._take_over_log.note("owner_settled")
 
     async def _load_state(self) -> None:
-        page = await self._platform.store.newest(
-            self._claim.topic, const.NEWEST_TIMEOUT
+        found = await read_newest(
+            self._platform.store, self._claim.topic, const.NEWEST_TIMEOUT
         )
+        page = found.value
         time_slice = TimeSlice()
         jobs: dict[str, Job] = {}
         progress: dict[str, bytes] = {}
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -13,10 +13,13 @@
 
 import trio
 
+from pimentocross.contracts.store import Record
 from pimentocross.gateway.config_follower import ConfigFollower
+from pimentocross.gateway.const import JOBS_TOPIC
 from pimentocross.platform.store import StoreClient
 from pimentocross.platform.topics import OperatorTopic
 from tests import run_virtual
+from tests.gateway_fixtures import WEAK, VmCell
 from tests.operator_fixtures import VM, FollowingVm, following_vm
 from tests.platform_fixtures import (
     PREFIX,
@@ -134,6 +137,19 @@
             assert lag < _APPLY_WITHIN, (seed, kind, routes, lag)
 
 
+async def test_an_owner_on_a_slow_link_reads_a_large_state() -> None:
+    """The state takes longer to arrive than a read may stall."""
+    cell = VmCell()
+    records = [Record(f"z{number}", b"x" * 1000) for number in range(400)]
+    await cell.store.client("any").append(JOBS_TOPIC, records, 1.0)
+    async with cell.running():
+        cell.store.faults.link_bytes_per_s = 100_000.0
+        cell.start("vm0", WEAK)
+        with trio.fail_after(10.0):
+            while not cell.owners():
+                await trio.sleep(0.01)
+
+
 @real_time
 async def test_a_large_version_arrives_on_real_connections() -> None:
     async with loopback_platform(0) as platform:
