Appends fit into a slow link within their hedge delay

An owner put up to 1 MB into one append, had 1.5 s for it and sent it once more on a second connection after 0.4 s. On a link of 625 KB/s such an append takes 1.6 s, so it was repeated for ever, and nothing was recorded, accepted or started. The same holds for what a VM stores without an owner.

An append has 64 KB at most, unless one record is larger. Records of one batch are stored in their order as before.

test_many_records_are_stored_over_a_slow_link: 960 KB, not stored within 1 s beyond the 1.5 s that the link needs before, stored now.

--- a/pimentocross/contracts/progress.py
+++ b/pimentocross/contracts/progress.py
@@ -1,9 +1,15 @@
 """How much of the answer to a request has arrived."""
 
 from collections.abc import Callable
+from typing import Final
 
 import trio
 
+# Seconds without any bytes after which an answer that has begun to arrive has
+# stalled. A link may lose packets, which are sent again after some tenths of a
+# second.
+STALL_TIMEOUT: Final = 1.0
+
 
 class AnswerProgress:
     """Counts the bytes of an answer while they arrive.
@@ -26,10 +32,23 @@
         self.received = 0
         self.arrived_at = float("-inf")
         self._listener = listener
+        self._scope: trio.CancelScope | None = None
+
+    def extend(self, scope: trio.CancelScope) -> None:
+        """Extends a scope's deadline whenever bytes arrive from now on.
+
+        It is then not over before the answer has stalled.
+        """
+        self._scope = scope
 
     def note_received(self, size: int) -> None:
         """Counts bytes that have arrived just now."""
+        now = trio.current_time()
         self.received += size
-        self.arrived_at = trio.current_time()
+        self.arrived_at = now
+        if self._scope is not None:
+            self._scope.deadline = max(
+                self._scope.deadline, now + STALL_TIMEOUT
+            )
         if self._listener is not None:
             self._listener(self, size)
--- a/pimentocross/links/const.py
+++ b/pimentocross/links/const.py
@@ -22,8 +22,5 @@
 TARGET_CONNECT_TIMEOUT: Final = 0.5
 MAX_IDLE_TARGET_CONNECTIONS: Final = 8
 TARGET_KEEP_ALIVE: Final = 20.0
-# An answer of which no bytes have arrived for this long has stalled. The link
-# may lose packets, which are sent again after some tenths of a second.
-STALL_TIMEOUT: Final = 1.0
 # Maximum body size of a target's answer that is forwarded.
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
--- a/pimentocross/links/http_pool.py
+++ b/pimentocross/links/http_pool.py
@@ -6,7 +6,6 @@
 
 from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.links.asgi import Headers, HttpReply, HttpRequest
-from pimentocross.links.const import STALL_TIMEOUT
 from pimentocross.links.target_connection import (
     TargetConnection,
     TargetConnectionError,
@@ -59,20 +58,12 @@
             timeout: Seconds to wait for the complete answer.
             headers: Headers of the request.
             progress: Counts the bytes of the answer as they arrive. If it is
-                given, `timeout` does not end an answer that is arriving, which
-                fails only after `STALL_TIMEOUT` without any bytes.
+                given, an answer that is arriving may take longer than
+                `timeout`, see `AnswerProgress.extend`.
 
         Raises:
             HttpCallError: There was no complete answer in time.
         """
-
-        def note_received(size: int) -> None:
-            scope.deadline = max(
-                scope.deadline, trio.current_time() + STALL_TIMEOUT
-            )
-            if progress is not None:
-                progress.note_received(size)
-
         path, _, query = target.partition("?")
         request = HttpRequest(method, path, query.encode(), headers, body)
         connection: TargetConnection | None = None
@@ -81,9 +72,9 @@
             with trio.fail_after(timeout) as scope:
                 connection = await self._acquire()
                 sent = True
-                reply = await connection.exchange(
-                    request, [], note_received if progress is not None else None
-                )
+                if progress is not None:
+                    progress.extend(scope)
+                reply = await connection.exchange(request, [], progress)
         except trio.TooSlowError as error:
             raise HttpCallError("no answer in time", sent=sent) from error
         except (OSError, TargetConnectionError) as error:
--- a/pimentocross/links/target_connection.py
+++ b/pimentocross/links/target_connection.py
@@ -6,7 +6,6 @@
 CPU time of a forwarded request.
 """
 
-from collections.abc import Callable
 import select
 import socket
 from typing import Final
@@ -14,6 +13,7 @@
 import h11
 import trio
 
+from pimentocross.contracts.progress import AnswerProgress
 from pimentocross.links import const
 from pimentocross.links.asgi import Headers, HttpReply, HttpRequest
 from pimentocross.links.plain_http import (
@@ -48,7 +48,7 @@
         # further request.
         self._open = True
         self._used_at = trio.current_time()
-        self._on_received: Callable[[int], None] | None = None
+        self._progress: AnswerProgress | None = None
 
     @property
     def reusable(self) -> bool:
@@ -66,21 +66,20 @@
         self,
         request: HttpRequest,
         extra: Headers,
-        on_received: Callable[[int], None] | None = None,
+        progress: AnswerProgress | None = None,
     ) -> HttpReply:
         """Sends a request and returns the complete answer.
 
         Args:
             request: The request.
             extra: Headers to send in addition.
-            on_received: Called with the number of bytes of the answer whenever
-                some have arrived.
+            progress: Counts the bytes of the answer as they arrive.
 
         Raises:
             TargetConnectionError: There is no complete and valid answer.
         """
         self._open = False
-        self._on_received = on_received
+        self._progress = progress
         headers = self._headers(request, extra)
         try:
             await self._stream.send_all(self._encode(request, headers))
@@ -98,8 +97,8 @@
     async def _receive(self) -> bytes:
         """Returns the next bytes of the answer, b"" at its end."""
         chunk = await self._stream.receive_some(_CHUNK)
-        if self._on_received is not None:
-            self._on_received(len(chunk))
+        if self._progress is not None:
+            self._progress.note_received(len(chunk))
         return bytes(chunk)
 
     async def aclose(self) -> None:
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -24,8 +24,9 @@
 UNSURE_AFTER: Final = 1.3
 # Interval at which a waiting call checks whether the store is unavailable.
 AWAY_CHECK_INTERVAL: Final = 0.1
-# Maximum size of an append: half of the platform's limit.
-APPEND_BYTES: Final = 1_000_000
+# Maximum size of an append, unless a single record is larger. 1 Mbit/s
+# carry it in little more than the delay after which an append is repeated.
+APPEND_BYTES: Final = 64 * 1024
 
 # Lease of running tasks. Long enough for a take-over (2 s) and a lost renewal;
 # short enough that the tasks of a crashed worker start again within 6 s.
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -15,6 +15,10 @@
 
 # Seconds within which callers of short jobs expect them to start.
 _MAX_RECORD_SECONDS = 1.0
+# Bytes per second that the link of a weak VM carries.
+_SLOW_LINK = 625_000.0
+_LARGE_RECORDS = 240
+_LARGE_RECORD_BYTES = 4_000
 
 
 def _record(key: str) -> LazyRecord:
@@ -57,3 +61,21 @@
             nursery.cancel_scope.cancel()
         keys = [r.key for r in store.topic("jobs").records if r.value]
         assert keys == [f"r{number}" for number in range(20)], seed
+
+
+async def test_many_records_are_stored_over_a_slow_link() -> None:
+    """One append of them all took longer than its timeout, again and again."""
+    store = StoreStandin()
+    ledger = Ledger(store.client("vm"), "jobs", "owner", 1)
+    async with trio.open_nursery() as nursery:
+        await ledger.open()
+        nursery.start_soon(ledger.run)
+        store.faults.link_bytes_per_s = _SLOW_LINK
+        for number in range(_LARGE_RECORDS):
+            stored = ledger.put(
+                LazyRecord(f"r{number}", lambda: b"x" * _LARGE_RECORD_BYTES)
+            ).stored
+        seconds = _LARGE_RECORDS * _LARGE_RECORD_BYTES / _SLOW_LINK
+        with trio.fail_after(seconds + _MAX_RECORD_SECONDS):
+            await stored.wait()
+        nursery.cancel_scope.cancel()
