--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -89,11 +89,16 @@
 
 async def test_a_vm_that_starts_anew_gets_a_large_version_in_time() -> None:
     """It reads the newest records, which have a third more bytes."""
-
-    def forget(followed: FollowingVm) -> None:
-        followed.store.forget_history("op")
-
-    assert await _max_lag(forget, _ROUTES) < _APPLY_WITHIN
+    async with following_vm(_APPLY_WITHIN) as followed:
+        await followed.publish(_ROUTES)
+        followed.store.faults.link_bytes_per_s = _LINK_BYTES_PER_S
+        source = OperatorTopic(followed.store.client("new"))
+        follower = ConfigFollower(source, _APPLY_WITHIN)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            lag = await followed.lag_until(lambda: follower.config is not None)
+            assert lag < _APPLY_WITHIN
+            nursery.cancel_scope.cancel()
 
 
 async def test_an_answer_that_stalls_is_asked_for_again() -> None:
