--- a/pimentocross/contracts/hedging.py
+++ b/pimentocross/contracts/hedging.py
@@ -22,8 +22,8 @@
 # Seconds after which an unanswered request is repeated; a store that is merely
 # slow answers within this time.
 HEDGE_DELAY: Final = 0.4
-# Bytes of an answer from which on it takes a noticeable part of a slow link, so
-# that other attempts must not share the link with it.
+# An answer of this many bytes takes long on a slow link, so other attempts must
+# not share the link with it.
 _LARGE_ANSWER: Final = 16 * 1024
 # Passes of the event loop that it takes to read an answer that has arrived.
 _PASSES_TO_READ_ANSWER: Final = 5
@@ -143,7 +143,7 @@
             self.done.set()
 
     def _note_received(self, progress: AnswerProgress, size: int) -> None:
-        """Counts bytes; leaves the link to an answer that takes long on it."""
+        """Counts bytes; once an answer is large, cancels all other attempts."""
         self.received += size
         if progress.received < _LARGE_ANSWER:
             return
--- a/pimentocross/contracts/progress.py
+++ b/pimentocross/contracts/progress.py
@@ -5,9 +5,8 @@
 
 import trio
 
-# Seconds without any bytes after which an answer that has begun to arrive has
-# stalled. A link may lose packets, which are sent again after some tenths of a
-# second.
+# Seconds without new bytes after which an answer counts as stalled. A lost
+# packet is sent again after some tenths of a second.
 STALL_TIMEOUT: Final = 1.0
 
 
@@ -35,9 +34,10 @@
         self._scope: trio.CancelScope | None = None
 
     def extend(self, scope: trio.CancelScope) -> None:
-        """Extends a scope's deadline whenever bytes arrive from now on.
+        """Keeps a scope open while the answer arrives.
 
-        It is then not over before the answer has stalled.
+        Whenever bytes arrive, the scope's deadline is moved to `STALL_TIMEOUT`
+        from then, unless it is later already.
         """
         self._scope = scope
 
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -24,8 +24,8 @@
 UNSURE_AFTER: Final = 1.3
 # Interval at which a waiting call checks whether the store is unavailable.
 AWAY_CHECK_INTERVAL: Final = 0.1
-# Maximum size of an append, unless a single record is larger. 1 Mbit/s
-# carry it in little more than the delay after which an append is repeated.
+# Maximum size of an append, unless a single record is larger. A link of
+# 1.5 Mbit/s carries it before the append is overdue and repeated.
 APPEND_BYTES: Final = 64 * 1024
 
 # Lease of running tasks. Long enough for a take-over (2 s) and a lost renewal;
