--- a/tests/operator_fixtures.py
+++ b/tests/operator_fixtures.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+import random
 
 import trio
 
@@ -74,6 +75,32 @@
         return config is not None and config.version >= version
 
 
+async def fault_then_calm(
+    followed: FollowingVm, rng: random.Random, max_delay: float
+) -> str:
+    """Injects a random fault of the store for some seconds; returns its kind.
+
+    Args:
+        followed: The VM whose store fails.
+        rng: Draws the fault and the times.
+        max_delay: Longest delay of a slow store's answers, in seconds.
+    """
+    faults = followed.store.faults
+    kind = rng.choice(("away", "refused", "silent", "slow"))
+    if kind == "away":
+        faults.away = True
+    elif kind == "refused":
+        faults.refused = {VM}
+    elif kind == "silent":
+        faults.silence_count += 1
+    else:
+        faults.delay = rng.uniform(0.05, max_delay)
+    await trio.sleep(rng.uniform(0.05, 5.0))
+    faults.away, faults.refused, faults.delay = False, set(), 0.004
+    await trio.sleep(rng.choice((0.0, rng.uniform(0.0, 1.0))))
+    return kind
+
+
 @asynccontextmanager
 async def following_vm(
     within: float = APPLY_WITHIN, evacuated_within: float = float("inf")
--- a/tests/test_config_current.py
+++ b/tests/test_config_current.py
@@ -31,8 +31,8 @@
 from tests import run_virtual
 from tests.operator_fixtures import (
     APPLY_WITHIN,
-    VM,
     FollowingVm,
+    fault_then_calm,
     following_vm,
 )
 from tests.platform_fixtures import (
@@ -90,20 +90,8 @@
     async def run() -> None:
         rng = random.Random(seed)
         async with following_vm() as followed:
-            faults = followed.store.faults
             for _ in range(6):
-                kind = rng.choice(("away", "refused", "silent", "slow"))
-                if kind == "away":
-                    faults.away = True
-                elif kind == "refused":
-                    faults.refused = {VM}
-                elif kind == "silent":
-                    faults.silence_count += 1
-                else:
-                    faults.delay = rng.uniform(0.05, 0.4)
-                await trio.sleep(rng.uniform(0.05, 5.0))
-                faults.away, faults.refused, faults.delay = False, set(), 0.004
-                await trio.sleep(rng.choice((0.0, rng.uniform(0.0, 1.0))))
+                kind = await fault_then_calm(followed, rng, 0.4)
                 lag = await followed.lag(await followed.publish())
                 assert lag < APPLY_WITHIN, (seed, kind, lag)
 
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -9,6 +9,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 import random
 
 import trio
@@ -20,7 +21,11 @@
 from pimentocross.platform.topics import OperatorTopic
 from tests import run_virtual
 from tests.gateway_fixtures import WEAK, VmCell
-from tests.operator_fixtures import VM, FollowingVm, following_vm
+from tests.operator_fixtures import (
+    FollowingVm,
+    fault_then_calm,
+    following_vm,
+)
 from tests.platform_fixtures import (
     PREFIX,
     Caller,
@@ -117,26 +122,14 @@
 def test_large_versions_after_any_faults_are_in_force_in_time() -> None:
     """Outages, refusals, silence and delays, then a healthy store."""
     for seed in range(30):
-        run_virtual(lambda seed=seed: _faults_then_calm(seed), seed)  # type: ignore[misc]
+        run_virtual(partial(_faults_then_calm, seed), seed)
 
 
 async def _faults_then_calm(seed: int) -> None:
     rng = random.Random(seed)
     async with _vm_on_slow_link() as followed:
-        faults = followed.store.faults
         for _ in range(6):
-            kind = rng.choice(("away", "refused", "silent", "slow"))
-            if kind == "away":
-                faults.away = True
-            elif kind == "refused":
-                faults.refused = {VM}
-            elif kind == "silent":
-                faults.silence_count += 1
-            else:
-                faults.delay = rng.uniform(0.05, 0.9)
-            await trio.sleep(rng.uniform(0.05, 5.0))
-            faults.away, faults.refused, faults.delay = False, set(), 0.004
-            await trio.sleep(rng.choice((0.0, rng.uniform(0.0, 1.0))))
+            kind = await fault_then_calm(followed, rng, 0.9)
             routes = rng.choice((1, _ROUTES // 3, _ROUTES))
             lag = await followed.lag(await followed.publish(routes))
             assert lag < _APPLY_WITHIN, (seed, kind, routes, lag)
