--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, and the checks of the review's scripts."""
