--- a/review/common/world.py
+++ b/review/common/world.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 from typing import Any
 
 import trio
@@ -544,26 +545,40 @@
 
 
 def run_case(case: Case, folder: Path, seconds: float = 115.0) -> int:
-    """Plays a case, writes its record, and returns the exit code."""
+    """Plays a case, writes its record, and returns the exit code.
+
+    Args:
+        case: The case.
+        folder: Where the record is written.
+        seconds: Time within which the case has to end.
+
+    Returns:
+        1 if a rule was broken, 0 if all held, 2 if the case couldn't run.
+    """
     argparse.ArgumentParser(description=case.__doc__).parse_args()
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    lines: list[str] = [f"trouble: {trouble}"]
+    lines = [f"trouble: {trouble}"]
+    events: list[dict[str, Any]] = []
+    broken: list[str] = []
 
-    async def play() -> int:
+    async def play() -> None:
         async with open_world() as world:
-            try:
-                with trio.fail_after(seconds):
-                    broken = await case(world, trouble)
-            except (CannotRunError, trio.TooSlowError) as error:
-                lines.append(f"could not run: {error!r}")
-                code = 2
-            else:
-                lines.extend(broken or ["held"])
-                code = 1 if broken else 0
-            lines.extend(json.dumps(event) for event in world.events)
-        return code
-
-    code = trio.run(play)
+            world.events = events
+            with trio.fail_after(seconds):
+                broken.extend(await case(world, trouble))
+
+    code = 0
+    try:
+        trio.run(play)
+    except Exception as error:  # Whatever it is, no rule was judged.
+        code = 2
+        traceback.print_exception(error)
+        lines.append(f"could not run: {error!r}")
+    else:
+        code = 1 if broken else 0
+        lines.extend(broken or ["held"])
+    head = "\n".join(lines[:6])
+    lines.extend(json.dumps(event) for event in events)
     (folder / "record.txt").write_text("\n".join(lines) + "\n", "utf-8")
-    sys.stdout.write("\n".join(lines[:6])[:2000] + f"\nexit {code}\n")
+    sys.stdout.write(f"{head}\nexit {code}\n")
     return code
