Whatever is nested in another process's bytes, a decoder raises its one error

A submission with such a field ended the process of the VM that got it.

Cause: beyond some 1,000 levels msgspec raises RecursionError, also within a field that the type doesn't have. Every reader caught DecodeError alone, so that the error ended the nursery of the process. The newest record of a key stays in the store: each owner in turn read it.

Change: pimentocross/decoding.py makes all decoders of bytes that come from other processes (workers' entries and listings, configuration, submissions, adviser, store, our own records, cluster, the product's own interface); they raise DecodeError, which all readers handle. records_unreadable_total counts what is ignored, by topic. Own msgpack records are covered as well; their readers had met no such value, as only our processes write them.

--- a/pimentocross/backing/http.py
+++ b/pimentocross/backing/http.py
@@ -12,11 +12,13 @@
     MAX_CONNECTIONS,
 )
 from pimentocross.contracts.progress import AnswerProgress
+from pimentocross.decoding import json_decoder
 
 # Size of method, version, status and blank lines of a request and its reply.
 _START_LINE_BYTES: Final = 40
 # Size of colon, space and line end of a header.
 _HEADER_SEPARATOR_BYTES: Final = 4
+_decode: Final = json_decoder(object)
 
 
 class JsonReply(NamedTuple):
@@ -108,7 +110,7 @@
             self.bytes_moved += sent + received + _START_LINE_BYTES
             decoded = None
             if reply_body:
-                decoded = msgspec.json.decode(reply_body)
+                decoded = _decode(reply_body)
             return JsonReply(response.status, decoded, _etag(response))
         except (
             httpcore.ConnectError,
--- a/pimentocross/entry/caller_api.py
+++ b/pimentocross/entry/caller_api.py
@@ -11,6 +11,7 @@
 
 from pimentocross.config.schema import Configuration, ServiceConfig
 from pimentocross.contracts.drain import Drain, DrainingError
+from pimentocross.decoding import json_decoder
 from pimentocross.entry import const
 from pimentocross.entry.forwarder import Call, Forwarder
 from pimentocross.entry.idempotency import IdempotencyTable, hash_key
@@ -39,6 +40,8 @@
 from pimentocross.observe.logs import log_action
 from pimentocross.observe.problems import Problem, not_run
 
+_decode_fields = json_decoder(dict[str, str | int])
+
 SERVICES = "/services/"
 JOBS = "/jobs"
 HEALTH = "/-/health"
@@ -279,7 +282,7 @@
 
 
 def _read_job(body: bytes) -> JobRequest:
-    fields = msgspec.json.decode(body, type=dict[str, str | int])
+    fields = _decode_fields(body)
     values = [fields.get("class", ""), fields.get("input", "")]
     return msgspec.convert([*values, fields.get("tasks", 1)], JobRequest)
 
--- a/pimentocross/entry/operator_api.py
+++ b/pimentocross/entry/operator_api.py
@@ -11,6 +11,7 @@
 from pimentocross.config.state import KINDS, ConfigChanged, ConfigState
 from pimentocross.contracts.fold import StreamFold
 from pimentocross.contracts.outbox import Outcome
+from pimentocross.decoding import json_decoder
 from pimentocross.entry import const
 from pimentocross.entry.membership import Peers
 from pimentocross.entry.reports import Reports
@@ -51,6 +52,7 @@
 
 _PEER_TIMEOUT = 3.0
 _DEFAULT_JOB_LIMIT = 100
+_decode_fields = json_decoder(dict[str, Any])
 
 
 class ApplyRequest(NamedTuple):
@@ -150,7 +152,7 @@
 
     async def _apply(self, body: bytes) -> HttpReply:
         try:
-            fields = msgspec.json.decode(body, type=dict[str, Any])
+            fields = _decode_fields(body)
             names = ApplyRequest._fields
             change = msgspec.convert([fields[n] for n in names], ApplyRequest)
         except (msgspec.MsgspecError, KeyError) as error:
--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from functools import partial
-from typing import Final, NamedTuple, TypeVar
+from typing import Any, Final, NamedTuple, TypeVar
 
 import msgspec
 import trio
@@ -21,6 +21,7 @@
     StoreUnavailableError,
 )
 from pimentocross.contracts.topic_reader import TopicReader
+from pimentocross.decoding import msgpack_decoder
 from pimentocross.gateway import const
 from pimentocross.observe.decisions import note
 
@@ -33,6 +34,8 @@
 _MEMBER_FIELD_COUNT: Final = 4
 _CLAIM_PREFIX: Final = "claim/"
 _encode: Final = msgspec.msgpack.Encoder().encode
+_decode_cores: Final = msgpack_decoder(float)
+_decode_fields: Final = msgpack_decoder(list[Any])
 
 
 class Member(NamedTuple):
@@ -257,9 +260,7 @@
                 self._apply_member(_decode(record.value, Member))
             elif record.key.startswith(_CORES_PREFIX):
                 vm = record.key.removeprefix(_CORES_PREFIX)
-                self._cores[vm] = msgspec.msgpack.decode(
-                    record.value, type=float
-                )
+                self._cores[vm] = _decode_cores(record.value)
                 if vm in self.members:
                     self._apply_member(self.members[vm])
             elif record.key == _CLAIM_PREFIX + const.CELL:
@@ -277,7 +278,7 @@
 
 def _decode(value: bytes, cls: type[_T]) -> _T:
     """Decodes a record of any version; later versions only append fields."""
-    fields = msgspec.msgpack.decode(value, type=list)
+    fields = _decode_fields(value)
     known = _MEMBER_FIELD_COUNT if cls is Member else len(cls._fields)
     record: _T = msgspec.convert(fields[:known], cls)
     return record
--- a/pimentocross/observe/meters.py
+++ b/pimentocross/observe/meters.py
@@ -29,6 +29,11 @@
     add(f'calls_unanswered_total{{call="{call}"}}')
 
 
+def add_unreadable(topic: str) -> None:
+    """Counts a record of a topic that was ignored as it can't be decoded."""
+    add(f'records_unreadable_total{{topic="{topic}"}}')
+
+
 def add_intake_stored(kind: str) -> None:
     """Counts a request stored by an entry VM that can't reach the owner."""
     add(f'intake_stored_total{{kind="{kind}"}}')
--- a/pimentocross/owner/intake.py
+++ b/pimentocross/owner/intake.py
@@ -153,6 +153,7 @@
         except RecordError as error:
             # It stays in the topic: an owner of another version may be able to
             # read it.
+            meters.add_unreadable(TOPIC)
             note("record_unreadable", key=key, reason=str(error))
             return
         self._imported.append(
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -14,6 +14,7 @@
     WorkerDirectory,
 )
 from pimentocross.contracts.zones import AllZonesOpen, ZoneAccess
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner import const
@@ -365,6 +366,7 @@
             try:
                 self._load_record(kind, name, record.value, jobs)
             except (RecordError, ValueError) as error:
+                meters.add_unreadable(self._claim.topic)
                 note("record_unreadable", key=record.key, reason=str(error))
         for job in jobs.values():
             await time_slice.yield_if_over()
--- a/pimentocross/platform/adviser.py
+++ b/pimentocross/platform/adviser.py
@@ -9,6 +9,7 @@
     AdviserUnavailableError,
     StepName,
 )
+from pimentocross.decoding import json_decoder
 from pimentocross.links.http_pool import HttpCallError, HttpPool
 
 _OK = 200
@@ -20,7 +21,7 @@
     validity_ms: float = 0
 
 
-_decode = msgspec.json.Decoder(_Reply).decode
+_decode = json_decoder(_Reply)
 
 
 class HttpAdviser:
--- a/pimentocross/platform/store.py
+++ b/pimentocross/platform/store.py
@@ -19,6 +19,7 @@
     SequenceGapError,
     StoreUnavailableError,
 )
+from pimentocross.decoding import json_decoder
 from pimentocross.links.asgi import HttpReply
 from pimentocross.links.http_pool import HttpCallError, HttpPool
 from pimentocross.observe.decisions import note
@@ -57,9 +58,9 @@
     has_more: bool = False
 
 
-_decode_append_reply = msgspec.json.Decoder(_AppendReply).decode
-_decode_newest = msgspec.json.Decoder(_NewestReply).decode
-_decode_item = msgspec.json.Decoder(_NewestItem).decode
+_decode_append_reply = json_decoder(_AppendReply)
+_decode_newest = json_decoder(_NewestReply)
+_decode_item = json_decoder(_NewestItem)
 
 
 class StoreClient:
@@ -177,7 +178,7 @@
                 )
             try:
                 page = _decode_newest(reply.body)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except msgspec.DecodeError as error:
                 raise StoreUnavailableError(str(error), sent=False) from error
             found = [
                 record
--- a/pimentocross/platform/topics.py
+++ b/pimentocross/platform/topics.py
@@ -7,6 +7,7 @@
 from pimentocross.contracts.topic_reader import TopicReader
 from pimentocross.contracts.worker_link import WorkerLife
 from pimentocross.gateway.config_follower import ConfigReply
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.platform.wire import WireError, read_config, read_worker
 from pimentocross.work.queue import WorkConfig
@@ -53,6 +54,7 @@
             try:
                 config = read_config(record.value)
             except WireError as error:
+                meters.add_unreadable(_OPERATOR_TOPIC)
                 note("config_unreadable", reason=str(error))
                 continue
             if found is None or config.version > found.version:
@@ -114,6 +116,7 @@
         self._unreadable.discard(record.key)
 
     def _log_unreadable(self, key: str, reason: str) -> None:
+        meters.add_unreadable(_SERVERS_TOPIC)
         if (
             key in self._unreadable
             or len(self._unreadable) >= _MAX_UNREADABLE_KEYS
--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -16,6 +16,7 @@
     ListedRun,
     WorkerLife,
 )
+from pimentocross.decoding import json_decoder
 from pimentocross.work.queue import (
     CallerLimits,
     Queue,
@@ -190,12 +191,12 @@
     "alone": EndKind.GANG_ALONE,
 }
 
-_decode_server = msgspec.json.Decoder(_WorkerEntry).decode
-_decode_config = msgspec.json.Decoder(_Config).decode
-_decode_submission = msgspec.json.Decoder(_Submission, strict=False).decode
-_decode_hold = msgspec.json.Decoder(_HoldReply).decode
-_decode_lenient_hold = msgspec.json.Decoder(_LenientHoldReply).decode
-_decode_refusal = msgspec.json.Decoder(Refusal).decode
+_decode_server = json_decoder(_WorkerEntry)
+_decode_config = json_decoder(_Config)
+_decode_submission = json_decoder(_Submission, strict=False)
+_decode_hold = json_decoder(_HoldReply)
+_decode_lenient_hold = json_decoder(_LenientHoldReply)
+_decode_refusal = json_decoder(Refusal)
 
 
 def read_worker(life_id: str, value: bytes) -> WorkerLife:
@@ -208,7 +209,7 @@
         raise WireError("the key is not a valid worker id")
     try:
         server = _decode_server(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise WireError(f"entry of a worker: {error}") from error
     capacity = server.capacity
     return WorkerLife(
@@ -233,7 +234,7 @@
     """
     try:
         config = _decode_config(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise WireError(f"configuration: {error}") from error
     limits = config.limits
     return WorkConfig(
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -6,11 +6,13 @@
 each byte.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+import functools
 from typing import Any, Final, NamedTuple, TypeVar
 
 import msgspec
 
+from pimentocross.decoding import msgpack_decoder
 from pimentocross.work.crash_history import CrashHistory
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, TaskName
@@ -552,9 +554,14 @@
     return _decode(value, WorkerRecord)
 
 
+@functools.cache
+def _decoder(cls: type[_T]) -> Callable[[bytes], _T]:
+    return msgpack_decoder(cls)
+
+
 def _decode(value: bytes, cls: type[_T]) -> _T:
     try:
-        record: _T = msgspec.msgpack.decode(value, type=cls)
+        record = _decoder(cls)(value)
     except msgspec.DecodeError as error:
         raise RecordError(f"{cls.__name__}: {error}") from error
     if record[0] != FORMAT_VERSION:
--- /dev/null
+++ b/tests/test_unreadable_records.py
@@ -0,0 +1,166 @@
+"""Tests that whatever other processes write ends no reader."""
+
+from collections.abc import Callable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import trio
+
+from pimentocross.contracts.store import Record
+from pimentocross.gateway.cluster import Cluster
+from pimentocross.links.http_pool import HttpPool
+from pimentocross.owner.intake import submission_key
+from pimentocross.platform.topics import WorkerTopic
+from pimentocross.platform.wire import (
+    WireError,
+    read_config,
+    read_hold,
+    read_refusal,
+    read_submission,
+    read_worker,
+)
+from pimentocross.standins.store import StoreStandin
+from pimentocross.standins.users_platform import worker_entry
+from pimentocross.work import records
+from pimentocross.work.records import RecordError
+from pimentocross.work.spec import StepSpec
+from pimentocross.work.state import Job
+from tests.owner_fixtures import (
+    QUEUE,
+    SMALL,
+    chain,
+    life,
+    make_owner,
+    make_worker_pool,
+    running,
+    spec,
+    wait_until,
+)
+from tests.platform_fixtures import (
+    PREFIX,
+    loopback_platform,
+    running_node,
+    wait_until_ready,
+)
+from tests.test_http import real_time
+
+_DEPTH = 2_000
+_NESTED_JSON = b'{"note":' + b"[" * _DEPTH
+_NESTED_MSGPACK = b"\x91" * _DEPTH + b"\x90"
+_ID = life(0).id
+_HOST = [(b"host", b"host")]
+
+
+def _read_worker(value: bytes) -> object:
+    return read_worker(_ID, value)
+
+
+_JSON_DECODERS: tuple[Callable[[bytes], object], ...] = (
+    _read_worker,
+    read_config,
+    read_submission,
+    read_hold,
+)
+_RECORD_DECODERS: tuple[Callable[[bytes], object], ...] = (
+    records.decode_learned,
+    records.decode_late_starts,
+    records.decode_silent_life,
+    records.decode_resent_starts,
+    records.decode_lived_runs,
+    records.decode_worker_ends,
+    records.decode_leases,
+    records.decode_worker,
+    records.decode_born,
+    lambda value: records.decode_submission("j", value),
+    lambda value: records.decode_progress(Job("j", QUEUE, chain(), 0), value),
+    lambda value: records.decode_crashes(Job("j", QUEUE, chain(), 0), value),
+)
+
+
+def _is_refused(
+    decode: Callable[[bytes], object],
+    value: bytes,
+    error: type[Exception],
+) -> bool:
+    try:
+        decode(value)
+    except error:
+        return True
+    return False
+
+
+def test_an_entry_of_nested_lists_ends_no_reader_of_the_directory() -> None:
+    # An uncaught RecursionError ended the process of each owner in turn.
+    async def read() -> list[str]:
+        store = StoreStandin()
+        topic = WorkerTopic(store.client("reader"))
+        writer = store.client("writer")
+        other = life(1)
+        for record in (
+            Record(_ID, _NESTED_JSON),
+            Record(other.id, worker_entry(other)),
+        ):
+            await writer.append("servers", [record], 1.0)
+        return [listed.id for listed in await topic.poll(1.0)]
+
+    assert trio.run(read) == [life(1).id]
+
+
+def test_nested_values_are_refused_by_each_decoder() -> None:
+    for decode in _JSON_DECODERS:
+        for value in (_NESTED_JSON, _NESTED_JSON + b"]" * _DEPTH + b"}"):
+            assert _is_refused(decode, value, WireError), decode
+    assert read_refusal(_NESTED_JSON).reason
+    for decode_record in _RECORD_DECODERS:
+        assert _is_refused(decode_record, _NESTED_MSGPACK, RecordError)
+
+
+@settings(deadline=None, max_examples=200)
+@given(st.binary(max_size=200))
+def test_any_bytes_are_refused_or_decoded(value: bytes) -> None:
+    for decode in _JSON_DECODERS:
+        _is_refused(decode, value, WireError)
+    for decode_record in _RECORD_DECODERS:
+        _is_refused(decode_record, value, RecordError)
+
+
+async def test_a_nested_record_of_a_job_ends_no_owner_in_turn() -> None:
+    store, worker_pool = StoreStandin(), make_worker_pool(1)
+    writer = store.client("writer")
+    for topic, key in (
+        ("jobs", records.PROGRESS + "j"),
+        ("jobs", records.SUBMISSION + "k"),
+        ("jobs", records.LEASES),
+        ("intake", submission_key("l")),
+    ):
+        await writer.append(topic, [Record(key, _NESTED_MSGPACK)], 1.0)
+    for epoch in (1, 2):
+        async with running(make_owner(store, worker_pool, epoch)) as owner:
+            job_id = f"job-{epoch}"
+            await owner.job_api.submit(job_id, QUEUE, spec(StepSpec(1, SMALL)))
+            await wait_until(
+                lambda owner=owner, job_id=job_id: (  # type: ignore[misc]
+                    owner.job_api.state(job_id).state == "completed"
+                )
+            )
+
+
+async def test_nested_records_of_the_cluster_end_no_vm() -> None:
+    store = StoreStandin()
+    writer = store.client("writer")
+    for key in ("m/x", "cores/x", "claim/cell-0"):
+        await writer.append("cluster", [Record(key, _NESTED_MSGPACK)], 1.0)
+    cluster = Cluster(store.client("reader"))
+    await cluster.refresh(0.0)
+    assert not cluster.members and cluster.claim is None
+
+
+@real_time
+async def test_a_submission_of_nested_lists_is_refused() -> None:
+    async with loopback_platform(1) as platform:
+        async with running_node(platform, "vm1") as (_, values):
+            await wait_until_ready(values)
+            pool = HttpPool(values["listen_addrs.frontend"])
+            body = b'{"job_steps":[{}],"note":' + b"[" * _DEPTH
+            reply = await pool.call("POST", f"{PREFIX}j", body, 3.0, _HOST)
+            assert reply.status == 400, reply
