Numbers that no record can hold are refused when they are decoded

Cause: the decoders take integers of any size and, where numbers may be strings, NaN and infinity; msgpack and int() raise OverflowError later, within the owner.

Change: Number and FiniteNumber bound what is decoded to 2^53, names of workers to 256 characters, ports to 65,535; a listing's rows of other types go through whole_number.

Evidence: the four new tests fail on (two AssertionErrors of numbers and port, one of "nan", one OverflowError that ends the node); 10 tests of the module pass now.

--- a/pimentocross/decoding.py
+++ b/pimentocross/decoding.py
@@ -7,12 +7,21 @@
 """
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Annotated, Final, TypeAlias, TypeVar
 
 import msgspec
 
 _T = TypeVar("_T")
 
+# Whole numbers that JSON readers represent exactly. Far within the range of
+# msgpack, so that sums of accepted numbers can be encoded again.
+MAX_NUMBER: Final = 2**53
+Number: TypeAlias = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+# Excludes infinity, which isn't a number, and NaN.
+FiniteNumber: TypeAlias = Annotated[
+    float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)
+]
+
 
 def json_decoder(
     cls: type[_T], *, strict: bool = True
@@ -31,6 +40,18 @@
     return _checked(msgspec.msgpack.Decoder(cls).decode)
 
 
+def whole_number(value: str | int | float) -> int:
+    """Converts a number of any type to an integer.
+
+    Raises:
+        ValueError: It isn't a number, or not within `MAX_NUMBER`.
+    """
+    number = float(value)
+    if not -MAX_NUMBER <= number <= MAX_NUMBER:
+        raise ValueError(f"{value!r:.40} is out of range")
+    return int(value)
+
+
 def _checked(decode: Callable[[bytes], _T]) -> Callable[[bytes], _T]:
     def decode_checked(value: bytes) -> _T:
         try:
--- a/pimentocross/platform/adviser.py
+++ b/pimentocross/platform/adviser.py
@@ -9,7 +9,7 @@
     AdviserUnavailableError,
     StepName,
 )
-from pimentocross.decoding import json_decoder
+from pimentocross.decoding import FiniteNumber, json_decoder
 from pimentocross.links.http_pool import HttpCallError, HttpPool
 
 _OK = 200
@@ -18,7 +18,7 @@
 class _Reply(msgspec.Struct):
     # Pairs of a worker's id and its ticket.
     good: list[tuple[str, str]] = []
-    validity_ms: float = 0
+    validity_ms: FiniteNumber = 0
 
 
 _decode = json_decoder(_Reply)
--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -16,7 +16,12 @@
     ListedRun,
     WorkerLife,
 )
-from pimentocross.decoding import json_decoder
+from pimentocross.decoding import (
+    FiniteNumber,
+    Number,
+    json_decoder,
+    whole_number,
+)
 from pimentocross.work.queue import (
     CallerLimits,
     Queue,
@@ -43,6 +48,11 @@
 _MAX_REMAINING_MS = 86_400_000
 _Amount = Annotated[int, msgspec.Meta(gt=0, le=_MAX_AMOUNT)]
 _HOST_AND_PORT = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+_MAX_PORT = 65_535
+# Longest name of a service, zone, label or machine. Names of workers are part
+# of the owner's records.
+_MAX_NAME_LENGTH = 256
+_Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
 # Ids are used in headers and task records.
 _LIFE_ID = re.compile(r"[A-Za-z0-9._-]{1,120}")
 
@@ -61,16 +71,18 @@
     """
 
     # The service that the worker belongs to.
-    backend: Annotated[str, msgspec.Meta(min_length=1)]
+    backend: Annotated[
+        str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)
+    ]
     address: Annotated[str, msgspec.Meta(pattern=_HOST_AND_PORT)]
-    zone: str
+    zone: _Name
     state: Literal["ready", "draining"]
     capacity: _Capacity
     # The worker's kind, then its rack.
-    labels: list[str]
-    machine_id: str = ""
+    labels: list[_Name]
+    machine_id: _Name = ""
     # Start time of the worker, in milliseconds since 1970.
-    born: float = 0
+    born: FiniteNumber = 0
     # While the worker drains: minimum time that remains until it leaves.
     remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_REMAINING_MS)] = 0
 
@@ -82,44 +94,44 @@
     hostname: str
     path_prefix: str
     backend: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Number = 0
+    max_attempts: Number = 1
     # Maximum duration of a job, as a multiple of its critical path.
-    slack_factor: float = 1.0
-    target_latency_ms: float = 0
+    slack_factor: FiniteNumber = 1.0
+    target_latency_ms: FiniteNumber = 0
     # Present if only workers that the adviser permits may run its steps.
     recommendation: Any = None
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 64
+    max_connections: Number = 64
     # Whether its workers reject tasks that exceed their capacity.
     enforces_capacity: bool = False
     standby: bool = False
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: Number = 16384
+    max_body_bytes: Number = 262144
+    header_timeout_ms: FiniteNumber = 3000
+    idle_timeout_ms: FiniteNumber = 15000
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Step(msgspec.Struct):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    estimated_ms: float = 0
-    after: list[int] = []
+    count: Number = 1
+    cpu: Number = 0
+    mem_mb: Number = 0
+    gpus: Number = 0
+    estimated_ms: FiniteNumber = 0
+    after: list[Number] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -128,38 +140,38 @@
     # Rack that holds the step's data.
     affinity: str = ""
     # Maximum number of tasks of the step on one worker.
-    anti_affinity: int = 0
+    anti_affinity: Number = 0
     allow_duplicates: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: Number = 0
     # A flag despite its name: the tasks use only CPU time left by others.
     fill_count: bool = False
-    max_unavailable: int | None = None
+    max_unavailable: Number | None = None
 
 
 class _Submission(msgspec.Struct):
     job_steps: list[_Step]
     spec: str = ""
-    repeat_count: int = 0
-    start_at_ms: float = 0
-    interval_ms: float = 0
+    repeat_count: Number = 0
+    start_at_ms: FiniteNumber = 0
+    interval_ms: FiniteNumber = 0
 
 
 class _RunRow(msgspec.Struct, array_like=True, gc=False):
     """A row of a listing, in the format of all but a few rows."""
 
     task: str
-    run: int
+    run: Number
     checkpoint: str
-    percent: int
+    percent: Number
     # Tail latency in ms of a serving task, else CPU use in millicores.
-    figure: int = 0
+    figure: Number = 0
 
 
 class _HoldReply(msgspec.Struct):
-    clock_ms: float
-    born: float = 0
+    clock_ms: FiniteNumber
+    born: FiniteNumber = 0
     running: list[_RunRow] = []
     # Rows of number, task, run, kind of ending and checkpoint.
     completions: list[list[str | int | float]] = []
@@ -168,8 +180,8 @@
 class _LenientHoldReply(msgspec.Struct):
     """Like `_HoldReply`, but accepts numbers of other types in its rows."""
 
-    clock_ms: float
-    born: float = 0
+    clock_ms: FiniteNumber
+    born: FiniteNumber = 0
     # Rows of task, run, checkpoint, percent and optionally a figure.
     running: list[list[str | int | float]] = []
     completions: list[list[str | int | float]] = []
@@ -179,7 +191,7 @@
     """Reason of a worker's refusal, and the worker's clock."""
 
     reason: str = ""
-    clock_ms: float | None = None
+    clock_ms: FiniteNumber | None = None
 
 
 _END_KINDS = {
@@ -211,6 +223,8 @@
         server = _decode_server(value)
     except msgspec.DecodeError as error:
         raise WireError(f"entry of a worker: {error}") from error
+    if int(server.address.rpartition(":")[2]) > _MAX_PORT:
+        raise WireError(f"entry of a worker: address {server.address}")
     capacity = server.capacity
     return WorkerLife(
         life_id,
@@ -351,14 +365,22 @@
 def _listed_run(row: list[Any]) -> ListedRun:
     figure = row[4] if len(row) > 4 else 0
     return ListedRun(
-        read_task(row[0]), int(row[1]), str(row[2]), int(row[3]), int(figure)
+        read_task(row[0]),
+        whole_number(row[1]),
+        str(row[2]),
+        whole_number(row[3]),
+        whole_number(figure),
     )
 
 
 def _ending(row: list[Any]) -> Ending:
     saved = str(row[4]) if len(row) > 4 else ""
     return Ending(
-        int(row[0]), read_task(row[1]), int(row[2]), _END_KINDS[row[3]], saved
+        whole_number(row[0]),
+        read_task(row[1]),
+        whole_number(row[2]),
+        _END_KINDS[row[3]],
+        saved,
     )
 
 
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -561,7 +561,7 @@
 
 def _decode(value: bytes, cls: type[_T]) -> _T:
     try:
-        record = _decoder(cls)(value)
+        record: _T = _decoder(cls)(value)
     except msgspec.DecodeError as error:
         raise RecordError(f"{cls.__name__}: {error}") from error
     if record[0] != FORMAT_VERSION:
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -1,6 +1,7 @@
 """Tests that whatever other processes write ends no reader."""
 
 from collections.abc import Callable
+import json
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -48,7 +49,17 @@
 _NESTED_JSON = b'{"note":' + b"[" * _DEPTH
 _NESTED_MSGPACK = b"\x91" * _DEPTH + b"\x90"
 _ID = life(0).id
-_HOST = [(b"host", b"host")]
+_ENTRY = json.loads(worker_entry(life(0)))
+_STEP_NUMBERS = (
+    "count",
+    "cpu",
+    "mem_mb",
+    "gpus",
+    "estimated_ms",
+    "anti_affinity",
+    "target_ms",
+    "max_unavailable",
+)
 
 
 def _read_worker(value: bytes) -> object:
@@ -115,6 +126,60 @@
         assert _is_refused(decode_record, _NESTED_MSGPACK, RecordError)
 
 
+def test_numbers_that_no_record_can_hold_are_refused() -> None:
+    # An uncaught OverflowError of the encoder ended the process.
+    for number in (2**64, -(2**63) - 1, 10**300, 1e300):
+        text = f"{number}".encode()
+        entry = {**_ENTRY, "born": number}
+        assert _is_refused(_read_worker, json.dumps(entry).encode(), WireError)
+        for field in _STEP_NUMBERS:
+            body = b'{"job_steps":[{"%s":%s}]}' % (field.encode(), text)
+            assert _is_refused(read_submission, body, WireError), field
+            # Numbers of submissions may also be given as strings.
+            body = b'{"job_steps":[{"%s":"%s"}]}' % (field.encode(), text)
+            assert _is_refused(read_submission, body, WireError), field
+        for field in ("repeat_count", "start_at_ms", "interval_ms"):
+            body = b'{"job_steps":[{}],"%s":%s}' % (field.encode(), text)
+            assert _is_refused(read_submission, body, WireError), field
+        for listing in (
+            b'{"clock_ms":%s}',
+            b'{"clock_ms":1,"born":%s}',
+            b'{"clock_ms":1,"running":[["j.0.0.0",%s,"",0,0]]}',
+            b'{"clock_ms":1,"running":[["j.0.0.0",1,"",%s,"0"]]}',
+            b'{"clock_ms":1,"completions":[[%s,"j.0.0.0",1,"done",""]]}',
+            b'{"clock_ms":1,"completions":[[1,"j.0.0.0",%s,"done",""]]}',
+        ):
+            assert _is_refused(read_hold, listing % text, WireError), listing
+
+
+def test_times_that_are_no_numbers_are_refused() -> None:
+    for text in (b'"nan"', b'"inf"', b'"-inf"'):
+        for body in (
+            b'{"job_steps":[{"estimated_ms":%s}]}',
+            b'{"job_steps":[{}],"repeat_count":1,"start_at_ms":%s}',
+            b'{"job_steps":[{}],"repeat_count":1,"interval_ms":%s}',
+        ):
+            assert _is_refused(read_submission, body % text, WireError), text
+
+
+def test_an_address_without_a_valid_port_names_no_worker() -> None:
+    # The call to such a worker raised OverflowError, which ended the owner.
+    for port in (65_536, 99_999):
+        entry = {**_ENTRY, "address": f"10.0.0.1:{port}"}
+        assert _is_refused(_read_worker, json.dumps(entry).encode(), WireError)
+
+
+@real_time
+async def test_a_submission_with_a_huge_integer_is_refused() -> None:
+    async with loopback_platform(1) as platform:
+        async with running_node(platform, "vm1") as (_, values):
+            await wait_until_ready(values)
+            pool = HttpPool(values["listen_addrs.frontend"])
+            body = b'{"job_steps":[{"cpu":18446744073709551616}]}'
+            reply = await pool.call("POST", f"{PREFIX}j", body, 3.0)
+            assert reply.status == 400, reply
+
+
 @settings(deadline=None, max_examples=200)
 @given(st.binary(max_size=200))
 def test_any_bytes_are_refused_or_decoded(value: bytes) -> None:
@@ -162,5 +227,5 @@
             await wait_until_ready(values)
             pool = HttpPool(values["listen_addrs.frontend"])
             body = b'{"job_steps":[{}],"note":' + b"[" * _DEPTH
-            reply = await pool.call("POST", f"{PREFIX}j", body, 3.0, _HOST)
+            reply = await pool.call("POST", f"{PREFIX}j", body, 3.0)
             assert reply.status == 400, reply
