Occurrences have tasks in memory only while they are due and not done

Cause: a job made the tasks of all occurrences when it was accepted, and again when a successor read it: 23,040 tasks, 12.7 MiB a job. The tasks of done occurrences and of ended jobs stayed as well, and the progress record listed each done step for ever.

Change: a job opens occurrences that are due, at most 1,024 tasks or one occurrence at once, and closes those that are done; ended jobs without runs drop their tasks. Closed occurrences are ranges in memory and, beyond 64 steps, in the progress record.

Tests: tests.test_scheduled_jobs. test_job_progress and test_wire_cost open all occurrences first, as they did by themselves; test_job_progress compares tasks by name and closed occurrences as well.

--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -1,6 +1,8 @@
 """Registry of a cell's jobs and of the steps that can be started."""
 
 from collections.abc import Iterator
+from heapq import heappop, heappush
+from typing import NamedTuple
 
 from pimentocross.observe.decisions import note
 from pimentocross.owner import wall
@@ -37,6 +39,17 @@
         self._job.recorded_state = self._encoded_state
 
 
+class _Due(NamedTuple):
+    """A job whose next occurrence is due at a time; sorts by time.
+
+    `number` keeps jobs from being compared.
+    """
+
+    at: float
+    number: int
+    job: Job
+
+
 class JobRegistry:
     """Jobs of a cell by id; writes every change to the ledger."""
 
@@ -55,6 +68,11 @@
         self._active_steps: dict[Step, None] = {}
         # Steps whose preceding steps aren't all done.
         self._blocked_steps: dict[Step, None] = {}
+        # When the next occurrence of a job is due that was never open.
+        self._schedule: list[_Due] = []
+        # Jobs with occurrences that are due, but may not be opened yet.
+        self._overdue: set[Job] = set()
+        self._scheduled_count = 0
 
     def __len__(self) -> int:
         """Returns the number of jobs."""
@@ -76,7 +94,7 @@
         try:
             step = job.occurrences[name.occurrence].steps[name.step]
             return step.tasks[name.position]
-        except IndexError:
+        except (IndexError, KeyError):
             return None
 
     def accept(self, job_id: str, queue: Queue, spec: JobSpec) -> Batch:
@@ -97,14 +115,12 @@
         """Adds a job whose record is in the store already."""
         self._jobs[job.id] = job
         if job.ended:
+            self._drop_unneeded_tasks(job)
             return
-        for occurrence in job.occurrences:
-            for step in occurrence.steps:
-                if step.undone:
-                    self._blocked_steps[step] = None
         job.pop_completed_steps()
-        for occurrence in job.occurrences:
-            self._activate_steps(occurrence)
+        for occurrence in job.occurrences.values():
+            self._add_steps(occurrence)
+        self._plan_next(job)
 
     def changed(self, job: Job) -> Batch:
         """Advances a job whose tasks changed; returns its record's batch."""
@@ -112,6 +128,7 @@
         job.advance(wall.now())
         if job.ended:
             self._drop_steps(job)
+            self._drop_unneeded_tasks(job)
             if was_open:
                 took = round(job.ended_at - job.accepted_at, 3)
                 note("job_ended", job=job.id, state=job.state, took=took)
@@ -120,10 +137,12 @@
                 self._active_steps.pop(step, None)
                 self._blocked_steps.pop(step, None)
                 self._activate_steps(step.occurrence)
+            self._close_done(job)
         return self._ledger.put(_Progress(job))
 
     def record_crashes(self, job: Job) -> None:
         """Records the crash histories of a job's tasks."""
+        job.has_crashes = True
         self._ledger.put(
             LazyRecord(
                 records.CRASHES + job.id,
@@ -142,6 +161,7 @@
         Args:
             today: Current wall-clock time, seconds.
         """
+        self._open_due(today)
         return [
             step
             for step in self._active_steps
@@ -183,10 +203,51 @@
             if any(task.runs for task in job.tasks()):
                 continue
             del self._jobs[job.id]
+            self._overdue.discard(job)
             for prefix in _record_kinds(job):
                 self._ledger.put(LazyRecord(prefix + job.id, _no_value))
             job.drop_tasks()
 
+    def _open_due(self, today: float) -> None:
+        """Opens the occurrences that are due."""
+        while self._schedule and self._schedule[0].at <= today:
+            job = heappop(self._schedule).job
+            if job.ended:
+                continue
+            for occurrence in job.open_due(today):
+                self._add_steps(occurrence)
+            self._plan_next(job, today)
+
+    def _plan_next(self, job: Job, today: float = float("-inf")) -> None:
+        """Arranges for a job's next occurrence to be opened."""
+        due = job.next_due
+        if due is None:
+            return
+        if due <= today:
+            self._overdue.add(job)
+            return
+        self._scheduled_count += 1
+        heappush(self._schedule, _Due(due, self._scheduled_count, job))
+
+    def _close_done(self, job: Job) -> None:
+        for occurrence in job.close_done():
+            occurrence.drop_tasks()
+        if job in self._overdue and job.may_open_more:
+            self._overdue.discard(job)
+            self._plan_next(job)
+
+    def _drop_unneeded_tasks(self, job: Job) -> None:
+        """Drops the tasks of an ended job once it has no runs any more."""
+        if not any(o.has_runs for o in job.occurrences.values()):
+            job.drop_tasks()
+
+    def _add_steps(self, occurrence: Occurrence) -> None:
+        """Adds the unfinished steps of an occurrence that was opened."""
+        for step in occurrence.steps:
+            if step.undone:
+                self._blocked_steps[step] = None
+        self._activate_steps(occurrence)
+
     def _activate_steps(self, occurrence: Occurrence) -> None:
         for step in occurrence.steps:
             if step in self._blocked_steps and step.dependencies_done:
@@ -194,7 +255,7 @@
                 self._active_steps[step] = None
 
     def _drop_steps(self, job: Job) -> None:
-        for occurrence in job.occurrences:
+        for occurrence in job.occurrences.values():
             for step in occurrence.steps:
                 self._active_steps.pop(step, None)
                 self._blocked_steps.pop(step, None)
@@ -203,7 +264,7 @@
 def _record_kinds(job: Job) -> list[str]:
     """Returns the key prefixes of the records that a job has."""
     kinds = [records.SUBMISSION, records.PROGRESS]
-    if any(task.crash_history.crashes for task in job.tasks()):
+    if job.has_crashes:
         kinds.append(records.CRASHES)
     return kinds
 
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -14,6 +14,7 @@
 
 from pimentocross.decoding import msgpack_decoder
 from pimentocross.work.crash_history import CrashHistory
+from pimentocross.work.number_ranges import NumberRanges
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, TaskName
 from pimentocross.work.state import Job, JobState, Run, RunState, Step, Task
@@ -44,6 +45,8 @@
 # Used in the topic in which entry VMs store jobs and cancels for an owner.
 CANCEL: Final = "x"
 
+# Steps of closed occurrences that a progress record lists one by one.
+_MAX_LISTED_CLOSED_STEPS: Final = 64
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
 
@@ -105,12 +108,24 @@
 
 
 class ProgressRecord(NamedTuple):
-    """Progress of a job."""
+    """Progress of a job.
+
+    Attributes:
+        form: Version of the format.
+        state: State of the job.
+        ended_at: When the job ended, in seconds since 1970, or 0.
+        steps: Steps of which at least one task was started.
+        closed: First and last number of each range of occurrences that are
+            done and aren't listed in `steps`. Earlier versions of the software
+            can't read a record with this field, so it is left out while the
+            steps of all closed occurrences are few enough to be listed.
+    """
 
     form: int
     state: str
     ended_at: float
     steps: tuple[StepRecord, ...]
+    closed: tuple[tuple[int, int], ...] = ()
 
 
 class WorkerRecord(NamedTuple):
@@ -366,17 +381,22 @@
     """Returns the progress record of a job."""
     started = [
         step
-        for occurrence in job.occurrences
+        for occurrence in job.occurrences.values()
         for step in occurrence.steps
         if step.started
     ]
+    head = (FORMAT_VERSION, job.state.value, job.ended_at)
     if job.ended and not any(step.run_count for step in started):
-        started = []
+        return _encode((*head, []))
     # The array has the format of a `ProgressRecord`. The end of a run changes
     # one step, and only that step is encoded again: a job with many tasks
     # changes with the end of each of them.
     steps = [_encoded_step(step) for step in started]
-    return _encode((FORMAT_VERSION, job.state.value, job.ended_at, steps))
+    if not job.closed:
+        return _encode((*head, steps))
+    if len(job.closed) * len(job.spec.steps) <= _MAX_LISTED_CLOSED_STEPS:
+        return _encode((*head, [*_closed_steps(job), *steps]))
+    return _encode((*head, steps, job.closed.ranges()))
 
 
 def decode_progress(job: Job, value: bytes) -> None:
@@ -392,12 +412,14 @@
         raise RecordError(str(error)) from error
     job.recorded_state = job.state
     job.ended_at = record.ended_at
-    for step_record in record.steps:
-        try:
-            occurrence = job.occurrences[step_record.occurrence]
+    try:
+        job.restore_closed(NumberRanges(record.closed))
+        for step_record in record.steps:
+            occurrence = job.open(step_record.occurrence)
             _restore_step(occurrence.steps[step_record.step], step_record)
-        except IndexError as error:
-            raise RecordError("progress of an unknown step") from error
+    except (IndexError, ValueError) as error:
+        raise RecordError(f"progress of an unknown step: {error}") from error
+    job.close_done()
 
 
 def encode_crashes(job: Job) -> bytes | None:
@@ -422,11 +444,14 @@
         RecordError: The record has another format.
     """
     for row in _decode(value, CrashHistoryRecord).tasks:
+        if row.occurrence in job.closed:
+            continue
         try:
-            step = job.occurrences[row.occurrence].steps[row.step]
+            step = job.open(row.occurrence).steps[row.step]
             task = step.tasks[row.position]
         except IndexError as error:
             raise RecordError("crashes of an unknown task") from error
+        job.has_crashes = True
         task.crash_history = CrashHistory(
             row.crashes, row.sure, row.early, row.survived, row.run
         )
@@ -569,6 +594,19 @@
     return record
 
 
+def _closed_steps(job: Job) -> list[StepRecord]:
+    """Returns the records of all steps of closed occurrences."""
+    return [
+        StepRecord(occurrence, number, _bits((1 << s.width) - 1, s.width), ())
+        for occurrence in job.closed
+        for number, s in enumerate(job.spec.steps)
+    ]
+
+
+def _bits(done: int, width: int) -> bytes:
+    return done.to_bytes((width + 7) // 8, "little")
+
+
 def _encoded_step(step: Step) -> msgspec.Raw:
     if step.record is None:
         step.record = _encode(_step_record(step))
@@ -581,8 +619,9 @@
     tasks: list[TaskRecord] = []
     if step.undone or step.run_count:
         done, tasks = _tasks_record(step)
-    bits = done.to_bytes((width + 7) // 8, "little")
-    return StepRecord(step.occurrence.number, step.number, bits, tuple(tasks))
+    return StepRecord(
+        step.occurrence.number, step.number, _bits(done, width), tuple(tasks)
+    )
 
 
 def _tasks_record(step: Step) -> tuple[int, list[TaskRecord]]:
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 from enum import IntEnum, StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from pimentocross.work.crash_history import NO_CRASHES, CrashHistory
+from pimentocross.work.number_ranges import NumberRanges
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, StepSpec, TaskName
 
@@ -21,6 +22,11 @@
 
 TERMINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
+# Tasks that a job with repeats may have open at once, unless a single
+# occurrence has more. An owner whose VMs were away for days finds thousands of
+# occurrences due at the same moment.
+MAX_OPEN_TASKS: Final = 1_024
+
 
 class RunState(IntEnum):
     """State of a run.
@@ -288,28 +294,57 @@
         for index, spec in enumerate(job.spec.steps):
             self.steps.append(Step(job, self, index, spec))
 
+    @property
+    def is_done(self) -> bool:
+        """True once all tasks are done."""
+        return not any(step.undone for step in self.steps)
+
+    @property
+    def has_runs(self) -> bool:
+        """True if a run of a task may be on a worker."""
+        return any(step.run_count for step in self.steps)
+
+    def drop_tasks(self) -> None:
+        """Drops the tasks, so that the garbage collector needn't free cycles.
+
+        Nothing may read the occurrence's tasks any more.
+        """
+        for step in self.steps:
+            step.tasks.clear()
+        self.steps.clear()
+
 
 class Job:
     """An accepted job.
 
+    Only some of the occurrences of a job with repeats have tasks in memory:
+    those that are due or were started, until all their tasks are done. They are
+    called open.
+
     Attributes:
         id: Id that the caller has chosen.
         queue: Queue of the job, as in the newest configuration that had it.
         spec: Specification of the job.
         accepted_at: When the job was accepted, in seconds since 1970.
-        occurrences: Passes through the steps, by number.
+        occurrences: Open passes through the steps, by number.
+        closed: Numbers of the occurrences whose tasks are all done, and that
+            aren't open any more.
         state: State of the job.
         recorded_state: State in the newest stored record.
         ended_at: When the job reached a final state, in seconds since 1970.
         started: Whether the owner ever decided to start a run of a task.
         has_run: Whether a run of a task is known to have been carried out.
         given_up: Whether a task was given up because it crashes its workers.
+        has_crashes: Whether a task has a crash history.
     """
 
     def __init__(
         self, job_id: str, queue: Queue, spec: JobSpec, accepted_at: float
     ) -> None:
-        """Initializes a job whose tasks were never started."""
+        """Initializes a job whose tasks were never started.
+
+        The only occurrence of a job without repeats is open at once.
+        """
         self.id = job_id
         self.queue = queue
         self.spec = spec
@@ -317,21 +352,122 @@
         self.state = JobState.QUEUED
         self.recorded_state = JobState.QUEUED
         self.ended_at = 0.0
-        self.occurrences = [
-            Occurrence(self, number, due)
-            for number, due in enumerate(_due_times(spec, accepted_at))
-        ]
         self.started = False
         self.has_run = False
         self.given_up = False
-        # Counted rather than recomputed: it is read at each end of a run, and a
-        # scan would take time proportional to the number of steps.
-        self._steps_left = sum(
-            step.undone > 0
-            for occurrence in self.occurrences
-            for step in occurrence.steps
-        )
+        self.has_crashes = False
+        self.occurrences: dict[int, Occurrence] = {}
+        self.closed = NumberRanges()
+        # All occurrences with lower numbers are open or closed.
+        self._next_to_open = 0
+        # Steps of open occurrences that aren't done. Counted rather than
+        # recomputed: it is read at each end of a run, and a scan would take
+        # time proportional to the number of steps.
+        self._steps_left = 0
         self._steps_done: list[Step] = []
+        # Open occurrences whose tasks are all done, by number.
+        self._done_occurrences: dict[int, Occurrence] = {}
+        if not self.has_due_times:
+            self.open(0)
+
+    @property
+    def occurrence_count(self) -> int:
+        """Number of all occurrences, open or not."""
+        return max(self.spec.repeats, 1)
+
+    @property
+    def next_due(self) -> float | None:
+        """When the next occurrence is due that was never open, or None.
+
+        In seconds since 1970.
+        """
+        if self._next_to_open >= self.occurrence_count:
+            return None
+        return self._due(self._next_to_open)
+
+    @property
+    def may_open_more(self) -> bool:
+        """Whether another occurrence may be opened once it is due."""
+        tasks = sum(step.width for step in self.spec.steps)
+        open_count = len(self.occurrences)
+        return not open_count or (open_count + 1) * tasks <= MAX_OPEN_TASKS
+
+    def open(self, number: int) -> Occurrence:
+        """Opens an occurrence, or returns it if it is open.
+
+        Raises:
+            IndexError: The job has no such occurrence, or it is closed.
+        """
+        found = self.occurrences.get(number)
+        if found is not None:
+            return found
+        if not 0 <= number < self.occurrence_count or number in self.closed:
+            raise IndexError(f"occurrence {number} can't be opened")
+        occurrence = Occurrence(self, number, self._due(number))
+        self.occurrences[number] = occurrence
+        self._steps_left += sum(step.undone > 0 for step in occurrence.steps)
+        self._skip_opened()
+        return occurrence
+
+    def open_due(self, today: float) -> list[Occurrence]:
+        """Opens the occurrences that are due, as many as may be open at once.
+
+        Args:
+            today: Current time in seconds since 1970.
+
+        Returns:
+            The occurrences that weren't open before.
+        """
+        opened = []
+        while (due := self.next_due) is not None and due <= today:
+            if not self.may_open_more:
+                break
+            opened.append(self.open(self._next_to_open))
+        return opened
+
+    def close_done(self) -> list[Occurrence]:
+        """Closes and returns the open occurrences that need no more orders.
+
+        Their tasks are all done, and no run of them may be on a worker. A job
+        without repeats keeps its occurrence.
+        """
+        if not self.has_due_times:
+            return []
+        closed = [o for o in self._done_occurrences.values() if not o.has_runs]
+        for occurrence in closed:
+            del self._done_occurrences[occurrence.number]
+            del self.occurrences[occurrence.number]
+            self.closed.add(occurrence.number)
+        return closed
+
+    def restore_closed(self, closed: NumberRanges) -> None:
+        """Sets which occurrences a former owner closed.
+
+        Raises:
+            IndexError: The job has no such occurrences.
+        """
+        ranges = closed.ranges()
+        if ranges and not 0 <= ranges[0][0] <= ranges[-1][1] < (
+            self.occurrence_count
+        ):
+            raise IndexError("unknown occurrences are closed")
+        self.closed = closed
+        if ranges:
+            self.started = True
+            self.has_run = True
+        self._skip_opened()
+
+    def _skip_opened(self) -> None:
+        while (
+            self._next_to_open in self.occurrences
+            or self._next_to_open in self.closed
+        ):
+            self._next_to_open += 1
+
+    def _due(self, number: int) -> float:
+        if not self.has_due_times:
+            return self.accepted_at
+        return self.spec.first_due + number * self.spec.interval
 
     @property
     def has_due_times(self) -> bool:
@@ -344,8 +480,8 @@
         return self.state in TERMINAL
 
     def tasks(self) -> Iterator[Task]:
-        """Yields all tasks of all occurrences."""
-        for occurrence in self.occurrences:
+        """Yields all tasks of the open occurrences."""
+        for occurrence in self.occurrences.values():
             for step in occurrence.steps:
                 yield from step.tasks
 
@@ -353,6 +489,8 @@
         """Notes that all tasks of a step are done."""
         self._steps_left -= 1
         self._steps_done.append(step)
+        if step.occurrence.is_done:
+            self._done_occurrences[step.occurrence.number] = step.occurrence
 
     def pop_completed_steps(self) -> list[Step]:
         """Returns the steps completed since the last call."""
@@ -369,7 +507,7 @@
             return
         if self.given_up or self._out_of_attempts():
             self._end(JobState.FAILED, now)
-        elif not self._steps_left:
+        elif not self._steps_left and self.next_due is None:
             self._end(JobState.COMPLETED, now)
         elif self.started:
             self.state = JobState.RUNNING
@@ -380,15 +518,14 @@
             self._end(JobState.CANCELLED, now)
 
     def drop_tasks(self) -> None:
-        """Drops the tasks, so that the garbage collector needn't free cycles.
+        """Drops the tasks of all occurrences; see `Occurrence.drop_tasks`.
 
-        The job has been forgotten, and nothing reads its tasks any more.
+        The job has ended or is forgotten, and nothing reads its tasks any more.
         """
-        for occurrence in self.occurrences:
-            for step in occurrence.steps:
-                step.tasks.clear()
-            occurrence.steps.clear()
+        for occurrence in self.occurrences.values():
+            occurrence.drop_tasks()
         self.occurrences.clear()
+        self._done_occurrences.clear()
 
     def _end(self, state: JobState, now: float) -> None:
         self.state = state
@@ -401,7 +538,7 @@
             and step.undone
             and not step.spec.lasting
             and _failures(step) >= attempts
-            for occurrence in self.occurrences
+            for occurrence in self.occurrences.values()
             for step in occurrence.steps
         )
 
@@ -412,12 +549,3 @@
     if step.spec.gang:
         return sum(failures)
     return max(failures, default=0)
-
-
-def _due_times(spec: JobSpec, accepted_at: float) -> list[float]:
-    if spec.repeats <= 0:
-        return [accepted_at]
-    return [
-        spec.first_due + number * spec.interval
-        for number in range(spec.repeats)
-    ]
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -25,6 +25,8 @@
         )
         job = Job("j", QUEUE, _spec(draw), 0.0)
         registry.restore(job)
+        # Opens all occurrences.
+        registry.ready_steps(1e12)
         for _ in range(_CHANGES):
             _change(draw, draw.choice(list(job.tasks())))
             expected = _expected_state(job)
@@ -74,7 +76,7 @@
 
 
 def _steps(job: Job) -> list[Step]:
-    return [step for o in job.occurrences for step in o.steps]
+    return [step for o in job.occurrences.values() for step in o.steps]
 
 
 def _expected_state(job: Job) -> JobState:
@@ -86,7 +88,7 @@
             return JobState.FAILED
     if all(task.done for task in job.tasks()):
         return JobState.COMPLETED
-    if any(task.last_run for task in job.tasks()):
+    if job.closed or any(task.last_run for task in job.tasks()):
         return JobState.RUNNING
     return JobState.QUEUED
 
@@ -115,7 +117,12 @@
     if job.ended and not any(task.runs for task in job.tasks()):
         assert msgspec.msgpack.decode(value)[3] == []
         return
-    for mine, other in zip(job.tasks(), again.tasks(), strict=True):
+    assert again.closed.ranges() == job.closed.ranges()
+    again.open_due(1e12)
+    others = {task.name: task for task in again.tasks()}
+    assert others.keys() == {task.name for task in job.tasks()}
+    for mine in job.tasks():
+        other = others[mine.name]
         assert other.done == mine.done
         assert bool(other.last_run) == bool(mine.last_run)
         assert set(other.runs) == set(mine.runs)
--- a/tests/test_wire_cost.py
+++ b/tests/test_wire_cost.py
@@ -209,6 +209,8 @@
         book = JobRegistry(_ledger(), 150.0)
         job = Job("j", QUEUE, JobSpec("", (step,), repeats, 0.0, 1.0), 0.0)
         book.restore(job)
+        # Opens all occurrences.
+        book.ready_steps(1e9)
         first, *others = job.tasks()
         for task in others[: step.width]:
             task.add_run(Run(1, 0))
