A job whose records may become longer than the store takes is refused

What callers saw: a submission of 11,000 tasks that save their progress was accepted; its progress record became longer than the store's record_bytes. By reading, the same held for a submission record: 20,000 empty steps in 60 KB of body, or a payload of the length of a record.

Cause: only the number of tasks was bounded (100,000), not what they take in a record.

Change: an entry VM computes the size of the submission record and the largest size of the progress record, and answers 400 with both figures if the store doesn't take them (platform.record_bytes). Checkpoints over 128 bytes are ignored, as one task's share of the record has to be bounded. With 262,144 bytes that is some 1,500 tasks that save at once, or 6,500 that don't. Negative estimates and intervals are refused, too.

--- a/pimentocross/gateway/settings.py
+++ b/pimentocross/gateway/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from pimentocross.contracts.switches import Switches
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 
 class GatewaySettings(NamedTuple):
@@ -31,6 +32,7 @@
         grace: Seconds between a request to stop and a kill.
         descriptors: Limit on open file descriptors of the process.
         cores: CPU of the VM in cores, or 0 if unknown.
+        record_bytes: Longest record that the store takes.
         switches: Which optional parts are switched off.
     """
 
@@ -50,4 +52,5 @@
     grace: float
     descriptors: int
     cores: float = 0.0
+    record_bytes: int = DEFAULT_RECORD_BYTES
     switches: Switches = Switches()
--- a/pimentocross/platform/__main__.py
+++ b/pimentocross/platform/__main__.py
@@ -58,7 +58,7 @@
     )
     node = GatewayNode(settings, platform, OperatorTopic(store))
     handlers = HttpHandlers(
-        CallerHandler(node.request_handler).handle,
+        CallerHandler(node.request_handler, settings.record_bytes).handle,
         ReadinessHandler(node.request_handler).handle,
         MetricsHandler(node.request_handler, node.gauges).handle,
     )
--- a/pimentocross/platform/callers.py
+++ b/pimentocross/platform/callers.py
@@ -15,6 +15,8 @@
 from pimentocross.observe.decisions import DECISIONS_PATH, recent
 from pimentocross.observe.metrics import render
 from pimentocross.platform.wire import WireError, read_submission
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES, check_records
+from pimentocross.work.records import submission_bytes
 from pimentocross.work.spec import SpecError, check_spec
 
 _METRICS_PATH: Final = "/metrics"
@@ -43,9 +45,20 @@
 class CallerHandler:
     """Handles callers' requests: submits, queries and cancels jobs."""
 
-    def __init__(self, request_handler: CallerRequestHandler) -> None:
-        """Initializes the handler with what carries out the requests."""
+    def __init__(
+        self,
+        request_handler: CallerRequestHandler,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
+    ) -> None:
+        """Initializes the handler.
+
+        Args:
+            request_handler: Carries out the requests.
+            record_bytes: Longest record that the store takes. A job with a
+                longer one is rejected, as no owner could store it.
+        """
         self._request_handler = request_handler
+        self._record_bytes = record_bytes
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Returns the reply to a request."""
@@ -73,6 +86,8 @@
         try:
             spec = read_submission(body)
             check_spec(spec)
+            size = submission_bytes(found.rest, found.queue, spec)
+            check_records(spec, size, self._record_bytes)
         except (WireError, SpecError) as error:
             content = msgspec.json.encode({"error": str(error)})
             return HttpReply(400, [_JSON], content)
--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -11,6 +11,7 @@
     read_switches,
 )
 from pimentocross.gateway.settings import GatewaySettings
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 _METRICS_VARIABLE: Final = "PIMENTOCROSS_METRICS_PORT"
 # The port that deploy/system.toml declares to the platform.
@@ -104,6 +105,14 @@
         # Share of a core times its speed relative to a standard core.
         cores=_number(values, "limits.cpu_share", 0.0, findings)
         * _number(values, "limits.cpu_cores", 1.0, findings),
+        record_bytes=int(
+            _number(
+                values,
+                "platform.record_bytes",
+                DEFAULT_RECORD_BYTES,
+                findings,
+            )
+        ),
         switches=_switches(findings),
     )
     if findings:
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -14,6 +14,7 @@
 
 from pimentocross.decoding import msgpack_decoder
 from pimentocross.work.crash_history import CrashHistory
+from pimentocross.work.limits import MAX_LISTED_CLOSED_STEPS
 from pimentocross.work.number_ranges import NumberRanges
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, TaskName
@@ -45,8 +46,8 @@
 # Used in the topic in which entry VMs store jobs and cancels for an owner.
 CANCEL: Final = "x"
 
-# Steps of closed occurrences that a progress record lists one by one.
-_MAX_LISTED_CLOSED_STEPS: Final = 64
+# A time whose encoded form is as long as any.
+_LATEST_TIME: Final = 1e12
 _encode: Final = msgspec.msgpack.Encoder().encode
 _T = TypeVar("_T", bound=tuple[Any, ...])
 
@@ -367,6 +368,15 @@
     return _encode(SubmissionRecord(FORMAT_VERSION, queue, spec, accepted_at))
 
 
+def submission_bytes(job_id: str, queue: Queue, spec: JobSpec) -> int:
+    """Returns the size of a job's submission record in the store.
+
+    Includes its key and the length of the key.
+    """
+    key = (SUBMISSION + job_id).encode()
+    return 1 + len(key) + len(encode_accepted(queue, spec, _LATEST_TIME))
+
+
 def decode_submission(job_id: str, value: bytes) -> Job:
     """Returns the job of an encoded submission record.
 
@@ -394,7 +404,7 @@
     steps = [_encoded_step(step) for step in started]
     if not job.closed:
         return _encode((*head, steps))
-    if len(job.closed) * len(job.spec.steps) <= _MAX_LISTED_CLOSED_STEPS:
+    if len(job.closed) * len(job.spec.steps) <= MAX_LISTED_CLOSED_STEPS:
         return _encode((*head, [*_closed_steps(job), *steps]))
     return _encode((*head, steps, job.closed.ranges()))
 
--- a/pimentocross/work/spec.py
+++ b/pimentocross/work/spec.py
@@ -112,8 +112,7 @@
     interval: float = 0.0
 
 
-# Counts the tasks of all occurrences. Each takes about 400 bytes of the owner's
-# memory.
+# Counts the tasks of all occurrences.
 MAX_TASKS_PER_JOB: Final = 100_000
 
 
@@ -150,8 +149,12 @@
             findings.append(f"{path}.width: {step.width}, at least 1")
         if min(step.size) < 0:
             findings.append(f"{path}.size: below 0")
+        if step.estimate < 0:
+            findings.append(f"{path}.estimate: below 0")
         if any(not 0 <= dependency < number for dependency in step.after):
             findings.append(f"{path}.after: not an earlier step")
+    if spec.repeats > 0 and spec.interval < 0:
+        findings.append("interval: below 0")
     if findings:
         raise SpecError(findings)
 
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 from enum import IntEnum, StrEnum
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from pimentocross.work.crash_history import NO_CRASHES, CrashHistory
+from pimentocross.work.limits import MAX_CHECKPOINT_BYTES, max_open_occurrences
 from pimentocross.work.number_ranges import NumberRanges
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec, StepSpec, TaskName
@@ -22,11 +23,6 @@
 
 TERMINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
-# Tasks that a job with repeats may have open at once, unless a single
-# occurrence has more. An owner whose VMs were away for days finds thousands of
-# occurrences due at the same moment.
-MAX_OPEN_TASKS: Final = 1_024
-
 
 class RunState(IntEnum):
     """State of a run.
@@ -169,12 +165,15 @@
 
     @property
     def checkpoint(self) -> str:
-        """Newest checkpoint, or ""."""
+        """Newest checkpoint, or ""; ones that are too long are ignored."""
         return self._checkpoint
 
     @checkpoint.setter
     def checkpoint(self, saved: str) -> None:
-        if saved != self._checkpoint:
+        if (
+            saved != self._checkpoint
+            and len(saved.encode()) <= MAX_CHECKPOINT_BYTES
+        ):
             self._checkpoint = saved
             self.step.record = None
 
@@ -388,9 +387,7 @@
     @property
     def may_open_more(self) -> bool:
         """Whether another occurrence may be opened once it is due."""
-        tasks = sum(step.width for step in self.spec.steps)
-        open_count = len(self.occurrences)
-        return not open_count or (open_count + 1) * tasks <= MAX_OPEN_TASKS
+        return len(self.occurrences) < max_open_occurrences(self.spec)
 
     def open(self, number: int) -> Occurrence:
         """Opens an occurrence, or returns it if it is open.
--- a/tests/test_scheduled_jobs.py
+++ b/tests/test_scheduled_jobs.py
@@ -13,9 +13,10 @@
 from pimentocross.owner.ledger import Ledger
 from pimentocross.standins.store import StoreStandin
 from pimentocross.work import records
+from pimentocross.work.limits import MAX_OPEN_TASKS
 from pimentocross.work.number_ranges import NumberRanges
 from pimentocross.work.spec import JobSpec, StepSpec
-from pimentocross.work.state import MAX_OPEN_TASKS, Job, JobState, Run
+from pimentocross.work.state import Job, JobState, Run
 from tests.owner_fixtures import (
     QUEUE,
     SMALL,
