Jobs that the next owner can't hold in memory are refused at once

Cause: JobApi.submit and the intake of entry VMs looked at no memory.

The gauge jobs_memory_bytes shows the owner's count.

Tests: test_jobs_memory. What is counted is compared with tracemalloc.

--- a/pimentocross/gateway/intake.py
+++ b/pimentocross/gateway/intake.py
@@ -18,6 +18,7 @@
 from pimentocross.gateway.messages import (
     CancelJob,
     ForwardedRequest,
+    FullAnswer,
     GatewayMessage,
     JobAnswer,
     NotOwner,
@@ -30,6 +31,7 @@
 from pimentocross.owner.intake import cancel_key, submission_key
 from pimentocross.owner.job_api import Outcome
 from pimentocross.work import records
+from pimentocross.work.limits import INTAKE_MEMORY, job_memory
 from pimentocross.work.queue import Queue
 from pimentocross.work.state import JobState
 
@@ -127,6 +129,7 @@
         configs: CurrentConfig,
         store: Store,
         peers: PeerAccess,
+        vm_count: Callable[[], int] = lambda: 1,
     ) -> None:
         """Initializes the intake; `run` must run for it to store requests.
 
@@ -137,7 +140,15 @@
             configs: Tells whether a queue still exists.
             store: This VM's access to the store.
             peers: Other VMs, which may reach the store if this one can't.
+            vm_count: Returns how many entry VMs there are. Together they store
+                no more than an owner can hold.
         """
+        self._vm_count = vm_count
+        # Bytes of the next owner's memory that jobs take which this VM has
+        # stored since an owner last answered it.
+        self._stored_memory = 0
+        # Whether the owner had no room for a job when it last answered this VM.
+        self._owner_is_full = False
         self._peers = peers
         self._owner = owner
         self._owner_silence = owner_silence
@@ -232,7 +243,11 @@
         try:
             with scope:
                 reply = await self._owner.ask_owner(message, timeout)
-                return reply if is_final(reply) else OwnerFailure(reply, None)
+                if not is_final(reply):
+                    return OwnerFailure(reply, None)
+                self._stored_memory = 0
+                self._owner_is_full = isinstance(reply, FullAnswer)
+                return reply
         except PeerUnreachableError as error:
             return OwnerFailure(None, error)
         finally:
@@ -271,6 +286,11 @@
         meters.add_intake_stored("handed over")
         return reply
 
+    def _fits(self, memory: int) -> bool:
+        """Returns whether the next owner can hold one more job from this VM."""
+        share = INTAKE_MEMORY // max(self._vm_count(), 1)
+        return not self._owner_is_full and self._stored_memory + memory <= share
+
     async def _may_store(self, message: _StorableRequest) -> bool:
         if not await self._configs.check_current():
             return False
@@ -288,6 +308,12 @@
         """
         if not await self._may_store(message):
             return None
+        if isinstance(message, SubmitJob):
+            memory = job_memory(message.spec)
+            if not self._fits(memory):
+                note("intake_full", job=message.job, stored=self._stored_memory)
+                return None
+            self._stored_memory += memory
         try:
             await self._writer.put(_record_of(message))
         except StoreUnavailableError as error:
--- a/pimentocross/gateway/node.py
+++ b/pimentocross/gateway/node.py
@@ -97,6 +97,7 @@
             self._configs,
             platform.store,
             PeerForwarder(self._own_identity, self._other_vms, dial_tcp),
+            lambda: len(self._cluster.members),
         )
         self._intake_enabled = settings.switches.is_on(Part.INTAKE)
         self.request_handler = CallerRequestHandler(
@@ -191,6 +192,9 @@
             "evacuated_zones": len(self._configs.evacuations.zones),
             "owner_absent_seconds": self.owner_absent(),
             "owned_epoch": owner.epoch if owner is not None else 0,
+            "jobs_memory_bytes": (
+                owner.jobs_memory if owner is not None else 0
+            ),
             "store_age_seconds": self._election.owner_status().store_age,
             "loop_late_most_seconds": self._late_log.worst_recent,
         }
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -110,6 +110,9 @@
 # Ended jobs are kept this much longer than the deployment asks for.
 ENDED_JOB_RETENTION_SLACK: Final = 30.0
 SWEEP_INTERVAL: Final = 5.0
+# Callers whose job doesn't fit into memory are told to return after this:
+# jobs that ended long ago have been removed by then.
+MEMORY_RETRY_DELAY: Final = SWEEP_INTERVAL
 # An owner that releases its cell waits this long for its last records, as its
 # leases expire meanwhile.
 LAST_RECORD_WAIT: Final = 1.0
--- a/pimentocross/owner/job_api.py
+++ b/pimentocross/owner/job_api.py
@@ -6,11 +6,13 @@
 
 import trio
 
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.admission import Admission
 from pimentocross.owner.jobs import JobRegistry, reported_state
 from pimentocross.owner.ledger import Batch, Ledger
+from pimentocross.work.limits import JOBS_MEMORY, job_memory
 from pimentocross.work.queue import Queue
 from pimentocross.work.spec import JobSpec
 from pimentocross.work.state import JobState
@@ -81,7 +83,8 @@
 
         Submitting the same id again confirms the same job. Replies
         `STORE_AWAY` if the store is unavailable, and `FULL` if the job would
-        certainly end too late; neither accepts it. If the store becomes
+        certainly end too late or if an owner can't hold it in memory; none of
+        these accepts it. If the store becomes
         unavailable meanwhile, replies `UNSURE` well before the caller's
         timeout.
         """
@@ -90,6 +93,17 @@
             if self._ledger.store_away:
                 note("job_refused", job=job_id, reason="store away")
                 return JobReply(Outcome.STORE_AWAY)
+            if self._registry.memory + job_memory(spec) > JOBS_MEMORY:
+                note(
+                    "job_refused",
+                    job=job_id,
+                    reason="no memory",
+                    memory=self._registry.memory,
+                )
+                meters.add(f'jobs_refused_total{{queue="{queue.name}"}}')
+                return JobReply(
+                    Outcome.FULL, retry_after=const.MEMORY_RETRY_DELAY
+                )
             wait = self._admission.refusal_retry_delay(job_id, queue, spec)
             if wait:
                 return JobReply(Outcome.FULL, retry_after=wait)
--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -8,6 +8,7 @@
 from pimentocross.owner import wall
 from pimentocross.owner.ledger import Batch, LazyRecord, Ledger
 from pimentocross.work import records
+from pimentocross.work.limits import ended_job_memory, job_memory
 from pimentocross.work.queue import Queue, WorkConfig
 from pimentocross.work.spec import JobSpec, TaskName
 from pimentocross.work.state import (
@@ -63,6 +64,9 @@
         self._ledger = ledger
         self._retention = retention
         self._jobs: dict[str, Job] = {}
+        self._memory = 0
+        # Bytes of memory by job, as counted in `memory`.
+        self._memory_of: dict[str, int] = {}
         # Unfinished steps of unfinished jobs whose preceding steps are done, in
         # order.
         self._active_steps: dict[Step, None] = {}
@@ -78,6 +82,11 @@
         """Returns the number of jobs."""
         return len(self._jobs)
 
+    @property
+    def memory(self) -> int:
+        """Bytes of memory that the jobs take at most."""
+        return self._memory
+
     def find(self, job_id: str) -> Job | None:
         """Returns a job, or None."""
         return self._jobs.get(job_id)
@@ -114,6 +123,7 @@
     def restore(self, job: Job) -> None:
         """Adds a job whose record is in the store already."""
         self._jobs[job.id] = job
+        self._count_memory(job)
         if job.ended:
             self._drop_unneeded_tasks(job)
             return
@@ -204,6 +214,7 @@
                 continue
             del self._jobs[job.id]
             self._overdue.discard(job)
+            self._memory -= self._memory_of.pop(job.id, 0)
             for prefix in _record_kinds(job):
                 self._ledger.put(LazyRecord(prefix + job.id, _no_value))
             job.drop_tasks()
@@ -240,6 +251,15 @@
         """Drops the tasks of an ended job once it has no runs any more."""
         if not any(o.has_runs for o in job.occurrences.values()):
             job.drop_tasks()
+            self._count_memory(job)
+
+    def _count_memory(self, job: Job) -> None:
+        if job.ended and not job.occurrences:
+            memory = ended_job_memory(job.spec)
+        else:
+            memory = job_memory(job.spec)
+        self._memory += memory - self._memory_of.get(job.id, 0)
+        self._memory_of[job.id] = memory
 
     def _add_steps(self, occurrence: Occurrence) -> None:
         """Adds the unfinished steps of an occurrence that was opened."""
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -183,6 +183,11 @@
             return 0.0
         return self._take_over_log.age
 
+    @property
+    def jobs_memory(self) -> int:
+        """Bytes of memory that the jobs take at most."""
+        return self._registry.memory
+
     def backlog(self) -> dict[str, float]:
         """Returns core-seconds that wait for scarce capacity, by queue."""
         return self._dispatcher.backlog.work_by_queue()
--- /dev/null
+++ b/tests/test_jobs_memory.py
@@ -0,0 +1,111 @@
+"""Tests that the jobs of a cell fit into the memory of any owner."""
+
+from contextlib import suppress
+import tracemalloc
+from unittest import mock
+
+import trio
+
+from pimentocross.gateway.intake import DurableIntake
+from pimentocross.gateway.messages import (
+    GatewayMessage,
+    JobAnswer,
+    SubmitJob,
+)
+from pimentocross.links.peer import PeerUnreachableError
+from pimentocross.owner import const, wall
+from pimentocross.owner.intake import TOPIC
+from pimentocross.owner.job_api import Outcome
+from pimentocross.standins.store import StoreStandin
+from pimentocross.work.limits import INTAKE_MEMORY, JOBS_MEMORY, job_memory
+from pimentocross.work.spec import JobSpec, StepSpec
+from pimentocross.work.state import Job, Run
+from tests.gateway_fixtures import FixedConfig
+from tests.owner_fixtures import (
+    CONFIG,
+    QUEUE,
+    SMALL,
+    chain,
+    make_owner,
+    make_worker_pool,
+    running,
+    spec,
+)
+from tests.test_intake import ABSENT, NoPeers, OwnerFake
+
+
+async def test_jobs_beyond_the_memory_of_an_owner_are_refused() -> None:
+    # Jobs that were accepted took each owner in turn over its memory.
+    store, worker_pool = StoreStandin(), make_worker_pool(1)
+    wide = JobSpec("s", (StepSpec(4_000, SMALL),), 10, 1e9, 1.0)
+    count = JOBS_MEMORY // job_memory(wide)
+    with mock.patch.object(wall, "now", trio.current_time):
+        async with running(make_owner(store, worker_pool, 1)) as owner:
+            for number in range(count):
+                reply = await owner.job_api.submit(f"j{number}", QUEUE, wide)
+                assert reply.outcome is Outcome.OK
+            refused = await owner.job_api.submit("more", QUEUE, wide)
+            assert refused.outcome is Outcome.FULL
+            assert refused.retry_after == const.MEMORY_RETRY_DELAY
+            assert not owner.job_api.knows("more")
+        async with running(make_owner(store, worker_pool, 2)) as owner:
+            refused = await owner.job_api.submit("more", QUEUE, wide)
+            assert refused.outcome is Outcome.FULL
+            await owner.job_api.cancel("j0")
+            taken = await owner.job_api.submit("more", QUEUE, wide)
+            assert taken.outcome is Outcome.OK
+
+
+async def test_vms_store_no_more_without_an_owner_than_the_next_can_hold() -> (
+    None
+):
+    store = StoreStandin()
+    owner = OwnerFake(ABSENT)
+    intake = DurableIntake(
+        owner,
+        owner.silence,
+        FixedConfig(CONFIG, current=True),
+        store.client("vm"),
+        NoPeers(),
+        lambda: 4,
+    )
+    wide = spec(StepSpec(1_000, SMALL))
+    share = INTAKE_MEMORY // 4 // job_memory(wide)
+    replies: list[GatewayMessage] = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(intake.run)
+        for number in range(share + 3):
+            message = SubmitJob(f"j{number}", QUEUE, wide)
+            with suppress(PeerUnreachableError):
+                replies.append(await intake.ask_owner(message, 2.0))
+        nursery.cancel_scope.cancel()
+    accepted = [
+        reply
+        for reply in replies
+        if isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK
+    ]
+    assert len(accepted) == share, len(accepted)
+    assert len(store.topic(TOPIC).records) == share
+
+
+def test_the_memory_of_a_job_is_not_underestimated() -> None:
+    for job_spec in (
+        chain(8, 2),
+        spec(StepSpec(1, SMALL)),
+        JobSpec("s", chain(8, 2).steps, 1_440, 0.0, 1.0),
+        JobSpec("s" * 10_000, chain(2, 2).steps),
+    ):
+        tracemalloc.start()
+        jobs = []
+        for number in range(20):
+            job = Job(
+                f"{number:016x}", QUEUE, job_spec._replace(payload=""), 0.0
+            )
+            job.spec = job_spec._replace(payload=job_spec.payload + str(number))
+            job.open_due(1e12)
+            for task in job.tasks():
+                task.add_run(Run(1, 0))
+            jobs.append(job)
+        used = tracemalloc.get_traced_memory()[0] / len(jobs)
+        tracemalloc.stop()
+        assert used <= job_memory(job_spec), (used, job_spec)
