Members of a gang start from one checkpoint after their workers crashed

PROTOCOL: all must carry the same value.

Cause: a listing set the checkpoint of its own member; only an ending set that of all members.

Change: Task.note_checkpoint sets it for all members, from listings and endings; a gang that an earlier version recorded with several is given one of them.

--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -44,7 +44,7 @@
     task.note_has_run()
     run = drop_run(task, ending.run, worker)
     if ending.checkpoint and is_newest_run and not task.done:
-        _set_checkpoint(task, ending.checkpoint)
+        task.note_checkpoint(ending.checkpoint)
     if ending.how is EndKind.DONE and not task.step.spec.lasting:
         _finish_task(task)
     elif ending.how is EndKind.FAILED:
@@ -84,11 +84,3 @@
             member.finish()
     else:
         task.finish()
-
-
-def _set_checkpoint(task: Task, checkpoint: str) -> None:
-    if task.step.spec.gang:
-        for member in task.step.tasks:
-            member.checkpoint = checkpoint
-    else:
-        task.checkpoint = checkpoint
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -322,7 +322,7 @@
             ):
                 _update_run(task, run, entry, now)
             if entry.checkpoint and entry.run == task.last_run:
-                task.checkpoint = entry.checkpoint
+                task.note_checkpoint(entry.checkpoint)
             if task.done or task.step.job.state in TERMINAL:
                 self._stops.stop(self._worker, task, run, "not needed")
         return found
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -677,3 +677,8 @@
             run = Run(run_record.number, run_record.worker)
             run.state = RunState.UNSURE
             task.add_run(run)
+    if step.spec.gang:
+        # Earlier versions recorded for each member what it had saved itself.
+        saved_by_any = [task for task in step.tasks if task.checkpoint]
+        if saved_by_any:
+            saved_by_any[0].note_checkpoint(saved_by_any[0].checkpoint)
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -177,6 +177,18 @@
             self._checkpoint = saved
             self.step.record = None
 
+    def note_checkpoint(self, saved: str) -> None:
+        """Sets the newest checkpoint, for a gang that of all members.
+
+        All members of a gang have to start from the same checkpoint, and that
+        of any member is valid for all.
+        """
+        if not self.step.spec.gang:
+            self.checkpoint = saved
+            return
+        for member in self.step.tasks:
+            member.checkpoint = saved
+
     @property
     def waiting(self) -> bool:
         """True if the task isn't done and no run of it may be on a worker."""
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -64,7 +64,7 @@
         # A known run is listed again.
         task.add_run(Run(max(task.runs), 8))
     elif chance < 0.6:
-        task.checkpoint = f"saved {number}"
+        task.note_checkpoint(f"saved {number}")
     elif chance < 0.9 and task.runs:
         task.drop_run(min(task.runs))
         if chance < 0.75:
