A record that is too long for the store holds up no other

Change: the ledger leaves out a record that the store can't take, logs it once (record_too_long) and counts it (records_too_long_total); it isn't said to be stored. Names in submissions have 256 characters at most; estimates about images take 64 KiB of record at most, the newest pairs. The stand-in of the store refuses such appends, as the platform does: that it took them is why no test had shown it.

Evidence: both new tests of test_ledger fail without the changes in owner/ and work/ (TooSlowError after 1 s; a record of the estimates over the limit) and pass with them.

--- a/pimentocross/contracts/store.py
+++ b/pimentocross/contracts/store.py
@@ -24,6 +24,11 @@
     offset: int = -1
 
 
+def record_size(record: Record) -> int:
+    """Returns a record's size in the store, with the length of its key."""
+    return 1 + len(record.key.encode()) + len(record.value or b"")
+
+
 class Page(NamedTuple):
     """The result of a read.
 
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -19,9 +19,12 @@
     SequenceGapError,
     Store,
     StoreUnavailableError,
+    record_size,
 )
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 _Refusal: TypeAlias = FencedError | SequenceGapError
 
@@ -62,7 +65,12 @@
     """
 
     def __init__(
-        self, store: Store, topic: str, producer: str, epoch: int
+        self,
+        store: Store,
+        topic: str,
+        producer: str,
+        epoch: int,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
     ) -> None:
         """Initializes a ledger; nothing is written before `open`.
 
@@ -71,6 +79,7 @@
             topic: Topic to write to.
             producer: Producer name by which the store fences former writers.
             epoch: Epoch under which all records are written.
+            record_bytes: Longest record that the store takes.
         """
         self.stored_at = float("-inf")
         self.appends = 0
@@ -78,6 +87,9 @@
         self._topic = topic
         self._producer = producer
         self._epoch = epoch
+        self._record_bytes = record_bytes
+        # Keys of the records whose newest value is too long for the store.
+        self._too_long: set[str] = set()
         self._sequence = 0
         self._open_batch = Batch()
         self._changed = trio.Event()
@@ -143,16 +155,34 @@
             self._changed = trio.Event()
             await self._write(batch)
             for item in batch.items.values():
-                item.stored()
+                if item.key not in self._too_long:
+                    item.stored()
             batch.stored.set()
 
     async def _write(self, batch: Batch) -> None:
         records = [Record(i.key, i.encode()) for i in batch.items.values()]
+        records = [record for record in records if self._fits(record)]
         if not records:
             records = [Record(const.HEARTBEAT_KEY, b"")]
         for chunk in _split_by_size(records):
             await self._append(chunk)
 
+    def _fits(self, record: Record) -> bool:
+        """Returns whether the store takes a record; logs one that is too long.
+
+        All other records would wait for ever behind an append that the store
+        refuses.
+        """
+        size = record_size(record)
+        if size <= self._record_bytes:
+            self._too_long.discard(record.key)
+            return True
+        if record.key not in self._too_long:
+            note("record_too_long", key=record.key, bytes=size)
+        meters.add("records_too_long_total")
+        self._too_long.add(record.key)
+        return False
+
     async def _append(self, records: list[Record]) -> None:
         """Repeats an append until the store has acknowledged it.
 
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -107,7 +107,11 @@
         self._claim = claim
         self._platform = platform
         self._ledger = Ledger(
-            platform.store, claim.topic, PRODUCER, claim.epoch
+            platform.store,
+            claim.topic,
+            PRODUCER,
+            claim.epoch,
+            platform.terms.record_bytes,
         )
         self._registry = JobRegistry(self._ledger, platform.terms.ended_kept)
         self._former_leases = FormerLeases(
--- a/pimentocross/owner/terms.py
+++ b/pimentocross/owner/terms.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from pimentocross.owner import const
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 
 class OwnerTerms(NamedTuple):
@@ -14,12 +15,14 @@
         granted_most: Longest lease that workers grant, even if a longer one
             is requested.
         descriptors: File descriptors that the process may have open.
+        record_bytes: Longest record that the store takes.
     """
 
     lease: float = const.LEASE
     ended_kept: float = const.ENDED_JOB_RETENTION
     granted_most: float = const.LEASE
     descriptors: int = const.DEFAULT_DESCRIPTORS
+    record_bytes: int = DEFAULT_RECORD_BYTES
 
     @property
     def lease_most(self) -> float:
@@ -58,6 +61,7 @@
     lease_most: float,
     ended_least: float,
     descriptors: int = const.DEFAULT_DESCRIPTORS,
+    record_bytes: int = DEFAULT_RECORD_BYTES,
 ) -> OwnerTerms:
     """Returns the default limits adapted to a deployment's bounds.
 
@@ -66,6 +70,7 @@
         ended_least: Least time for which the state of an ended job has to be
             available.
         descriptors: File descriptors that the process may have open.
+        record_bytes: Longest record that the store takes.
     """
     return OwnerTerms(
         min(const.LEASE, lease_most),
@@ -75,4 +80,5 @@
         ),
         lease_most,
         descriptors,
+        record_bytes,
     )
--- a/pimentocross/platform/__main__.py
+++ b/pimentocross/platform/__main__.py
@@ -52,7 +52,10 @@
         HttpWorkerDialer(),
         adviser,
         make_terms(
-            settings.lease_most, settings.ended_least, settings.descriptors
+            settings.lease_most,
+            settings.ended_least,
+            settings.descriptors,
+            settings.record_bytes,
         ),
         switches=settings.switches,
     )
--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -49,8 +49,8 @@
 _Amount = Annotated[int, msgspec.Meta(gt=0, le=_MAX_AMOUNT)]
 _HOST_AND_PORT = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
 _MAX_PORT = 65_535
-# Longest name of a service, zone, label or machine. Names of workers are part
-# of the owner's records.
+# Longest name of a service, zone, label, machine or image. Names are part of
+# the owner's records.
 _MAX_NAME_LENGTH = 256
 _Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
 # Ids are used in headers and task records.
@@ -136,14 +136,14 @@
     gang: bool = False
     same_rack: bool = False
     # Label that the worker must have.
-    requirements: str = ""
+    requirements: _Name = ""
     # Rack that holds the step's data.
-    affinity: str = ""
+    affinity: _Name = ""
     # Maximum number of tasks of the step on one worker.
     anti_affinity: Number = 0
     allow_duplicates: bool = False
     long_running: bool = False
-    image: str = ""
+    image: _Name = ""
     target_ms: Number = 0
     # A flag despite its name: the tasks use only CPU time left by others.
     fill_count: bool = False
--- a/pimentocross/standins/store.py
+++ b/pimentocross/standins/store.py
@@ -16,8 +16,10 @@
     Record,
     SequenceGapError,
     StoreUnavailableError,
+    record_size,
 )
 from pimentocross.standins.link import LinkStandin
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 # Newest appends per producer whose answers are kept for repeated appends.
 _MAX_KEPT_ANSWERS = 5
@@ -38,6 +40,7 @@
         lost: Share of appends that are carried out but not answered.
         late: Share of appends that are carried out seconds later and not
             answered.
+        record_bytes: Longest record; appends with a longer one are refused.
         silence_count: Number of times that all open connections went silent.
             Calls that wait on such a connection, or reuse an idle one, are
             never answered; new connections work.
@@ -55,6 +58,7 @@
         self.delay = 0.004
         self.lost = 0.0
         self.late = 0.0
+        self.record_bytes = DEFAULT_RECORD_BYTES
         self.silence_count = 0
         self.drop_read_notifications = False
         self.link_bytes_per_s: float | None = None
@@ -206,6 +210,8 @@
         await self._connect(timeout, new_connection)
         await self._transfer(self._uplink, _size(records), until)
         faults = self._store.faults
+        if any(record_size(r) > faults.record_bytes for r in records):
+            raise StoreUnavailableError("append: status 400", sent=False)
         if faults.random.random() < faults.late:
             trio.lowlevel.spawn_system_task(
                 self._append_late, topic, list(records), at, mark
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -46,6 +46,8 @@
 # Used in the topic in which entry VMs store jobs and cancels for an owner.
 CANCEL: Final = "x"
 
+# Longest record of an owner's estimates, which is written every few seconds.
+_MAX_LEARNED_BYTES: Final = 64 * 1024
 # A time whose encoded form is as long as any.
 _LATEST_TIME: Final = 1e12
 _encode: Final = msgspec.msgpack.Encoder().encode
@@ -345,8 +347,17 @@
     pairs: Sequence[tuple[str, str, float, float]],
     durations: dict[str, float],
 ) -> bytes:
-    """Returns the record of an owner's estimates."""
-    return _encode(LearnedRecord(FORMAT_VERSION, tuple(pairs), durations))
+    """Returns the record of an owner's estimates.
+
+    Leaves out the earliest pairs if there are too many for a record: callers
+    may name any number of images.
+    """
+    kept = tuple(pairs)
+    while True:
+        value = _encode(LearnedRecord(FORMAT_VERSION, kept, durations))
+        if len(value) <= _MAX_LEARNED_BYTES or not kept:
+            return value
+        kept = kept[len(kept) // 2 + 1 :]
 
 
 def decode_learned(value: bytes) -> LearnedRecord:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -12,6 +12,8 @@
 
 from pimentocross.owner.ledger import LazyRecord, Ledger
 from pimentocross.standins.store import StoreStandin
+from pimentocross.work import records
+from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 # Seconds within which callers of short jobs expect them to start.
 _MAX_RECORD_SECONDS = 1.0
@@ -79,3 +81,30 @@
         with trio.fail_after(seconds + _MAX_RECORD_SECONDS):
             await stored.wait()
         nursery.cancel_scope.cancel()
+
+
+async def test_a_record_that_the_store_refuses_holds_up_no_other() -> None:
+    # The append was repeated for ever, and each successor did the same.
+    store = StoreStandin()
+    too_long = LazyRecord("long", lambda: b"x" * DEFAULT_RECORD_BYTES)
+    for epoch in (1, 2):
+        ledger = Ledger(store.client("vm"), "jobs", "owner", epoch)
+        async with trio.open_nursery() as nursery:
+            await ledger.open()
+            nursery.start_soon(ledger.run)
+            with trio.fail_after(_MAX_RECORD_SECONDS):
+                ledger.put(too_long)
+                await ledger.put(_record(f"a{epoch}")).stored.wait()
+                await ledger.put(_record(f"b{epoch}")).stored.wait()
+            nursery.cancel_scope.cancel()
+    keys = [r.key for r in store.topic("jobs").records if r.value]
+    assert keys == ["a1", "b1", "a2", "b2"], keys
+
+
+def test_estimates_about_any_number_of_images_fit_into_a_record() -> None:
+    names = [f"{number:0256}" for number in range(60)]
+    pairs = [(a, b, 1.0, 1.0) for a in names for b in names]
+    value = records.encode_learned(pairs, {"q": 1.0})
+    kept = records.decode_learned(value).pairs
+    assert len(value) <= DEFAULT_RECORD_BYTES
+    assert kept and kept[-1] == pairs[-1]
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -169,6 +169,15 @@
         assert _is_refused(_read_worker, json.dumps(entry).encode(), WireError)
 
 
+def test_names_that_no_record_can_hold_are_refused() -> None:
+    # The owner's estimates name the images of submissions.
+    for field in ("image", "requirements", "affinity"):
+        body = {"job_steps": [{field: "x" * 100_000}]}
+        assert _is_refused(
+            read_submission, json.dumps(body).encode(), WireError
+        )
+
+
 @real_time
 async def test_a_submission_with_a_huge_integer_is_refused() -> None:
     async with loopback_platform(1) as platform:
