Values of stored records are checked before an owner builds state from them

By reading: a width of 2^31 would have made each owner build its tasks, a run number near 2^64 would have ended it with the next one, a recorded lease of any length would have been waited for.

Only our own processes write these records; an earlier or later version, or a fault of one owner, must not be inherited by all that follow.

Change: numbers in records are bounded as those of other decoders; a job's specification has to have a valid structure; closed occurrences have to exist; a recorded lease counts for no longer than the longest possible. Specifications that earlier versions accepted are accepted.

--- a/pimentocross/owner/former_leases.py
+++ b/pimentocross/owner/former_leases.py
@@ -100,7 +100,11 @@
         epochs = [predecessor.epoch for predecessor in known]
         if former is not None and former.epoch in epochs:
             del known[epochs.index(former.epoch) + 1 :]
-            self._rows = {row.number: row for row in former.rows}
+            longest = self._terms.unreleased_lease_most
+            self._rows = {
+                row.number: row._replace(left=min(row.left, longest))
+                for row in former.rows
+            }
             self._rows_granted_by = set(former.formers)
             self._record_applies = True
 
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -14,6 +14,7 @@
     WorkerDirectory,
 )
 from pimentocross.contracts.zones import AllZonesOpen, ZoneAccess
+from pimentocross.decoding import whole_number
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.observe.lateness import LoopLateness
@@ -417,11 +418,11 @@
             self._former_leases.restore(value)
         elif kind == records.WORKER:
             self._roster.numbers.restore(
-                int(name), records.decode_worker(value)
+                whole_number(name), records.decode_worker(value)
             )
         elif kind == records.BORN:
             self._roster.numbers.restore_born(
-                int(name), records.decode_born(value)
+                whole_number(name), records.decode_born(value)
             )
 
     async def _sweep_periodically(self, crashes: Crashes) -> None:
--- a/pimentocross/work/number_ranges.py
+++ b/pimentocross/work/number_ranges.py
@@ -44,6 +44,13 @@
         """Returns the first and the last number of each range, in order."""
         return list(zip(self._firsts, self._lasts, strict=True))
 
+    def next_gap(self, number: int) -> int:
+        """Returns the least number from `number` on that isn't in the set."""
+        index = bisect_right(self._firsts, number) - 1
+        if index >= 0 and number <= self._lasts[index]:
+            return self._lasts[index] + 1
+        return number
+
     def add(self, number: int) -> None:
         """Adds a number."""
         if number in self:
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -12,12 +12,17 @@
 
 import msgspec
 
-from pimentocross.decoding import msgpack_decoder
+from pimentocross.decoding import FiniteNumber, Number, msgpack_decoder
 from pimentocross.work.crash_history import CrashHistory
 from pimentocross.work.limits import MAX_LISTED_CLOSED_STEPS
 from pimentocross.work.number_ranges import NumberRanges
 from pimentocross.work.queue import Queue
-from pimentocross.work.spec import JobSpec, TaskName
+from pimentocross.work.spec import (
+    JobSpec,
+    SpecError,
+    TaskName,
+    check_structure,
+)
 from pimentocross.work.state import Job, JobState, Run, RunState, Step, Task
 
 FORMAT_VERSION: Final = 1
@@ -61,10 +66,10 @@
 class SubmissionRecord(NamedTuple):
     """A job as it was accepted."""
 
-    form: int
+    form: Number
     queue: Queue
     spec: JobSpec
-    accepted_at: float
+    accepted_at: FiniteNumber
 
 
 class RunRecord(NamedTuple):
@@ -75,8 +80,8 @@
         worker: Number of the worker's life in the roster.
     """
 
-    number: int
-    worker: int
+    number: Number
+    worker: Number
 
 
 class TaskRecord(NamedTuple):
@@ -85,9 +90,9 @@
     A task that is done has a record only while a run of it may be on a worker.
     """
 
-    position: int
-    last_run: int
-    failures: int
+    position: Number
+    last_run: Number
+    failures: Number
     checkpoint: str
     runs: tuple[RunRecord, ...]
 
@@ -104,8 +109,8 @@
             run left on a worker.
     """
 
-    occurrence: int
-    step: int
+    occurrence: Number
+    step: Number
     done: bytes
     tasks: tuple[TaskRecord, ...]
 
@@ -124,11 +129,11 @@
             steps of all closed occurrences are few enough to be listed.
     """
 
-    form: int
+    form: Number
     state: str
-    ended_at: float
+    ended_at: FiniteNumber
     steps: tuple[StepRecord, ...]
-    closed: tuple[tuple[int, int], ...] = ()
+    closed: tuple[tuple[Number, Number], ...] = ()
 
 
 class WorkerRecord(NamedTuple):
@@ -140,7 +145,7 @@
         machine: Machine that the life runs on.
     """
 
-    form: int
+    form: Number
     life: str
     machine: str
 
@@ -148,27 +153,27 @@
 class BornRecord(NamedTuple):
     """Time at which a worker life started, in milliseconds since 1970."""
 
-    form: int
-    born: int
+    form: Number
+    born: Number
 
 
 class CrashRecord(NamedTuple):
     """Crashes of workers that ran a task; see `work.crash_history`."""
 
-    occurrence: int
-    step: int
-    position: int
-    crashes: int
-    sure: int
-    early: int
-    survived: float
-    run: int
+    occurrence: Number
+    step: Number
+    position: Number
+    crashes: Number
+    sure: Number
+    early: Number
+    survived: FiniteNumber
+    run: Number
 
 
 class CrashHistoryRecord(NamedTuple):
     """Crash histories of a job's tasks whose workers have crashed."""
 
-    form: int
+    form: Number
     tasks: tuple[CrashRecord, ...]
 
 
@@ -184,14 +189,14 @@
     """
 
     task: TaskName
-    run: int
-    left: float
+    run: Number
+    left: FiniteNumber
 
 
 class LateStartsRecord(NamedTuple):
     """Starts that may still be carried out although no call awaits them."""
 
-    form: int
+    form: Number
     starts: tuple[LateStart, ...]
 
 
@@ -208,8 +213,8 @@
     """
 
     task: TaskName
-    run: int
-    lived: float
+    run: Number
+    lived: FiniteNumber
     sure: bool
     isolated: bool
 
@@ -223,9 +228,9 @@
         runs: Names of the tasks and numbers of their runs.
     """
 
-    form: int
-    epoch: int
-    runs: tuple[tuple[TaskName, int], ...]
+    form: Number
+    epoch: Number
+    runs: tuple[tuple[TaskName, Number], ...]
 
 
 class LivedRunRow(NamedTuple):
@@ -239,15 +244,15 @@
     """
 
     task: TaskName
-    run: int
-    worker: int
-    lived: float
+    run: Number
+    worker: Number
+    lived: FiniteNumber
 
 
 class LivedRunsRecord(NamedTuple):
     """Lifetimes of the runs that may crash their workers."""
 
-    form: int
+    form: Number
     rows: tuple[LivedRunRow, ...]
 
 
@@ -261,7 +266,7 @@
             crashed it.
     """
 
-    at: float
+    at: FiniteNumber
     rack: str
     explained: bool
 
@@ -269,7 +274,7 @@
 class WorkerEndsRecord(NamedTuple):
     """Workers that ended recently."""
 
-    form: int
+    form: Number
     rows: tuple[WorkerEndRow, ...]
 
 
@@ -285,10 +290,10 @@
         rows: Runs on the worker that may have crashed it.
     """
 
-    form: int
+    form: Number
     life: str
     machine: str
-    born: int
+    born: Number
     rows: tuple[SuspectRunRow, ...]
 
 
@@ -303,8 +308,8 @@
             life until it has stored a record without this mark.
     """
 
-    number: int
-    left: float
+    number: Number
+    left: FiniteNumber
     barred: bool
 
 
@@ -322,10 +327,10 @@
             if they aren't known.
     """
 
-    form: int
-    epoch: int
+    form: Number
+    epoch: Number
     rows: tuple[LeaseRow, ...]
-    formers: tuple[int, ...]
+    formers: tuple[Number, ...]
 
 
 class LearnedRecord(NamedTuple):
@@ -338,9 +343,9 @@
         durations: Means of the logarithms of task durations by queue.
     """
 
-    form: int
-    pairs: tuple[tuple[str, str, float, float], ...]
-    durations: dict[str, float]
+    form: Number
+    pairs: tuple[tuple[str, str, FiniteNumber, FiniteNumber], ...]
+    durations: dict[str, FiniteNumber]
 
 
 def encode_learned(
@@ -395,6 +400,10 @@
         RecordError: The record has another format.
     """
     record = _decode(value, SubmissionRecord)
+    try:
+        check_structure(record.spec)
+    except SpecError as error:
+        raise RecordError(str(error)) from error
     return Job(job_id, record.queue, record.spec, record.accepted_at)
 
 
--- a/pimentocross/work/spec.py
+++ b/pimentocross/work/spec.py
@@ -135,6 +135,28 @@
     Raises:
         SpecError: The specification is invalid; the error has all findings.
     """
+    findings = _structure_findings(spec)
+    for number, step in enumerate(spec.steps):
+        if step.estimate < 0:
+            findings.append(f"steps[{number}].estimate: below 0")
+    if spec.repeats > 0 and spec.interval < 0:
+        findings.append("interval: below 0")
+    if findings:
+        raise SpecError(findings)
+
+
+def check_structure(spec: JobSpec) -> None:
+    """Validates what the owner's state of a job relies on.
+
+    Raises:
+        SpecError: The specification is invalid; the error has all findings.
+    """
+    findings = _structure_findings(spec)
+    if findings:
+        raise SpecError(findings)
+
+
+def _structure_findings(spec: JobSpec) -> list[str]:
     findings = []
     task_count = sum(step.width for step in spec.steps) * max(spec.repeats, 1)
     if task_count > MAX_TASKS_PER_JOB:
@@ -149,14 +171,9 @@
             findings.append(f"{path}.width: {step.width}, at least 1")
         if min(step.size) < 0:
             findings.append(f"{path}.size: below 0")
-        if step.estimate < 0:
-            findings.append(f"{path}.estimate: below 0")
         if any(not 0 <= dependency < number for dependency in step.after):
             findings.append(f"{path}.after: not an earlier step")
-    if spec.repeats > 0 and spec.interval < 0:
-        findings.append("interval: below 0")
-    if findings:
-        raise SpecError(findings)
+    return findings
 
 
 class TaskName(NamedTuple):
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -467,11 +467,13 @@
         self._skip_opened()
 
     def _skip_opened(self) -> None:
-        while (
-            self._next_to_open in self.occurrences
-            or self._next_to_open in self.closed
-        ):
-            self._next_to_open += 1
+        while True:
+            after = self.closed.next_gap(self._next_to_open)
+            if after in self.occurrences:
+                after += 1
+            if after == self._next_to_open:
+                return
+            self._next_to_open = after
 
     def _due(self, number: int) -> float:
         if not self.has_due_times:
--- a/tests/test_scheduled_jobs.py
+++ b/tests/test_scheduled_jobs.py
@@ -143,6 +143,10 @@
     assert list(ranges) == sorted(set(numbers))
     assert len(ranges) == len(set(numbers))
     assert [n for n in range(31) if n in ranges] == sorted(set(numbers))
+    for number in range(31):
+        gap = ranges.next_gap(number)
+        assert gap not in ranges
+        assert all(n in ranges for n in range(number, gap))
     again = NumberRanges(ranges.ranges())
     assert again.ranges() == ranges.ranges()
     gaps = zip(ranges.ranges(), ranges.ranges()[1:], strict=False)
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -5,12 +5,16 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+import msgspec
 import trio
 
 from pimentocross.contracts.store import Record
 from pimentocross.gateway.cluster import Cluster
 from pimentocross.links.http_pool import HttpPool
+from pimentocross.owner.former_leases import FormerLeases, Predecessor
 from pimentocross.owner.intake import submission_key
+from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.terms import OwnerTerms
 from pimentocross.platform.topics import WorkerTopic
 from pimentocross.platform.wire import (
     WireError,
@@ -24,7 +28,7 @@
 from pimentocross.standins.users_platform import worker_entry
 from pimentocross.work import records
 from pimentocross.work.records import RecordError
-from pimentocross.work.spec import StepSpec
+from pimentocross.work.spec import JobSpec, StepSpec
 from pimentocross.work.state import Job
 from tests.owner_fixtures import (
     QUEUE,
@@ -198,6 +202,49 @@
         _is_refused(decode_record, value, RecordError)
 
 
+def test_a_record_of_a_job_that_no_memory_holds_is_refused() -> None:
+    # Each owner that read it made its tasks, and was over its memory.
+    for changed in (
+        spec(StepSpec(2**31, SMALL)),
+        spec(StepSpec(1, SMALL))._replace(repeats=2**40),
+        spec(StepSpec(1, SMALL, after=(5,))),
+        spec(),
+    ):
+        value = records.encode_accepted(QUEUE, changed, 0.0)
+        assert _is_refused(
+            lambda value: records.decode_submission("j", value),
+            value,
+            RecordError,
+        )
+
+
+def test_progress_of_occurrences_that_a_job_has_not_is_refused() -> None:
+    timed = JobSpec("s", chain().steps, 100, 0.0, 1.0)
+    for closed in (((0, 2**52),), ((-5, 3),), ((7, 3),), ((0, 3), (2, 5))):
+        record = records.ProgressRecord(1, "running", 0.0, (), closed)
+        value = msgspec.msgpack.encode(record)
+        assert _is_refused(
+            lambda value: records.decode_progress(
+                Job("j", QUEUE, timed, 0.0), value
+            ),
+            value,
+            RecordError,
+        )
+
+
+async def test_a_recorded_lease_of_any_length_is_not_waited_for() -> None:
+    ledger = Ledger(StoreStandin().client("a"), "jobs", "o", 2)
+    leases = FormerLeases(
+        2, (Predecessor(1, False),), OwnerTerms(), ledger, quiet=False
+    )
+    row = records.LeaseRow(1, 1e9, False)
+    leases.restore(records.encode_leases(1, [row], []))
+    leases.begin()
+    leases.apply_former_record()
+    longest = OwnerTerms().unreleased_lease_most
+    assert leases.until(1) <= trio.current_time() + longest
+
+
 async def test_a_nested_record_of_a_job_ends_no_owner_in_turn() -> None:
     store, worker_pool = StoreStandin(), make_worker_pool(1)
     writer = store.client("writer")
