Jobs that end before they are due leave the list of due times

Found in reading the change: the list kept each job, with its payload, until its due time, also after it had been cancelled and removed; the count of memory said that it was free. A caller that submits and cancels jobs due next year would fill the owner.

Change: the list names jobs, and drops those that are gone once it is twice as long as the registry. Evidence: the new test of test_jobs_memory fails on the parent (AssertionError) and passes.

--- a/pimentocross/owner/jobs.py
+++ b/pimentocross/owner/jobs.py
@@ -41,14 +41,13 @@
 
 
 class _Due(NamedTuple):
-    """A job whose next occurrence is due at a time; sorts by time.
+    """When the next occurrence of a job is due; sorts by time.
 
-    `number` keeps jobs from being compared.
+    It names the job, which may be removed long before that time.
     """
 
     at: float
-    number: int
-    job: Job
+    job_id: str
 
 
 class JobRegistry:
@@ -76,7 +75,6 @@
         self._schedule: list[_Due] = []
         # Jobs with occurrences that are due, but may not be opened yet.
         self._overdue: set[Job] = set()
-        self._scheduled_count = 0
 
     def __len__(self) -> int:
         """Returns the number of jobs."""
@@ -218,12 +216,16 @@
             for prefix in _record_kinds(job):
                 self._ledger.put(LazyRecord(prefix + job.id, _no_value))
             job.drop_tasks()
+        if len(self._schedule) > 2 * len(self._jobs):
+            self._schedule = sorted(
+                due for due in self._schedule if due.job_id in self._jobs
+            )
 
     def _open_due(self, today: float) -> None:
         """Opens the occurrences that are due."""
         while self._schedule and self._schedule[0].at <= today:
-            job = heappop(self._schedule).job
-            if job.ended:
+            job = self._jobs.get(heappop(self._schedule).job_id)
+            if job is None or job.ended:
                 continue
             for occurrence in job.open_due(today):
                 self._add_steps(occurrence)
@@ -237,8 +239,7 @@
         if due <= today:
             self._overdue.add(job)
             return
-        self._scheduled_count += 1
-        heappush(self._schedule, _Due(due, self._scheduled_count, job))
+        heappush(self._schedule, _Due(due, job.id))
 
     def _close_done(self, job: Job) -> None:
         for occurrence in job.close_done():
--- a/tests/test_jobs_memory.py
+++ b/tests/test_jobs_memory.py
@@ -1,8 +1,10 @@
 """Tests that the jobs of a cell fit into the memory of any owner."""
 
 from contextlib import suppress
+import gc
 import tracemalloc
 from unittest import mock
+import weakref
 
 import trio
 
@@ -16,6 +18,8 @@
 from pimentocross.owner import const, wall
 from pimentocross.owner.intake import TOPIC
 from pimentocross.owner.job_api import Outcome
+from pimentocross.owner.jobs import JobRegistry
+from pimentocross.owner.ledger import Ledger
 from pimentocross.standins.store import StoreStandin
 from pimentocross.work.limits import INTAKE_MEMORY, JOBS_MEMORY, job_memory
 from pimentocross.work.spec import JobSpec, StepSpec
@@ -88,6 +92,29 @@
     assert len(store.topic(TOPIC).records) == share
 
 
+def test_jobs_that_were_cancelled_before_they_are_due_are_forgotten() -> None:
+    # The list of due times kept them, their payloads included.
+    ledger = Ledger(StoreStandin().client("a"), "jobs", "o", 1)
+    registry = JobRegistry(ledger, 0.0)
+    scheduled = JobSpec("s" * 1_000, chain(1, 1).steps, 5, 1e15, 60.0)
+    jobs = []
+    for number in range(200):
+        job = Job(f"j{number}", QUEUE, scheduled, 0.0)
+        registry.restore(job)
+        registry.cancel(job)
+        job.recorded_state = job.state
+        jobs.append(weakref.ref(job))
+        del job
+    with mock.patch.object(wall, "now", lambda: 1e12):
+        registry.sweep()
+    assert not len(registry) and not registry.memory
+    # What waits for its append may still refer to jobs.
+    ledger._open_batch.items.clear()
+    gc.collect()
+    assert not any(job() for job in jobs)
+    assert not registry._schedule
+
+
 def test_the_memory_of_a_job_is_not_underestimated() -> None:
     for job_spec in (
         chain(8, 2),
