A job that couldn't be stored takes no share of what VMs may store

Found in reading the change: a VM that the store turned away counted each attempt against its share of the memory, and refused jobs for that reason once the store was back, until an owner answered it.

--- a/pimentocross/gateway/intake.py
+++ b/pimentocross/gateway/intake.py
@@ -308,16 +308,18 @@
         """
         if not await self._may_store(message):
             return None
+        memory = 0
         if isinstance(message, SubmitJob):
             memory = job_memory(message.spec)
             if not self._fits(memory):
                 note("intake_full", job=message.job, stored=self._stored_memory)
                 return None
-            self._stored_memory += memory
+        self._stored_memory += memory
         try:
             await self._writer.put(_record_of(message))
         except StoreUnavailableError as error:
             if not error.sent:
+                self._stored_memory = max(self._stored_memory - memory, 0)
                 return None
             reason = f"stored perhaps: {error}"
             raise PeerUnreachableError(reason, sent=True) from error
--- a/tests/test_jobs_memory.py
+++ b/tests/test_jobs_memory.py
@@ -92,6 +92,32 @@
     assert len(store.topic(TOPIC).records) == share
 
 
+async def test_a_job_that_could_not_be_stored_takes_no_share() -> None:
+    store = StoreStandin()
+    owner = OwnerFake(ABSENT)
+    intake = DurableIntake(
+        owner,
+        owner.silence,
+        FixedConfig(CONFIG, current=True),
+        store.client("vm"),
+        NoPeers(),
+        lambda: 4,
+    )
+    wide = spec(StepSpec(1_000, SMALL))
+    share = INTAKE_MEMORY // 4 // job_memory(wide)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(intake.run)
+        store.faults.refused.add("vm")
+        for number in range(share + 3):
+            with suppress(PeerUnreachableError):
+                await intake.ask_owner(SubmitJob(f"a{number}", QUEUE, wide), 2)
+        store.faults.refused.clear()
+        await trio.sleep(1.0)
+        reply = await intake.ask_owner(SubmitJob("b", QUEUE, wide), 2.0)
+        nursery.cancel_scope.cancel()
+    assert isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK
+
+
 def test_jobs_that_were_cancelled_before_they_are_due_are_forgotten() -> None:
     # The list of due times kept them, their payloads included.
     ledger = Ledger(StoreStandin().client("a"), "jobs", "o", 1)
