Settings that are no finite numbers are named as what is wrong

By reading, for the class of the review's cases: limits.max_fds=inf or nan, or a port of other digits, ended the start with an OverflowError or ValueError instead of the finding that operators get for other mistakes.

Evidence: the new test of test_platform fails on the parent (ValueError, invalid literal for int() with base 10) and passes.

--- a/pimentocross/platform/settings.py
+++ b/pimentocross/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the platform's settings file, which has lines of the form a.b=value."""
 
 from collections.abc import Mapping
+import math
 import os
 from pathlib import Path
 from typing import Final
@@ -136,9 +137,9 @@
 
 
 def _port(text: str, findings: list[str]) -> int:
-    if text and not text.isdigit():
+    if text and not text.isdecimal():
         findings.append(f"{text!r} is not a port number")
-    return int(text) if text.isdigit() else 0
+    return int(text) if text.isdecimal() else 0
 
 
 def _switches(findings: list[str]) -> Switches:
@@ -155,8 +156,14 @@
     default: float,
     findings: list[str],
 ) -> float:
+    text = values.get(name)
+    if not text:
+        return default
     try:
-        return float(values.get(name) or default)
+        number = float(text)
     except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
         findings.append(f"{name}: not a number")
         return default
+    return number
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -365,6 +365,26 @@
             raise AssertionError("settings without a zone were taken")
 
 
+def test_settings_that_are_no_finite_numbers_are_named() -> None:
+    # They raised other errors, of which the operator saw the traceback alone.
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings"
+        write_settings(path, "vm1", "127.0.0.1:1")
+        names = ("limits.max_fds", "bounds.grace_s", "platform.record_bytes")
+        with path.open("a", encoding="utf-8") as file:
+            for name, value in zip(names, ("inf", "nan", "1e999"), strict=True):
+                file.write(f"{name}={value}\n")
+            file.write("internal_ports=\u00b2\n")
+        try:
+            read_settings(path)
+        except SettingsError as error:
+            text = "\n".join(error.findings)
+            for expected in (*names, "not a port number"):
+                assert expected in text, text
+        else:
+            raise AssertionError("settings without numbers were taken")
+
+
 @real_time
 @real_time
 @real_time
