--- a/tests/test_jobs_memory.py
+++ b/tests/test_jobs_memory.py
@@ -37,6 +37,22 @@
 )
 from tests.test_intake import ABSENT, NoPeers, OwnerFake
 
+# VMs that share what is stored without an owner, and a job of many tasks.
+_VMS = 4
+_WIDE = spec(StepSpec(1_000, SMALL))
+
+
+def _intake_without_owner(store: StoreStandin) -> DurableIntake:
+    owner = OwnerFake(ABSENT)
+    return DurableIntake(
+        owner,
+        owner.silence,
+        FixedConfig(CONFIG, current=True),
+        store.client("vm"),
+        NoPeers(),
+        lambda: _VMS,
+    )
+
 
 async def test_jobs_beyond_the_memory_of_an_owner_are_refused() -> None:
     # Jobs that were accepted took each owner in turn over its memory.
@@ -64,22 +80,13 @@
     None
 ):
     store = StoreStandin()
-    owner = OwnerFake(ABSENT)
-    intake = DurableIntake(
-        owner,
-        owner.silence,
-        FixedConfig(CONFIG, current=True),
-        store.client("vm"),
-        NoPeers(),
-        lambda: 4,
-    )
-    wide = spec(StepSpec(1_000, SMALL))
-    share = INTAKE_MEMORY // 4 // job_memory(wide)
+    intake = _intake_without_owner(store)
+    share = INTAKE_MEMORY // _VMS // job_memory(_WIDE)
     replies: list[GatewayMessage] = []
     async with trio.open_nursery() as nursery:
         nursery.start_soon(intake.run)
         for number in range(share + 3):
-            message = SubmitJob(f"j{number}", QUEUE, wide)
+            message = SubmitJob(f"j{number}", QUEUE, _WIDE)
             with suppress(PeerUnreachableError):
                 replies.append(await intake.ask_owner(message, 2.0))
         nursery.cancel_scope.cancel()
@@ -94,26 +101,17 @@
 
 async def test_a_job_that_could_not_be_stored_takes_no_share() -> None:
     store = StoreStandin()
-    owner = OwnerFake(ABSENT)
-    intake = DurableIntake(
-        owner,
-        owner.silence,
-        FixedConfig(CONFIG, current=True),
-        store.client("vm"),
-        NoPeers(),
-        lambda: 4,
-    )
-    wide = spec(StepSpec(1_000, SMALL))
-    share = INTAKE_MEMORY // 4 // job_memory(wide)
+    intake = _intake_without_owner(store)
+    share = INTAKE_MEMORY // _VMS // job_memory(_WIDE)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(intake.run)
         store.faults.refused.add("vm")
         for number in range(share + 3):
             with suppress(PeerUnreachableError):
-                await intake.ask_owner(SubmitJob(f"a{number}", QUEUE, wide), 2)
+                await intake.ask_owner(SubmitJob(f"a{number}", QUEUE, _WIDE), 2)
         store.faults.refused.clear()
         await trio.sleep(1.0)
-        reply = await intake.ask_owner(SubmitJob("b", QUEUE, wide), 2.0)
+        reply = await intake.ask_owner(SubmitJob("b", QUEUE, _WIDE), 2.0)
         nursery.cancel_scope.cancel()
     assert isinstance(reply, JobAnswer) and reply.outcome is Outcome.OK
 
