A take-over logs how long leases of each former owner may last

What its tasks waited for could not be told: leases of a former owner, a start that may be carried out late, or a silent worker that is still listed.

Change: `former_leases` names each former owner at a take-over, whether it has ended, and the seconds for which its leases may last. `run_waits` is logged for listed workers that don't answer a new owner as well as for unlisted ones.

--- a/pimentocross/owner/absent.py
+++ b/pimentocross/owner/absent.py
@@ -11,7 +11,7 @@
 from pimentocross.contracts.worker_link import WorkerDialer, WorkerLife
 from pimentocross.observe.decisions import note
 from pimentocross.owner.context import OwnerContext
-from pimentocross.owner.endings import log_lost_runs
+from pimentocross.owner.endings import log_lost_runs, log_waiting_runs
 from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.late_starts import clear_late_starts
 from pimentocross.owner.life_numbers import LifeNumbers
@@ -89,15 +89,7 @@
     def log_waits(self) -> None:
         """Logs the tasks that wait for leases to end, and for how long."""
         for worker in self:
-            left = worker.former_leases_until - trio.current_time()
-            for task, run in worker.runs:
-                note(
-                    "run_waits",
-                    task=task.name,
-                    run=run,
-                    worker=worker.life.id,
-                    seconds=round(left, 3),
-                )
+            log_waiting_runs(worker)
 
     def _end_life(
         self, worker: Worker, parts: OwnerContext, *, replaced: bool
--- a/pimentocross/owner/endings.py
+++ b/pimentocross/owner/endings.py
@@ -1,5 +1,7 @@
 """Applies the endings of runs to their tasks."""
 
+import trio
+
 from pimentocross.contracts.worker_link import Ending, EndKind
 from pimentocross.observe.decisions import note
 from pimentocross.owner.worker import Worker
@@ -34,6 +36,19 @@
         )
 
 
+def log_waiting_runs(worker: Worker) -> None:
+    """Logs the runs on a silent worker, and until when their tasks wait."""
+    left = worker.lapses_at - trio.current_time()
+    for task, run in worker.runs:
+        note(
+            "run_waits",
+            task=task.name,
+            run=run,
+            worker=worker.life.id,
+            seconds=round(left, 3),
+        )
+
+
 def apply_ending(task: Task, ending: Ending, worker: Worker) -> Run | None:
     """Applies a listed ending to its task.
 
--- a/pimentocross/owner/former_leases.py
+++ b/pimentocross/owner/former_leases.py
@@ -90,6 +90,14 @@
             former.epoch: self._began + self._longest_lease(former.ended)
             for former in self._predecessors
         }
+        note(
+            "former_leases",
+            epoch=self._epoch,
+            formers=[
+                (f.epoch, f.ended, round(self._longest_lease(f.ended), 3))
+                for f in self._predecessors
+            ],
+        )
 
     def apply_former_record(self) -> None:
         """Applies the restored record if a known predecessor wrote it.
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -17,7 +17,11 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.context import OwnerContext, RunStopper
-from pimentocross.owner.endings import apply_ending, log_lost_runs
+from pimentocross.owner.endings import (
+    apply_ending,
+    log_lost_runs,
+    log_waiting_runs,
+)
 from pimentocross.owner.late_starts import clear_late_starts, may_resend_start
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.worker import Worker
@@ -237,6 +241,8 @@
             worker.reachable = False
             worker.silent_since = trio.current_time()
             self._context.crashes.note_silent(worker)
+            if not worker.adopted:
+                log_waiting_runs(worker)
         if worker.lapsed(trio.current_time()):
             if worker.listed:
                 self._context.crashes.note_lapsed(worker)
