A former owner that nobody can ask is waited for as long as it can be confirmed

Cause: an owner renewed leases for 12 s without an acknowledged append. Nobody can tell a VM that is gone from one that is cut off together with workers, so a successor waited 12 s and a lease (17.4 s) from its take-over, whatever it could reach.

Change: no lease lasts longer than 5.25 s after its owner was last confirmed. The store confirms an owner by an acknowledged append, as of its first attempt; more than half of a recorded set of workers do by their answers. A successor fences the store by its first append and the workers by its first calls. Once it has fenced half of the recorded workers, no former owner can be confirmed, and it waits 5.7 s. If it can't reach half, it waits as long as before, and so it does for owners of earlier versions, which a claim tells apart. An owner records its own set only after it has fenced the former one. Ages are counted on the boot clock, as the monotonic clock stands still while a VM is suspended.

Why it is a proof: any set that confirms a former owner later than the fence holds a fenced worker, which refuses it.

`test_claim_records_of_other_versions_are_read` had a record of a later version with one field too few to be later than this one; it has one more now, and a record of the version before is read as well.

--- a/bench/large_owner.py
+++ b/bench/large_owner.py
@@ -32,6 +32,7 @@
 from pimentocross.owner.orders import Orders, Placement
 from pimentocross.owner.roster import Roster, RosterParts
 from pimentocross.owner.terms import OwnerTerms
+from pimentocross.owner.witnesses import Witnesses
 from pimentocross.owner.worker import Worker
 from pimentocross.platform import __main__ as process
 from pimentocross.platform.store import StoreClient
@@ -79,6 +80,7 @@
             HttpWorkerDialer(),
             self.ledger,
             former_leases,
+            Witnesses(1, self.ledger),
             lambda: CONFIG,
             AllZonesOpen(),
         )
--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -30,6 +30,7 @@
 from pimentocross.links.listener import HttpListener, ListenerLimits
 from pimentocross.observe.lateness import LoopLateness
 from pimentocross.owner.call_timeouts import CallTimeouts
+from pimentocross.owner.confirmation import Confirmation
 from pimentocross.owner.context import OwnerContext
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.former_leases import FormerLeases
@@ -42,6 +43,7 @@
 from pimentocross.owner.resent_starts import ResentStarts
 from pimentocross.owner.silent_lives import SilentLives
 from pimentocross.owner.terms import OwnerTerms
+from pimentocross.owner.witnesses import Witnesses
 from pimentocross.owner.worker import Worker
 from pimentocross.owner.worker_ends import WorkerEnds
 from pimentocross.platform.wire import read_hold, write_task
@@ -79,6 +81,9 @@
     def note_replaced(self, *_: object) -> None:
         """Does nothing."""
 
+    def note_answer(self, *_: object) -> None:
+        """Does nothing."""
+
 
 class _UnchangedListingLink:
     """A worker link that always returns the same listing.
@@ -172,6 +177,7 @@
         _NoRestarts(),
         LateStarts(book, ledger, lambda: None, ResentStarts(1, None, ledger)),
         FormerLeases(1, (), OwnerTerms(_LEASE_SECONDS), ledger, quiet=True),
+        Confirmation(ledger, Witnesses(1, ledger), OwnerTerms(_LEASE_SECONDS)),
     )
 
 
--- a/pimentocross/gateway/cluster.py
+++ b/pimentocross/gateway/cluster.py
@@ -86,6 +86,9 @@
             more; False for a claim.
         formers: Known former owners, the newest first. In a release the first
             one is the owner that releases the cell.
+        confirms: For a claim, whether the owner renews leases only while it is
+            confirmed; see `owner.witnesses`.
+        confirming: Epochs of the listed former owners that did the same.
     """
 
     form: int
@@ -94,6 +97,8 @@
     address: str
     quiet: bool
     formers: tuple[FormerOwner, ...] = ()
+    confirms: bool = False
+    confirming: tuple[int, ...] = ()
 
 
 _T = TypeVar("_T", Member, ClaimRecord)
@@ -108,6 +113,8 @@
     address: str
     quiet: bool
     formers: tuple[FormerOwner, ...] = ()
+    confirms: bool = False
+    confirming: tuple[int, ...] = ()
 
     @property
     def released(self) -> bool:
@@ -124,6 +131,13 @@
         )
         return (owner, *self.formers)
 
+    @property
+    def confirming_owners(self) -> tuple[int, ...]:
+        """Epochs of the owners that renew leases only while confirmed."""
+        if self.confirms and not self.released:
+            return (self.epoch, *self.confirming)
+        return self.confirming
+
 
 class Cluster:
     """A local copy of the members and the newest claim in the cluster topic.
@@ -296,6 +310,7 @@
     process: str,
     address: str,
     formers: Sequence[FormerOwner] = (),
+    confirming: Sequence[int] = (),
 ) -> ClaimRecord:
     """Returns the record of a claim.
 
@@ -304,9 +319,19 @@
         process: Id of the owner's process.
         address: Address of its peer listener.
         formers: Former owners, the newest first.
+        confirming: Epochs of those that renew leases only while confirmed.
     """
     known = tuple(formers[: const.MAX_FORMER_OWNERS])
-    return ClaimRecord(_RECORD_VERSION, vm, process, address, False, known)
+    return ClaimRecord(
+        _RECORD_VERSION,
+        vm,
+        process,
+        address,
+        False,
+        known,
+        confirms=True,
+        confirming=tuple(confirming[: const.MAX_FORMER_OWNERS]),
+    )
 
 
 def release_record(claim: OwnerClaim, *, quiet: bool) -> ClaimRecord:
@@ -320,4 +345,12 @@
         former._replace(ended=former.ended or former.epoch == claim.epoch)
         for former in claim.owners[: const.MAX_FORMER_OWNERS]
     )
-    return ClaimRecord(_RECORD_VERSION, claim.vm, "", "", quiet, formers)
+    return ClaimRecord(
+        _RECORD_VERSION,
+        claim.vm,
+        "",
+        "",
+        quiet,
+        formers,
+        confirming=claim.confirming_owners[: const.MAX_FORMER_OWNERS],
+    )
--- a/pimentocross/gateway/election.py
+++ b/pimentocross/gateway/election.py
@@ -194,7 +194,10 @@
                 const.JOBS_TOPIC,
                 claim.epoch,
                 self._former_renewals_over,
-                tuple(Predecessor(f.epoch, f.ended) for f in formers),
+                tuple(
+                    Predecessor(f.epoch, f.ended, f.epoch in claim.confirming)
+                    for f in formers
+                ),
             ),
             self._platform,
             self._require_config,
@@ -515,6 +518,7 @@
             own_identity.process,
             own_identity.address,
             formers,
+            claim.confirming_owners if claim is not None else (),
         )
         try:
             await self._cluster.append_claim(record, self._cluster.end)
--- a/pimentocross/owner/absent.py
+++ b/pimentocross/owner/absent.py
@@ -99,6 +99,7 @@
         if replaced:
             clear_late_starts(worker)
             parts.crashes.note_replaced(worker)
+            parts.lives.note_replaced(worker)
         else:
             parts.crashes.note_absent(worker)
         log_lost_runs(worker, "never listed")
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -35,8 +35,18 @@
 # owner's.
 CLOCK_DRIFT: Final = 0.02
 LAPSE_MARGIN: Final = 0.3
-# An owner renews leases for this long without an acknowledged append. It is
-# longer than the longest announced outage of the store (9 s).
+# No lease lasts longer than a lease and this after the owner was last
+# confirmed: the mean age of the newest heartbeat record of an idle owner.
+CONFIRMATION_SLACK: Final = HEARTBEAT_INTERVAL / 2
+# Share of the worker lives that answer and of the recorded witnesses that have
+# to coincide. If fewer do, other witnesses are recorded.
+LEAST_CURRENT_WITNESSES: Final = 0.75
+# Upper bound of the record of witnesses in a large cell.
+MAX_WITNESSES: Final = 1000
+# Finding since when a majority has answered sorts all witnesses.
+MAJORITY_INTERVAL: Final = 0.1
+# An owner that is confirmed by its witnesses alone renews leases for this long.
+# It is longer than the longest announced outage of the store (9 s).
 RENEWALS_WITHOUT_STORE: Final = 12.0
 
 # Usual time that a worker may hold a listing call open. Each such call renews
--- a/pimentocross/owner/context.py
+++ b/pimentocross/owner/context.py
@@ -5,6 +5,7 @@
 
 from pimentocross.contracts.worker_link import Ending
 from pimentocross.owner.call_timeouts import CallTimeouts
+from pimentocross.owner.confirmation import Confirmation
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.jobs import JobRegistry
@@ -48,6 +49,16 @@
         """Notes that another life has replaced the life of a worker."""
         ...
 
+    def note_answer(self, worker: Worker, asked: float) -> None:
+        """Notes that a worker has listed its runs.
+
+        Args:
+            worker: The worker. No owner of a lower epoch gets answers from it
+                any more.
+            asked: When the call was sent, on the boot clock.
+        """
+        ...
+
 
 class OwnerContext(NamedTuple):
     """Shared state and callbacks of the components of an owner.
@@ -68,6 +79,7 @@
         late_starts: Tracks starts that workers may still carry out, and drops
             their runs.
         former_leases: Tracks when the leases given by former owners end.
+        confirmation: Tells for how long leases may run.
     """
 
     epoch: int
@@ -84,6 +96,7 @@
     lives: LifeListener
     late_starts: LateStarts
     former_leases: FormerLeases
+    confirmation: Confirmation
 
     def token_for(self, worker: Worker) -> int:
         """Returns the fencing token of orders to a worker.
--- a/pimentocross/owner/former_leases.py
+++ b/pimentocross/owner/former_leases.py
@@ -7,6 +7,10 @@
 for how long, and its successor continues from this record. The record holds the
 seconds that are left rather than points in time, as the clocks of VMs differ.
 The time between the last record and the take-over isn't subtracted.
+
+A former owner that nobody can ask may be cut off and go on renewing leases.
+Once it can't be confirmed any more, its leases end in a known time; see
+`witnesses`.
 """
 
 from collections.abc import Callable, Iterable, Sequence
@@ -29,10 +33,13 @@
     Attributes:
         epoch: The epoch of its claim.
         ended: Whether it surely renews no leases any more.
+        confirms: Whether it renews leases only while it is confirmed, which
+            owners of earlier versions don't; see `owner.witnesses`.
     """
 
     epoch: int
     ended: bool
+    confirms: bool = False
 
 
 class FormerLeases:
@@ -62,6 +69,7 @@
         self._ledger = ledger
         self._quiet = quiet
         self._predecessors = list(predecessors)
+        self._confirming = {f.epoch for f in predecessors if f.confirms}
         self._record_applies = False
         self._former: LeasesRecord | None = None
         self._rows: dict[int, LeaseRow] = {}
@@ -173,6 +181,12 @@
             self._lease_until[epoch] = min(self._lease_until[epoch], until)
             note("former_owner_ended", epoch=self._epoch, former=epoch)
 
+    def note_fenced(self) -> None:
+        """Notes that no former owner is confirmed any more."""
+        until = trio.current_time() + self._terms.confirmed_lease_most
+        for epoch in self._confirming:
+            self._lease_until[epoch] = min(self._lease_until[epoch], until)
+
     def bar(self, worker: Worker) -> None:
         """Bars a worker that doesn't answer from running anything.
 
@@ -221,7 +235,7 @@
             rows: The worker lives that are recorded.
 
         Returns:
-            The epochs, or nothing if they aren't known.
+            The epochs, or nothing if they aren't all known.
         """
         if not self._record_applies:
             return []
@@ -232,6 +246,6 @@
             if not self._rows_granted_by:
                 return []
             found |= self._rows_granted_by
-        return sorted(
-            epoch for epoch in found if self._lease_until.get(epoch, now) >= now
-        )
+        lasting = [e for e in found if self._lease_until.get(e, now) >= now]
+        # Without any, the rows tell of leases that this owner has granted.
+        return sorted(lasting) or [self._epoch]
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -15,7 +15,7 @@
 )
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
-from pimentocross.owner import const
+from pimentocross.owner import boot_clock, const
 from pimentocross.owner.context import OwnerContext, RunStopper
 from pimentocross.owner.endings import (
     apply_ending,
@@ -64,11 +64,14 @@
         worker = self._worker
         while not worker.gone:
             sent_at = trio.current_time()
+            asked = boot_clock.now()
             wait = self._reply_wait(sent_at)
             timeout = self._timeout(wait, sent_at)
             meters.add(meters.HOLDS)
             try:
-                reply = await self._request_listing(sent_at, wait, timeout)
+                reply = await self._request_listing(
+                    sent_at, asked, wait, timeout
+                )
             except WorkerUnreachableError as error:
                 worker.maybe_replaced = True
                 self._failed_by_own_lateness = self._is_own_lateness(
@@ -100,6 +103,7 @@
                 if worker.gone:
                     break
             self._on_reply(reply, sent_at)
+            self._context.lives.note_answer(worker, asked)
             batch = self._process_reply(reply, sent_at)
             self._context.pace.note(trio.current_time() - worker.last_reply_at)
             if reply.endings:
@@ -160,10 +164,10 @@
         return unsure
 
     async def _request_listing(
-        self, now: float, wait: float, timeout: float
+        self, now: float, asked: float, wait: float, timeout: float
     ) -> HoldReply:
         worker = self._worker
-        deadline = self._next_lease_deadline(now)
+        deadline = self._next_lease_deadline(now, asked)
         if deadline is not None:
             worker.lease_end = max(worker.lease_end or 0.0, deadline)
         # If the next life answers, it must not drop endings that nobody read.
@@ -174,8 +178,10 @@
     def _timeout(self, wait: float, now: float) -> float:
         """Returns the timeout of a listing."""
         timeout = self._context.patience.for_hold(wait, now)
+        if self._worker.reachable:
+            return timeout
         left = self._worker.lapses_at - now
-        if self._worker.reachable or left <= 0:
+        if left <= 0:
             return timeout
         # Runs on an unreachable worker are given up once their leases ended.
         return min(timeout, max(left, wait + const.LISTING_SLACK))
@@ -200,10 +206,14 @@
             return const.LISTING_RETRY_PAUSE
         return const.LISTING_QUICK_RETRY_PAUSE
 
-    def _next_lease_deadline(self, now: float) -> float | None:
+    def _next_lease_deadline(self, now: float, asked: float) -> float | None:
         """Returns the next lease deadline, or None to leave the lease as it is.
 
         The deadline is a reading of the worker's clock.
+
+        Args:
+            now: Present time, monotonic.
+            asked: Present time on the boot clock.
         """
         worker = self._worker
         if not worker.reachable or not worker.adopted:
@@ -211,9 +221,10 @@
             return None
         if worker.unbar_recorded is not None:
             return None
-        if now - self._context.ledger.stored_at > const.RENEWALS_WITHOUT_STORE:
+        lease = self._context.confirmation.lease(asked)
+        if lease <= 0:
             return None
-        return worker.clock.after(self._context.terms.lease, now)
+        return worker.clock.after(lease, now)
 
     def _reply_wait(self, now: float) -> float:
         worker = self._worker
--- a/pimentocross/owner/ledger.py
+++ b/pimentocross/owner/ledger.py
@@ -23,7 +23,7 @@
 )
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
-from pimentocross.owner import const
+from pimentocross.owner import boot_clock, const
 from pimentocross.work.limits import DEFAULT_RECORD_BYTES
 
 _Refusal: TypeAlias = FencedError | SequenceGapError
@@ -61,6 +61,8 @@
     Attributes:
         stored_at: Monotonic time at which the newest acknowledged append was
             sent.
+        confirmed_at: When the newest acknowledged append was first sent, on
+            the boot clock. At that time the store had met no later owner.
         appends: Number of appends that the store acknowledged.
     """
 
@@ -82,6 +84,7 @@
             record_bytes: Longest record that the store takes.
         """
         self.stored_at = float("-inf")
+        self.confirmed_at = boot_clock.NEVER
         self.appends = 0
         self._store = store
         self._topic = topic
@@ -136,10 +139,12 @@
             FencedError: A writer of a higher epoch exists.
             StoreUnavailableError: The store did not answer.
         """
+        began = boot_clock.now()
         answered = await self._append_once([])
         if isinstance(answered.value, Exception):
             raise answered.value
         self.stored_at = answered.asked_at
+        self.confirmed_at = began
 
     async def run(self) -> None:
         """Writes batches until cancelled, and heartbeats while idle.
@@ -189,6 +194,7 @@
         Raises:
             FencedError: Another owner has taken over.
         """
+        began = boot_clock.now()
         self._append_began_at = trio.current_time()
         while True:
             try:
@@ -220,6 +226,8 @@
         self._sequence += 1
         self.appends += 1
         self.stored_at = answered.asked_at
+        # A repeated append may be acknowledged after a later owner has begun.
+        self.confirmed_at = began
         self._append_began_at = None
 
     async def _append_once(
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -14,7 +14,7 @@
 )
 from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
-from pimentocross.owner import const
+from pimentocross.owner import boot_clock, const
 from pimentocross.owner.context import OwnerContext
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.worker import Worker
@@ -170,6 +170,10 @@
         finally:
             late_starts.note_answered()
         run.note_start_settled()
+        if reply.clock is not None:
+            if worker.clock.is_behind(reply.clock):
+                worker.maybe_replaced = True
+            worker.clock.note(reply.clock, trio.current_time())
         return reply
 
     def _may_start(self, task: Task, worker: Worker) -> bool:
@@ -179,7 +183,8 @@
         # The worker's capacity may have shrunk while the record was stored.
         if not worker.has_capacity_for(task.step.spec):
             return False
-        return self._context.ledger.age() < const.RENEWALS_WITHOUT_STORE
+        lease = self._context.confirmation.lease(boot_clock.now())
+        return lease >= const.START_VALIDITY
 
     def _on_unanswered(self, task: Task, run: Run, reason: str) -> None:
         meters.add_unanswered("start")
@@ -190,10 +195,6 @@
     def _on_reply(self, placement: Placement, reply: StartReply) -> None:
         task, run, worker, _ = placement
         now = trio.current_time()
-        if reply.clock is not None:
-            if worker.clock.is_behind(reply.clock):
-                worker.maybe_replaced = True
-            worker.clock.note(reply.clock, now)
         if reply.verdict is StartVerdict.STARTED:
             self.started.set()
             task.note_has_run()
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -22,6 +22,7 @@
 from pimentocross.owner.admission import Admission
 from pimentocross.owner.call_timeouts import CallTimeouts
 from pimentocross.owner.collector import collection_paused, freeze_survivors
+from pimentocross.owner.confirmation import Confirmation
 from pimentocross.owner.context import OwnerContext
 from pimentocross.owner.crashes import Crashes
 from pimentocross.owner.dispatcher import Dispatcher
@@ -41,6 +42,7 @@
 from pimentocross.owner.take_over_log import TakeOverLog
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.time_slice import TimeSlice
+from pimentocross.owner.witnesses import Witnesses
 from pimentocross.owner.worker_ends import WorkerEnds
 from pimentocross.work import records
 from pimentocross.work.queue import WorkConfig
@@ -122,11 +124,13 @@
             self._ledger,
             quiet=claim.former_quiet,
         )
+        self._witnesses = Witnesses(claim.epoch, self._ledger)
         self._roster = Roster(
             platform.directory,
             platform.workers,
             self._ledger,
             self._former_leases,
+            self._witnesses,
             config,
             platform.zones,
         )
@@ -173,6 +177,7 @@
             self._admission,
             lambda: not self._uses_intake or self._intake.is_current,
         )
+        self._opened_at = 0.0
         self._settled_at = 0.0
         self._release = trio.Event()
 
@@ -216,6 +221,7 @@
 
     async def _run(self) -> None:
         await self._ledger.open()
+        self._opened_at = trio.current_time()
         self._former_leases.begin()
         self.opened.set()
         async with trio.open_nursery() as nursery:
@@ -247,6 +253,12 @@
                 )
             )
             self._former_leases.apply_former_record()
+            self._witnesses.open(
+                self._opened_at,
+                lambda number: self._roster.numbers.find(number).machine,
+                self._roster.note_formers_fenced,
+                self._roster.heard_numbers,
+            )
             await self._roster.poll()
             # Keepers start after this: a listing must not report a run before
             # the recorded runs are adopted.
@@ -296,6 +308,7 @@
             self._roster,
             self._late_starts,
             self._former_leases,
+            Confirmation(self._ledger, self._witnesses, terms),
         )
 
     async def _run_decisions(self, orders: Orders) -> None:
@@ -416,6 +429,8 @@
             self._lived_runs.restore(value)
         elif kind == records.LEASES:
             self._former_leases.restore(value)
+        elif kind == records.WITNESSES:
+            self._witnesses.restore(value)
         elif kind == records.WORKER:
             self._roster.numbers.restore(
                 whole_number(name), records.decode_worker(value)
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -21,6 +21,7 @@
 from pimentocross.owner.keeper import LeaseKeeper
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.life_numbers import LifeNumbers
+from pimentocross.owner.witnesses import Witnesses
 from pimentocross.owner.worker import Worker
 from pimentocross.work.queue import WorkConfig
 from pimentocross.work.records import LeaseRow
@@ -56,6 +57,7 @@
         dialer: WorkerDialer,
         ledger: Ledger,
         former_leases: FormerLeases,
+        witnesses: Witnesses,
         config: Callable[[], WorkConfig],
         zones: ZoneAccess,
     ) -> None:
@@ -66,6 +68,7 @@
             dialer: Makes links to workers.
             ledger: Records the numbers of lives.
             former_leases: Bounds the leases that former owners granted.
+            witnesses: Gets the answers of workers.
             config: Returns the configuration in force. Workers of services
                 that it doesn't name are not called.
             zones: Tells to which zones new runs may be sent.
@@ -78,6 +81,7 @@
         self._directory = directory
         self._dialer = dialer
         self._former_leases = former_leases
+        self._witnesses = witnesses
         # The newest known life of each worker id.
         self._by_life: dict[str, Worker] = {}
         self._absent = AbsentWorkers(self.numbers, dialer, former_leases)
@@ -159,6 +163,7 @@
         while True:
             await self.poll()
             await self.start_keepers()
+            self._witnesses.update()
             self._former_leases.refresh()
             self._parts.cell.late_starts.refresh()
             await trio.sleep(const.ROSTER_INTERVAL)
@@ -172,13 +177,26 @@
                 left = max(worker.lapses_at - now, 0.0)
                 yield LeaseRow(worker.number, round(left, 3), worker.barred)
 
+    def heard_numbers(self) -> list[int]:
+        """Returns the numbers of the lives that answer."""
+        return [w.number for w in self._by_life.values() if _is_heard(w)]
+
     def note_former_ended(self, epoch: int) -> None:
         """Shortens former leases, as a former owner renews none any more."""
-        former_leases = self._former_leases
-        former_leases.note_ended(epoch)
+        self._former_leases.note_ended(epoch)
+        self._shorten_former_leases()
+
+    def note_formers_fenced(self) -> None:
+        """Shortens former leases, as no former owner is confirmed any more."""
+        self._former_leases.note_fenced()
+        self._shorten_former_leases()
+
+    def _shorten_former_leases(self) -> None:
         for worker in [*self._absent, *self._by_life.values()]:
-            until = former_leases.until(worker.number)
+            until = self._former_leases.until(worker.number)
             worker.former_leases_until = min(worker.former_leases_until, until)
+        if self._has_adopted:
+            self._end_absent_lives()
 
     async def start_keepers(self) -> None:
         """Starts the keepers of new lives, one per pass of the event loop.
@@ -291,6 +309,16 @@
         Otherwise a new owner would take it for a life that has only just ended.
         """
         self.numbers.forget(worker.number)
+        self._witnesses.note_ended(worker.number)
+
+    def note_answer(self, worker: Worker, asked: float) -> None:
+        """Counts an answer; see `LifeListener`."""
+        self._witnesses.note_answer(worker.number, asked)
+        if not self._witnesses.formers_fenced:
+            # A machine runs one life at a time, so its other lives have ended.
+            for number in self._witnesses.formers_on(worker.life.machine):
+                if number != worker.number:
+                    self._witnesses.note_ended(number)
 
     def _end_absent_lives(self) -> None:
         machines = {w.life.machine for w in self._by_life.values()}
@@ -333,6 +361,7 @@
             "it has started again"
         )
         self._forget_worker(former)
+        self._witnesses.note_ended(former.number)
         self._parts.forget_life(life.id)
         worker = self._add(life)
         self._move_runs(unsure, worker)
@@ -381,6 +410,7 @@
     def _forget_worker(self, worker: Worker) -> None:
         """Drops the number and the connections of a life that has ended."""
         self.numbers.forget(worker.number)
+        self._witnesses.forget(worker.number)
         self._parts.nursery.start_soon(worker.link.aclose)
 
     def _end_replaced_lives(self, lives: list[WorkerLife]) -> None:
@@ -406,3 +436,8 @@
                 self._keepers[life_id].end_life(
                     "its machine has another life", replaced=True
                 )
+
+
+def _is_heard(worker: Worker) -> bool:
+    """Returns whether a life has answered this owner and still does."""
+    return worker.adopted and worker.reachable and not worker.gone
--- a/pimentocross/owner/terms.py
+++ b/pimentocross/owner/terms.py
@@ -32,6 +32,21 @@
         """
         return self.lease * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
 
+    @property
+    def confirmed_lease(self) -> float:
+        """Longest time from an owner's confirmation to the end of a lease.
+
+        Measured on the worker's clock.
+        """
+        return self.lease + const.CONFIRMATION_SLACK
+
+    @property
+    def confirmed_lease_most(self) -> float:
+        """Longest time that leases last once their owner isn't confirmed."""
+        return (
+            self.confirmed_lease * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
+        )
+
     @property
     def unreleased_lease_most(self) -> float:
         """Longest time that leases of an owner last if it didn't hand over.
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -314,13 +314,11 @@
             spec = task.step.spec
             if spec.fills:
                 used[spec.image] += run.figure
-        now = trio.current_time()
-        while (
-            self._stopped_best_effort
-            and now - self._stopped_best_effort[0].at > FIGURE_WINDOW
-        ):
-            self._stopped_best_effort.popleft()
-        for stopped in self._stopped_best_effort:
+        stopped_runs = self._stopped_best_effort
+        now = trio.current_time() if stopped_runs else 0.0
+        while stopped_runs and now - stopped_runs[0].at > FIGURE_WINDOW:
+            stopped_runs.popleft()
+        for stopped in stopped_runs:
             # The figures of runs that it disturbed still include a part of it.
             share = 1.0 - (now - stopped.at) / FIGURE_WINDOW
             used[stopped.image] += int(stopped.figure * share)
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -48,6 +48,7 @@
 WORKER_ENDS: Final = "e"
 LIVED_RUNS: Final = "v"
 RESENT_STARTS: Final = "r"
+WITNESSES: Final = "t"
 # Used in the topic in which entry VMs store jobs and cancels for an owner.
 CANCEL: Final = "x"
 
@@ -333,6 +334,20 @@
     formers: tuple[Number, ...]
 
 
+class WitnessesRecord(NamedTuple):
+    """Worker lives that confirm an owner; see `owner.witnesses`.
+
+    Attributes:
+        form: Version of the format.
+        epoch: Epoch of the owner that wrote the record.
+        numbers: Numbers of the lives in the roster.
+    """
+
+    form: Number
+    epoch: Number
+    numbers: tuple[Number, ...]
+
+
 class LearnedRecord(NamedTuple):
     """Estimates of an owner, stored for its successor.
 
@@ -581,6 +596,20 @@
     return _decode(value, LeasesRecord)
 
 
+def encode_witnesses(epoch: int, numbers: Sequence[int]) -> bytes:
+    """Returns the record of the worker lives that confirm an owner."""
+    return _encode(WitnessesRecord(FORMAT_VERSION, epoch, tuple(numbers)))
+
+
+def decode_witnesses(value: bytes) -> WitnessesRecord:
+    """Returns the worker lives of an encoded record.
+
+    Raises:
+        RecordError: The record has another format.
+    """
+    return _decode(value, WitnessesRecord)
+
+
 def encode_worker(life: str, machine: str) -> bytes:
     """Returns the record of a worker life that has a number."""
     return _encode(WorkerRecord(FORMAT_VERSION, life, machine))
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -7,11 +7,14 @@
 import random
 from types import FunctionType, ModuleType
 import unittest
+from unittest import mock
 
 import trio
 from trio._core import _run as trio_run
 from trio.testing import MockClock
 
+from pimentocross.owner import boot_clock
+
 _PREFIX = "test_"
 
 
@@ -32,8 +35,9 @@
 def run_virtual(function: Callable[[], Awaitable[None]], seed: int = 0) -> None:
     """Runs a test in virtual time, scheduling tasks in a seeded order."""
     seed_tasks(seed)
-    # The clock jumps to the next deadline whenever all tasks wait.
-    trio.run(function, clock=MockClock(autojump_threshold=0))
+    with mock.patch.object(boot_clock, "now", trio.current_time):
+        # The clock jumps to the next deadline whenever all tasks wait.
+        trio.run(function, clock=MockClock(autojump_threshold=0))
 
 
 def seed_tasks(seed: int) -> None:
--- a/tests/owner_fixtures.py
+++ b/tests/owner_fixtures.py
@@ -158,6 +158,7 @@
     *,
     vm: str = "a",
     former_quiet: bool = True,
+    formers_confirm: bool = True,
     config: WorkConfig = CONFIG,
     adviser: Adviser | None = None,
     zones: ZoneAccess | None = None,
@@ -174,7 +175,8 @@
         switches=switches,
     )
     formers = tuple(
-        Predecessor(former, former_quiet) for former in range(epoch - 1, 0, -1)
+        Predecessor(former, former_quiet, formers_confirm)
+        for former in range(epoch - 1, 0, -1)
     )
     claim = Claim("jobs", epoch, former_quiet, formers)
     return Owner(claim, platform, lambda: config)
--- a/tests/slow_vm.py
+++ b/tests/slow_vm.py
@@ -13,6 +13,7 @@
 import random
 import time
 from typing import Final
+from unittest import mock
 
 import trio
 
@@ -29,6 +30,7 @@
     WorkerLife,
     WorkerUnreachableError,
 )
+from pimentocross.owner import boot_clock
 from pimentocross.platform import __main__ as process
 from pimentocross.standins.task_worker import (
     RUNS_FOREVER,
@@ -275,7 +277,8 @@
     """
     took = min(_measure_loop() for _ in range(5))
     clock = ChargingClock(factor * _REFERENCE_LOOP_SECONDS / took)
-    with _process_gc_settings():
+    boot_time = mock.patch.object(boot_clock, "now", trio.current_time)
+    with _process_gc_settings(), boot_time:
         trio.run(function, clock, clock=clock)
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -378,7 +378,8 @@
     former = [1, "a", "a:1", "a:7720", True]
     forms = (
         [1, "a", "a:1", "a:7720", False],
-        [3, "b", "b:1", "b:7720", False, [former], "x"],
+        [1, "a", "a:1", "a:7720", False, []],
+        [3, "b", "b:1", "b:7720", False, [former], True, [1], "x"],
     )
     for number, fields in enumerate(forms, 1):
         claim = Record(f"claim/{const.CELL}", msgspec.msgpack.encode(fields))
@@ -386,7 +387,9 @@
         await cluster.refresh(0.0)
         assert cluster.claim is not None and cluster.claim.epoch == number
         owners = [(owner.epoch, owner.ended) for owner in cluster.claim.owners]
-    assert owners == [(2, False), (1, True)]
+        confirming = cluster.claim.confirming_owners
+        assert confirming == ((3, 1) if number == 3 else ())
+    assert owners == [(3, False), (1, True)]
 
 
 def test_heartbeats_of_all_vms_are_bounded() -> None:
