Leases of a silent worker are counted from their renewal under the next owner too

Cause: an owner renews no lease on a silent worker, but only unlisted workers and those whose leases it didn't know had a row in its record of leases. For others the next owner counted from its take-over. Besides, the end of a wait was noticed by the next poll of the directory or the next unanswered call, up to 1 s late.

Change: a worker that doesn't answer is barred at once, as an unlisted one is, with the seconds that are left in the record; it is renewed again once a record without the bar is stored. While the store is away nothing is barred, as the bar couldn't be lifted. Runs on a silent worker are dropped when the last lease ends.

--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -101,6 +101,8 @@
 # tasks are placed several times a second.
 MAX_PASS_PAUSE: Final = 0.25
 ROSTER_INTERVAL: Final = 0.5
+# Pause after the end of a lease before its worker's runs are dropped.
+LAPSE_PAUSE: Final = 0.01
 # Capacities are used for this long after they were read. Users allow 3 s plus
 # one report interval of a worker, as a report may be that old when it is read.
 ROSTER_MAX_AGE: Final = 2.0
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -135,6 +135,18 @@
         if replaced:
             self._context.lives.note_replaced(worker)
 
+    def drop_lapsed_runs(self) -> None:
+        """Drops the runs of a silent life once its leases have ended."""
+        worker = self._worker
+        if worker.reachable or not worker.lapsed(trio.current_time()):
+            return
+        if worker.listed:
+            self._context.crashes.note_lapsed(worker)
+            self._drop_all_runs("its lease has lapsed")
+        else:
+            reason = "its lease has lapsed and it isn't listed"
+            self.end_life(reason, replaced=False)
+
     def end_for_next_life(self, reason: str) -> list[tuple[Task, Run]]:
         """Ends the life, as the next life of its id answers in its place.
 
@@ -254,13 +266,9 @@
             self._context.crashes.note_silent(worker)
             if not worker.adopted:
                 log_waiting_runs(worker)
-        if worker.lapsed(trio.current_time()):
-            if worker.listed:
-                self._context.crashes.note_lapsed(worker)
-                self._drop_all_runs("its lease has lapsed")
-            else:
-                reason = "its lease has lapsed and it isn't listed"
-                self.end_life(reason, replaced=False)
+            if not self._context.ledger.store_away:
+                self._context.former_leases.bar(worker)
+        self.drop_lapsed_runs()
 
     def _on_reply(self, reply: HoldReply, sent_at: float) -> None:
         worker = self._worker
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -166,7 +166,28 @@
             self._witnesses.update()
             self._former_leases.refresh()
             self._parts.cell.late_starts.refresh()
-            await trio.sleep(const.ROSTER_INTERVAL)
+            await self._wait_for_next_poll()
+
+    async def _wait_for_next_poll(self) -> None:
+        """Drops the runs of silent lives as soon as their leases have ended."""
+        now = trio.current_time()
+        end = now + const.ROSTER_INTERVAL
+        while now < end:
+            lapse = max(self._next_lapse(), now) + const.LAPSE_PAUSE
+            await trio.sleep_until(min(lapse, end))
+            now = trio.current_time()
+            self._end_absent_lives()
+            for worker in list(self._by_life.values()):
+                if worker.runs and not worker.reachable:
+                    self._keepers[worker.life.id].drop_lapsed_runs()
+
+    def _next_lapse(self) -> float:
+        """Returns when the next leases of a silent life end, monotonic."""
+        silent = [w for w in self.workers() if w.runs and not w.reachable]
+        return min(
+            (worker.lapses_at for worker in [*self._absent, *silent]),
+            default=float("inf"),
+        )
 
     def lease_rows(self) -> Iterator[LeaseRow]:
         """Yields rows of lives on which former owners' leases may last."""
@@ -233,8 +254,10 @@
             self._end_replaced_lives(lives)
         for worker in self._by_life.values():
             worker.listed = worker.life.id in listed
+            # Without the store, a bar couldn't be lifted.
+            may_bar = not self._parts.cell.ledger.store_away
             lease_unknown = not worker.listed or worker.lease_end is None
-            if lease_unknown and not worker.reachable:
+            if not worker.reachable and (may_bar or lease_unknown):
                 self._former_leases.bar(worker)
         self._end_absent_lives()
         for life_id, worker in list(self._by_life.items()):
--- a/tests/test_owner_gone.py
+++ b/tests/test_owner_gone.py
@@ -146,6 +146,14 @@
         assert took < _AWAY_MOST, (workers_at, took)
 
 
+async def test_tasks_of_workers_gone_before_the_owners_vm_run_in_time() -> None:
+    # Guards against a lost job: the owner let the leases of a silent worker
+    # lapse, and its successor counted them from the take-over.
+    for workers_at in (-0.5, -1.0, -4.0):
+        took = await _away_longest(_Gone(workers_at=workers_at))
+        assert took < _AWAY_MOST, (workers_at, took)
+
+
 async def test_vms_that_are_gone_for_long_make_no_difference() -> None:
     # Guards against a lost job: a VM that is gone for good stays a member, and
     # nobody can ask it either.
