Time in which no owner could write counts as passed in the wait for leases

Cause: nothing told a new owner how old the record was, as the clocks of VMs differ.

Change: while there are such waits, the record holds the steady clocks of a few workers that answer, as the latest readings they may have had. The next owner hears one of them, and the seconds that it has counted since, less 2 %, have surely passed (`record_age`). A clock counts only for the same life. Without rows the record is as before, so that earlier versions can read it. A record whose rows are all of leases that its writer granted names the writer: an empty list of owners means that they aren't known, and such rows were never shortened.

The model breaks with the raw reading in place of the latest one.

--- a/pimentocross/owner/clock.py
+++ b/pimentocross/owner/clock.py
@@ -16,12 +16,19 @@
         """Initializes the bounds without a reading."""
         self._reading: float | None = None
         self._read_at = 0.0
+        self._asked_at = 0.0
 
     @property
     def known(self) -> bool:
         """True once a reading of the clock was received."""
         return self._reading is not None
 
+    @property
+    def reading(self) -> float:
+        """The newest reading; one must have been received."""
+        assert self._reading is not None
+        return self._reading
+
     def is_behind(self, reading: float) -> bool:
         """True for a reading well below an earlier one."""
         return (
@@ -29,10 +36,17 @@
             and reading < self._reading - _REORDERING_MOST
         )
 
-    def note(self, reading: float, now: float) -> None:
-        """Adds a reading that came with an answer received now."""
+    def note(self, reading: float, asked_at: float, now: float) -> None:
+        """Adds a reading that came with an answer received now.
+
+        Args:
+            reading: The reading.
+            asked_at: When the call was sent, monotonic.
+            now: Present time.
+        """
         if self._reading is None or reading >= self._reading:
             self._reading = reading
+            self._asked_at = asked_at
             self._read_at = now
 
     def after(self, seconds: float, now: float) -> float:
@@ -43,6 +57,12 @@
         assert self._reading is not None
         return self._reading + (now - self._read_at) + seconds
 
+    def latest_reading(self, now: float) -> float:
+        """Returns the latest reading that the clock may have now."""
+        assert self._reading is not None
+        passed = (now - self._asked_at) * (1 + const.CLOCK_DRIFT)
+        return self._reading + passed
+
     def latest_time_of(self, reading: float) -> float:
         """Returns when even the slowest clock has surely passed a reading.
 
--- a/pimentocross/owner/const.py
+++ b/pimentocross/owner/const.py
@@ -45,6 +45,8 @@
 MAX_WITNESSES: Final = 1000
 # Finding since when a majority has answered sorts all witnesses.
 MAJORITY_INTERVAL: Final = 0.1
+# Worker clocks in the record of former leases: a few, in case workers leave.
+MAX_RECORDED_CLOCKS: Final = 8
 # An owner that is confirmed by its witnesses alone renews leases for this long.
 # It is longer than the longest announced outage of the store (9 s).
 RENEWALS_WITHOUT_STORE: Final = 12.0
--- a/pimentocross/owner/former_leases.py
+++ b/pimentocross/owner/former_leases.py
@@ -4,9 +4,8 @@
 there must wait until their lease has surely ended, and if each owner counted
 that wait from its own take-over it would never end. Each owner therefore
 records the workers on which leases may last that its own calls don't show, and
-for how long, and its successor continues from this record. The record holds the
-seconds that are left rather than points in time, as the clocks of VMs differ.
-The time between the last record and the take-over isn't subtracted.
+for how long, and its successor continues from this record; see `record_age` for
+the time between the two.
 
 A former owner that nobody can ask may be cut off and go on renewing leases.
 Once it can't be confirmed any more, its leases end in a known time; see
@@ -21,10 +20,11 @@
 
 from pimentocross.observe.decisions import note
 from pimentocross.owner.ledger import LazyRecord, Ledger
+from pimentocross.owner.record_age import RecordAge
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.worker import Worker
 from pimentocross.work import records
-from pimentocross.work.records import LeaseRow, LeasesRecord
+from pimentocross.work.records import ClockRow, LeaseRow, LeasesRecord
 
 
 class Predecessor(NamedTuple):
@@ -80,6 +80,8 @@
         # epoch.
         self._lease_until: dict[int, float] = {}
         self._list_rows: Callable[[], Iterable[LeaseRow]] = tuple
+        self._list_clocks: Callable[[], Iterable[ClockRow]] = tuple
+        self._former_age = RecordAge()
         self._record = LazyRecord(records.LEASES, self._encode)
         self._has_recorded_rows = False
 
@@ -90,10 +92,12 @@
             RecordError: The record has an unknown format.
         """
         self._former = records.decode_leases(value)
+        self._former_age.restore(self._former.clocks)
 
     def begin(self) -> None:
         """Starts all waits now, as no former owner can write any more."""
         self._began = trio.current_time()
+        self._former_age.begin()
         self._lease_until = {
             former.epoch: self._began + self._longest_lease(former.ended)
             for former in self._predecessors
@@ -125,14 +129,18 @@
             self._record_applies = True
 
     def start_recording(
-        self, list_rows: Callable[[], Iterable[LeaseRow]]
+        self,
+        list_rows: Callable[[], Iterable[LeaseRow]],
+        list_clocks: Callable[[], Iterable[ClockRow]],
     ) -> None:
         """Starts this owner's record. All worker lives must be known.
 
         Args:
             list_rows: Returns the rows of the record.
+            list_clocks: Returns the present clocks of some workers.
         """
         self._list_rows = list_rows
+        self._list_clocks = list_clocks
         self.record()
 
     def until(self, number: int) -> float:
@@ -160,8 +168,16 @@
             untils.append(self._row_until(row))
         return max(untils, default=self._began)
 
+    def note_clock(self, number: int, born: int, reading: float) -> bool:
+        """Counts the time that a worker's clock shows; see `RecordAge`.
+
+        Returns:
+            Whether it may shorten a wait.
+        """
+        return self._former_age.note_clock(number, born, reading)
+
     def _row_until(self, row: LeaseRow) -> float:
-        until = self._began + row.left
+        until = self._former_age.written_at + row.left
         if (
             not self._rows_granted_by
             or not self._rows_granted_by <= self._lease_until.keys()
@@ -174,6 +190,9 @@
             max(self._lease_until[epoch] for epoch in self._rows_granted_by),
         )
 
+    def _row_lasts(self, row: LeaseRow, now: float) -> bool:
+        return self._former_age.written_at + row.left > now
+
     def note_ended(self, epoch: int) -> None:
         """Notes that a former owner surely renews no leases any more."""
         if epoch in self._lease_until:
@@ -226,7 +245,12 @@
     def _encode(self) -> bytes:
         rows = list(self._list_rows())
         self._has_recorded_rows = bool(rows)
-        return records.encode_leases(self._epoch, rows, self._formers_of(rows))
+        return records.encode_leases(
+            self._epoch,
+            rows,
+            self._formers_of(rows),
+            tuple(self._list_clocks()) if rows else (),
+        )
 
     def _formers_of(self, rows: Sequence[LeaseRow]) -> list[int]:
         """Returns the epochs of the owners whose leases may last.
@@ -242,7 +266,7 @@
         now = trio.current_time()
         found = {former.epoch for former in self._predecessors}
         former_rows = (self._rows.get(row.number) for row in rows)
-        if any(row and self._began + row.left > now for row in former_rows):
+        if any(row and self._row_lasts(row, now) for row in former_rows):
             if not self._rows_granted_by:
                 return []
             found |= self._rows_granted_by
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -275,7 +275,7 @@
         now = trio.current_time()
         if worker.clock.is_behind(reply.clock):
             note("worker_clock_back", worker=worker.life.id, clock=reply.clock)
-        worker.clock.note(reply.clock, now)
+        worker.clock.note(reply.clock, sent_at, now)
         worker.last_reply_at = now
         self._failed_by_own_lateness = worker.maybe_replaced = False
         if not worker.reachable:
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -173,7 +173,7 @@
         if reply.clock is not None:
             if worker.clock.is_behind(reply.clock):
                 worker.maybe_replaced = True
-            worker.clock.note(reply.clock, trio.current_time())
+            worker.clock.note(reply.clock, now, trio.current_time())
         return reply
 
     def _may_start(self, task: Task, worker: Worker) -> bool:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -265,7 +265,9 @@
             self._lived_runs.adopt(runs)
             self._roster.adopt(runs)
             self._resent_starts.begin()
-            self._former_leases.start_recording(self._roster.lease_rows)
+            self._former_leases.start_recording(
+                self._roster.lease_rows, self._roster.lease_clocks
+            )
             self.ready.set()
             self._take_over_log.note("owner_ready", jobs=len(self._registry))
             nursery.start_soon(self._run_decisions, orders)
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+import itertools
 from typing import NamedTuple
 
 import trio
@@ -24,7 +25,7 @@
 from pimentocross.owner.witnesses import Witnesses
 from pimentocross.owner.worker import Worker
 from pimentocross.work.queue import WorkConfig
-from pimentocross.work.records import LeaseRow
+from pimentocross.work.records import ClockRow, LeaseRow
 from pimentocross.work.state import Run, RunState, Task
 
 
@@ -198,6 +199,14 @@
                 left = max(worker.lapses_at - now, 0.0)
                 yield LeaseRow(worker.number, round(left, 3), worker.barred)
 
+    def lease_clocks(self) -> Iterator[ClockRow]:
+        """Yields the clocks of a few workers that answer."""
+        now = trio.current_time()
+        heard = (w for w in self._by_life.values() if _is_heard(w))
+        for worker in itertools.islice(heard, const.MAX_RECORDED_CLOCKS):
+            reading = round(worker.clock.latest_reading(now), 3)
+            yield ClockRow(worker.number, worker.life.born, reading)
+
     def heard_numbers(self) -> list[int]:
         """Returns the numbers of the lives that answer."""
         return [w.number for w in self._by_life.values() if _is_heard(w)]
@@ -211,6 +220,9 @@
         """Shortens former leases, as no former owner is confirmed any more."""
         self._former_leases.note_fenced()
         self._shorten_former_leases()
+        if self._has_adopted:
+            # A successor counts from the clocks that have been heard by now.
+            self._former_leases.record()
 
     def _shorten_former_leases(self) -> None:
         for worker in [*self._absent, *self._by_life.values()]:
@@ -336,6 +348,10 @@
 
     def note_answer(self, worker: Worker, asked: float) -> None:
         """Counts an answer; see `LifeListener`."""
+        if not worker.adopted:
+            clock = worker.number, worker.life.born, worker.clock.reading
+            if self._former_leases.note_clock(*clock):
+                self._shorten_former_leases()
         self._witnesses.note_answer(worker.number, asked)
         if not self._witnesses.formers_fenced:
             # A machine runs one life at a time, so its other lives have ended.
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -314,6 +314,20 @@
     barred: bool
 
 
+class ClockRow(NamedTuple):
+    """The steady clock of a worker life when a record was written.
+
+    Attributes:
+        number: Number of the life in the roster.
+        born: When the life started, as in `WorkerLife`.
+        reading: The latest reading, in seconds, that its clock may have had.
+    """
+
+    number: Number
+    born: Number
+    reading: FiniteNumber
+
+
 class LeasesRecord(NamedTuple):
     """Leases of former owners that may still be in force.
 
@@ -326,12 +340,16 @@
             has granted leases.
         formers: Epochs of the former owners whose leases may be in force; empty
             if they aren't known.
+        clocks: Clocks that tell a successor how long ago the record was
+            written. Left out without rows, so that earlier versions can read
+            the record.
     """
 
     form: Number
     epoch: Number
     rows: tuple[LeaseRow, ...]
     formers: tuple[Number, ...]
+    clocks: tuple[ClockRow, ...] = ()
 
 
 class WitnessesRecord(NamedTuple):
@@ -579,12 +597,16 @@
 
 
 def encode_leases(
-    epoch: int, rows: Sequence[LeaseRow], formers: Sequence[int]
+    epoch: int,
+    rows: Sequence[LeaseRow],
+    formers: Sequence[int],
+    clocks: Sequence[ClockRow] = (),
 ) -> bytes:
     """Returns the record of former owners' leases."""
-    return _encode(
-        LeasesRecord(FORMAT_VERSION, epoch, tuple(rows), tuple(formers))
+    record = LeasesRecord(
+        FORMAT_VERSION, epoch, tuple(rows), tuple(formers), tuple(clocks)
     )
+    return _encode(record if rows else record[:-1])
 
 
 def decode_leases(value: bytes) -> LeasesRecord:
--- a/tests/renewals_model.py
+++ b/tests/renewals_model.py
@@ -26,7 +26,7 @@
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.witnesses import Witnesses
 from pimentocross.work import records
-from pimentocross.work.records import LeaseRow
+from pimentocross.work.records import ClockRow, LeaseRow
 
 _STEP: Final = 0.1
 _DURATION: Final = 150.0
@@ -193,7 +193,7 @@
             self._on_fenced,
             self._heard_numbers,
         )
-        self.leases.start_recording(self._lease_rows)
+        self.leases.start_recording(self._lease_rows, self._lease_clocks)
 
     def _add(self, worker: _Worker) -> _Known:
         known = self.known[worker.number] = _Known(worker)
@@ -203,6 +203,7 @@
     def _on_fenced(self) -> None:
         self.leases.note_fenced()
         self._shorten()
+        self.leases.record()
 
     def _shorten(self) -> None:
         for number, known in self.known.items():
@@ -218,6 +219,12 @@
                 left = max(known.lapses_at - now, 0.0)
                 yield LeaseRow(number, left, known.barred)
 
+    def _lease_clocks(self) -> Iterator[ClockRow]:
+        now = trio.current_time()
+        for number, known in self.known.items():
+            if known.heard:
+                yield ClockRow(number, 1, known.clock.latest_reading(now))
+
     def step(self) -> None:
         """Writes, calls workers, and counts what it has waited for."""
         draw = self.world.draw
@@ -242,13 +249,15 @@
             if lease > 0:
                 deadline = known.clock.after(lease, now)
                 known.lease_end = max(known.lease_end, deadline)
-        self.world.send(self, known.worker, deadline, asked)
+        self.world.send(self, known.worker, deadline, now, asked)
 
-    def on_answer(self, worker: _Worker, reading: float, asked: float) -> None:
+    def on_answer(
+        self, worker: _Worker, reading: float, sent_at: float, asked: float
+    ) -> None:
         """Processes a worker's answer."""
         now = trio.current_time()
         known = self.known.get(worker.number) or self._add(worker)
-        known.clock.note(reading, now)
+        known.clock.note(reading, sent_at, now)
         known.answered_at = now
         if known.barred:
             known.barred = False
@@ -256,6 +265,8 @@
         if not known.heard:
             known.heard = True
             known.lease_end = known.clock.after(_TERMS.lease, now)
+            if self.leases.note_clock(worker.number, 1, known.clock.reading):
+                self._shorten()
         self.witnesses.note_answer(worker.number, asked)
         for number in self.witnesses.formers_on(worker.machine):
             if number != worker.number:
@@ -351,6 +362,7 @@
         owner: _Owner,
         worker: _Worker,
         deadline: float | None,
+        sent_at: float,
         asked: float,
     ) -> None:
         """Sends a call that arrives now, late, or never."""
@@ -373,7 +385,9 @@
                 owner.process.inbox.append(
                     (
                         self.now + draw.uniform(0.0, 1.0),
-                        lambda: owner.on_answer(worker, reading, asked),
+                        lambda: owner.on_answer(
+                            worker, reading, sent_at, asked
+                        ),
                     )
                 )
 
--- a/tests/test_living_former_owners.py
+++ b/tests/test_living_former_owners.py
@@ -13,9 +13,11 @@
 import trio
 
 from pimentocross.owner import boot_clock, const
+from pimentocross.owner.clock import WorkerClock
 from pimentocross.owner.confirmation import Confirmation
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.owner import Owner
+from pimentocross.owner.record_age import RecordAge
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.witnesses import Witnesses
 from pimentocross.standins.store import StoreStandin
@@ -26,6 +28,7 @@
 )
 from pimentocross.standins.worker_pool import WorkerPool
 from pimentocross.work import records
+from pimentocross.work.records import ClockRow
 from pimentocross.work.spec import Size, StepSpec, TaskName
 from tests.owner_fixtures import (
     QUEUE,
@@ -54,6 +57,7 @@
     "fenced half": (15,),
     "chain": (183,),
     "boot clock": (139,),
+    "latest reading": (141,),
     "first attempt": (53,),
 }
 
@@ -338,6 +342,28 @@
     assert ends_at + const.LAPSE_MARGIN > _TERMS.lease_most
 
 
+def test_a_clock_counts_no_time_that_has_not_passed() -> None:
+    # Guards against a task that runs twice: a reading is as old as the call
+    # that it answers, and a call waits for a second.
+    clock = WorkerClock()
+    clock.note(100.0, asked_at=10.0, now=11.0)
+    assert clock.latest_reading(11.5) >= 101.5
+
+
+async def test_a_clock_of_another_life_counts_no_time() -> None:
+    # Guards against a task that runs twice: a worker that starts again under
+    # its id has another clock.
+    age = RecordAge()
+    age.begin()
+    began = trio.current_time()
+    age.restore([ClockRow(1, born=1, reading=5.0), ClockRow(2, 1, 5.0)])
+    assert not age.note_clock(1, born=2, reading=500.0)
+    assert not age.note_clock(3, born=1, reading=500.0)
+    assert age.written_at == began
+    assert age.note_clock(2, born=1, reading=15.0)
+    assert began - 10.0 <= age.written_at < began - 9.0
+
+
 def test_no_lease_outlasts_its_wait_in_random_worlds() -> None:
     assert not find_violation(range(60))
 
@@ -359,4 +385,8 @@
         "boot clock",
         patch(World, "boot_time", lambda _: trio.current_time()),
     )
+    _assert_breaks(
+        "latest reading",
+        patch(WorkerClock, "latest_reading", lambda self, _: self._reading),
+    )
     assert find_violation(_SEEDS["first attempt"], repeats_confirm=True)
--- a/tests/test_owner_gone.py
+++ b/tests/test_owner_gone.py
@@ -168,6 +168,14 @@
     assert took < _AWAY_MOST, took
 
 
+async def test_the_next_owner_gone_as_well_adds_no_second_wait() -> None:
+    # Guards against a lost job: each owner counted all leases from its own
+    # take-over.
+    for next_owner_at in (3.0, 5.0):
+        took = await _away_longest(_Gone(next_owner_at=next_owner_at))
+        assert took < _AWAY_MOST, (next_owner_at, took)
+
+
 async def test_restarts_of_all_workers_delay_no_task() -> None:
     # Guards against a lost job: no witness of the former owner answers any
     # more, and each of their VMs runs another life.
