Time in which no owner could write counts as passed in the wait for a late start

Cause: not the wait for leases. The record of starts that may be carried out late holds seconds that are left, too, and the time from one owner's last record to the next take-over wasn't subtracted.

Change: the record holds worker clocks like that of leases, and a wait that was adopted from it is shortened by the time that they have counted. A start that was sent again since keeps its own wait.

--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -11,7 +11,8 @@
 none of this is needed.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import trio
 
@@ -21,16 +22,33 @@
 from pimentocross.owner.endings import drop_run
 from pimentocross.owner.jobs import JobRegistry
 from pimentocross.owner.ledger import LazyRecord, Ledger
+from pimentocross.owner.record_age import RecordAge
 from pimentocross.owner.resent_starts import ResentStarts
 from pimentocross.owner.worker import RunKey, Worker
 from pimentocross.work import records
-from pimentocross.work.records import LateStart
+from pimentocross.work.records import ClockRow, LateStart
 from pimentocross.work.spec import TaskName
 from pimentocross.work.state import Run, RunState, Task
 
 _IN_FLIGHT = (RunState.DECIDED, RunState.SENT)
 
 
+class _AdoptedStart(NamedTuple):
+    """A start that a former owner recorded as possibly late.
+
+    Attributes:
+        task: The task.
+        run: Its run.
+        left: Seconds from the record until it can't be carried out any more.
+        starts_sent: `Run.starts_sent` when it was adopted.
+    """
+
+    task: Task
+    run: Run
+    left: float
+    starts_sent: int
+
+
 def may_resend_start(task: Task) -> bool:
     """Returns whether a start that wasn't answered may be sent again.
 
@@ -82,12 +100,27 @@
         # Seconds left of each start that a former owner recorded, or None if
         # there is no record.
         self._former: dict[tuple[TaskName, int], float] | None = None
+        self._former_age = RecordAge()
+        # Runs that were adopted with the seconds left in the former record.
+        self._adopted: list[_AdoptedStart] = []
+        self._list_clocks: Callable[[], Iterable[ClockRow]] = tuple
         # Starts a background task of the owner; set by `open`.
         self._start_soon: Callable[..., None]
 
-    def open(self, start_soon: Callable[..., None]) -> None:
-        """Sets how to start background tasks. Must be called first."""
+    def open(
+        self,
+        start_soon: Callable[..., None],
+        list_clocks: Callable[[], Iterable[ClockRow]],
+    ) -> None:
+        """Makes the tracker usable; must be called first.
+
+        Args:
+            start_soon: Starts a background task.
+            list_clocks: Returns the present clocks of some workers.
+        """
         self._start_soon = start_soon
+        self._list_clocks = list_clocks
+        self._former_age.begin()
         former = LazyRecord(records.OBSOLETE_LATE_STARTS_KEY, lambda: None)
         self._ledger.put_with_next(former)
 
@@ -97,8 +130,9 @@
         Raises:
             RecordError: The record has an unknown format.
         """
-        rows = records.decode_late_starts(value)
-        self._former = {(row.task, row.run): row.left for row in rows}
+        record = records.decode_late_starts(value)
+        self._former = {(row.task, row.run): row.left for row in record.starts}
+        self._former_age.restore(record.clocks)
 
     def adopt(self, task: Task, run: Run, life: WorkerLife | None) -> None:
         """Adopts a run that a former owner had decided on.
@@ -118,6 +152,7 @@
                 return
         if life is not None and not life.born:
             return
+        recorded = bool(left)
         left = min(
             left or const.ADOPTED_LATE_START_WINDOW,
             const.ADOPTED_LATE_START_WINDOW,
@@ -129,9 +164,27 @@
         ) and not self._resent_starts.was_sent_at_most_once(task, run):
             run.starts_sent = 2
             self._resent_starts.adopt(task, run)
+        if recorded:
+            run.late_until = self._former_age.written_at + left
+            self._adopted.append(
+                _AdoptedStart(task, run, left, run.starts_sent)
+            )
         self._unsettled[task, run.number] = run
         self._ledger.put_with_next(self._record)
 
+    def note_clock(self, number: int, born: int, reading: float) -> None:
+        """Counts the time that a worker's clock shows; see `RecordAge`."""
+        if not self._former_age.note_clock(number, born, reading):
+            return
+        for task, run, left, starts_sent in self._adopted:
+            if run.starts_sent != starts_sent:
+                # It was sent again since, and that start may be late as well.
+                continue
+            until = self._former_age.written_at + left
+            run.late_until = min(run.late_until, until)
+            if run.state is RunState.HELD:
+                self._start_soon(self._release, task, run)
+
     def was_unsettled(self, task: Task, run: Run) -> bool:
         """Returns whether a former owner recorded a start as unsettled."""
         return self._former is not None and (
@@ -240,4 +293,6 @@
                 continue
             left = 0.0 if in_flight else run.late_until - now
             rows.append(LateStart(task.name, number, left))
-        return records.encode_late_starts(rows)
+        return records.encode_late_starts(
+            rows, tuple(self._list_clocks()) if rows else ()
+        )
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -244,7 +244,9 @@
         """Schedules jobs and follows workers until the cell is released."""
         context = self._make_context()
         async with trio.open_nursery() as nursery:
-            self._late_starts.open(nursery.start_soon)
+            self._late_starts.open(
+                nursery.start_soon, self._roster.lease_clocks
+            )
             orders = Orders(nursery, context, self._dispatcher.on_refused)
             runs = await self._collect_runs()
             self._roster.open(
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -350,6 +350,7 @@
         """Counts an answer; see `LifeListener`."""
         if not worker.adopted:
             clock = worker.number, worker.life.born, worker.clock.reading
+            self._parts.cell.late_starts.note_clock(*clock)
             if self._former_leases.note_clock(*clock):
                 self._shorten_former_leases()
         self._witnesses.note_answer(worker.number, asked)
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -178,6 +178,20 @@
     tasks: tuple[CrashRecord, ...]
 
 
+class ClockRow(NamedTuple):
+    """The steady clock of a worker life when a record was written.
+
+    Attributes:
+        number: Number of the life in the roster.
+        born: When the life started, as in `WorkerLife`.
+        reading: The latest reading, in seconds, that its clock may have had.
+    """
+
+    number: Number
+    born: Number
+    reading: FiniteNumber
+
+
 class LateStart(NamedTuple):
     """A start that may still be carried out.
 
@@ -195,10 +209,17 @@
 
 
 class LateStartsRecord(NamedTuple):
-    """Starts that may still be carried out although no call awaits them."""
+    """Starts that may still be carried out although no call awaits them.
+
+    Attributes:
+        form: Version of the format.
+        starts: The starts.
+        clocks: As in `LeasesRecord`.
+    """
 
     form: Number
     starts: tuple[LateStart, ...]
+    clocks: tuple[ClockRow, ...] = ()
 
 
 class SuspectRunRow(NamedTuple):
@@ -314,20 +335,6 @@
     barred: bool
 
 
-class ClockRow(NamedTuple):
-    """The steady clock of a worker life when a record was written.
-
-    Attributes:
-        number: Number of the life in the roster.
-        born: When the life started, as in `WorkerLife`.
-        reading: The latest reading, in seconds, that its clock may have had.
-    """
-
-    number: Number
-    born: Number
-    reading: FiniteNumber
-
-
 class LeasesRecord(NamedTuple):
     """Leases of former owners that may still be in force.
 
@@ -520,18 +527,21 @@
         )
 
 
-def encode_late_starts(starts: Sequence[LateStart]) -> bytes:
+def encode_late_starts(
+    starts: Sequence[LateStart], clocks: Sequence[ClockRow] = ()
+) -> bytes:
     """Returns the record of starts that may still be carried out."""
-    return _encode(LateStartsRecord(FORMAT_VERSION, tuple(starts)))
+    record = LateStartsRecord(FORMAT_VERSION, tuple(starts), tuple(clocks))
+    return _encode(record if starts else record[:-1])
 
 
-def decode_late_starts(value: bytes) -> tuple[LateStart, ...]:
-    """Returns the starts that may still be carried out.
+def decode_late_starts(value: bytes) -> LateStartsRecord:
+    """Returns the record of starts that may still be carried out.
 
     Raises:
         RecordError: The record has another format.
     """
-    return _decode(value, LateStartsRecord).starts
+    return _decode(value, LateStartsRecord)
 
 
 def encode_silent_life(
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -40,6 +40,10 @@
 _START_WITHIN = 2.0
 # Seconds between the last record of one owner and the first of the next.
 _OWNER_GAP = 2.0
+# Interval at which owners that follow one another can write.
+_WRITES_EVERY = 5.0
+# Seconds for which each of them can.
+_WRITES_FOR = 2.5
 
 
 def _plan(name: TaskName) -> TaskPlan:
@@ -239,3 +243,33 @@
     slack = _OWNER_GAP + const.LEASE + _START_WITHIN
     assert trio.current_time() - sent_at < const.LATE_START_WINDOW + slack
     _check_journal(worker_pool)
+
+
+async def test_owners_that_can_not_write_wait_once_for_a_late_start() -> None:
+    # Guards against a lost job: time that passed after the last record of an
+    # owner wasn't subtracted from the wait.
+    with mock.patch.object(wall, "now", trio.current_time):
+        await _simulate_owners_that_can_not_write()
+
+
+async def _simulate_owners_that_can_not_write() -> None:
+    store, worker_pool = StoreStandin(), make_worker_pool(2, _plan)
+    async with running(make_owner(store, worker_pool, 1)) as owner:
+        sent_at = await _submit_unanswered(owner, worker_pool)
+        await trio.sleep(1.0)
+        for worker in worker_pool.workers.values():
+            worker.restart()
+        await trio.sleep(3.0)
+    began = trio.current_time()
+    for epoch in range(2, 12):
+        async with running(make_owner(store, worker_pool, epoch)):
+            await trio.sleep(_WRITES_FOR)
+            store.faults.refused = {"a"}
+            await trio.sleep_until(began + (epoch - 1) * _WRITES_EVERY)
+            store.faults.refused = set()
+        if count(worker_pool.journal, "start"):
+            break
+    took = worker_pool.journal[0].at - sent_at
+    longest = const.LATE_START_WINDOW + const.CALL_TIMEOUT
+    assert took < longest + _WRITES_EVERY + _START_WITHIN, took
+    _check_journal(worker_pool)
--- a/tests/test_take_over_series.py
+++ b/tests/test_take_over_series.py
@@ -9,6 +9,8 @@
 _SEEDS = (1, 3, 5, 18, 23, 25, 40)
 # Tasks whose last owner but one has ended without its successor knowing.
 _KNOWN_END_SEEDS = (4, 14)
+# Tasks that wait for a late start under owners that can't write for long.
+_LATE_START_SEEDS = (103,)
 
 
 def test_take_overs_in_a_row_start_nothing_twice_and_leave_nothing_away() -> (
@@ -25,3 +27,11 @@
     for seed in _KNOWN_END_SEEDS:
         found = run_seed(seed)
         assert not any(found), (seed, found)
+
+
+def test_no_task_waits_anew_for_a_late_start_under_each_owner() -> None:
+    # Guards against lost tasks: time that passed without a record wasn't
+    # subtracted from the wait.
+    for seed in _LATE_START_SEEDS:
+        found = run_seed(seed)
+        assert not any(found), (seed, found)
