--- a/tests/test_living_former_owners.py
+++ b/tests/test_living_former_owners.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from contextlib import AbstractContextManager, nullcontext
+from contextlib import AbstractContextManager, nullcontext, suppress
 from typing import Final
 from unittest import mock
 
@@ -260,6 +260,18 @@
     return witnesses
 
 
+async def test_witnesses_that_can_not_be_read_are_never_all_fenced() -> None:
+    # Guards against a task that runs twice: nobody knows who confirms the
+    # former owner.
+    witnesses = Witnesses(2, mock.Mock())
+    with suppress(records.RecordError):
+        witnesses.restore(b"?")
+    witnesses.open(0.0, str, lambda: None, tuple)
+    for number in range(_WORKER_COUNT):
+        witnesses.note_answer(number, 0.0)
+    assert not witnesses.formers_fenced
+
+
 async def test_a_record_that_may_be_stored_counts_as_well() -> None:
     # Guards against a task that runs twice: the acknowledgement of other
     # witnesses was lost, or they were never stored, and the next owner fences
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -84,6 +84,7 @@
     records.decode_lived_runs,
     records.decode_worker_ends,
     records.decode_leases,
+    records.decode_witnesses,
     records.decode_worker,
     records.decode_born,
     lambda value: records.decode_submission("j", value),
@@ -252,6 +253,7 @@
         ("jobs", records.PROGRESS + "j"),
         ("jobs", records.SUBMISSION + "k"),
         ("jobs", records.LEASES),
+        ("jobs", records.WITNESSES),
         ("intake", submission_key("l")),
     ):
         await writer.append(topic, [Record(key, _NESTED_MSGPACK)], 1.0)
