Logs: for how long leases are counted on a life, and starts that another clock answers

The log of the incident shows that a successor waits 5.4 s where a lease lasts for 10 s, but not what either owner counted on that life. No decision changes.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -298,6 +298,12 @@
                 else terms.lease
             )
             worker.lease_end = worker.clock.after(lease, now)
+            note(
+                "leases_counted",
+                worker=worker.life.id,
+                clock=round(reply.clock, 3),
+                lease=lease,
+            )
 
     def _process_reply(self, reply: HoldReply, sent_at: float) -> Batch | None:
         """Applies a listing; returns the batch of the records it changed."""
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -173,6 +173,13 @@
         if reply.clock is not None:
             if worker.clock.is_behind(reply.clock):
                 worker.maybe_replaced = True
+                note(
+                    "start_answered_by_other_clock",
+                    task=task.name,
+                    run=run.number,
+                    worker=worker.life.id,
+                    clock=round(reply.clock, 3),
+                )
             worker.clock.note(reply.clock, now, trio.current_time())
         return reply
 
