A start that the next life of a worker may have taken is waited for with its lease

What callers saw: a task ran twice at one time, when its worker started again under its id and was cut off before it had listed anything, or when a start came to a life that nobody reached at the last moment.

Runs that had moved to a life that never answered counted as lapsed at once.

Now a start is settled by a listing of its life. Until then the task is held until its start can't come, and for the longest lease after that, or until a life of the id lists its runs after that time; such a listing is asked for when it is due, so that a worker that answers delays nothing. Successors read the same from the record of late starts. Clocks are read from listings alone.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -25,7 +25,14 @@
 from pimentocross.owner.late_starts import clear_late_starts, may_resend_start
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.worker import Worker
-from pimentocross.work.state import TERMINAL, Job, Run, RunState, Task
+from pimentocross.work.state import (
+    SETTLED,
+    TERMINAL,
+    Job,
+    Run,
+    RunState,
+    Task,
+)
 
 # Endings that a run reaches by itself: its task did not crash the worker.
 _NORMAL_ENDINGS: Final = frozenset({EndKind.DONE, EndKind.FAILED})
@@ -248,6 +255,11 @@
             or worker.unbar_recorded is not None
         ):
             return 0.0
+        due = self._context.late_starts.listing_due(worker.life.id) - now
+        return min(self._usual_wait(now), max(due, 0.0))
+
+    def _usual_wait(self, now: float) -> float:
+        worker = self._worker
         if not worker.serves:
             return self._context.pace.wait(now, serving=False)
         wait = self._context.pace.wait(now, serving=worker.best_effort_cpu > 0)
@@ -404,7 +416,7 @@
             run = apply_ending(task, ending, self._worker)
             if run is not None:
                 run.note_start_settled()
-                self._context.late_starts.hold(task, run)
+                self._context.late_starts.hold(task, run, self._worker)
             self._context.on_ending(self._worker, task, run, ending)
             if ending.how in _NORMAL_ENDINGS:
                 self._context.crashes.note_ended(task, run)
@@ -432,8 +444,11 @@
             elif (
                 run.state is RunState.STOPPING and 0 < run.stopped_at < sent_at
             ):
+                if run.late_until <= sent_at:
+                    run.late_until = SETTLED
                 self._context.late_starts.drop(task, number, self._worker)
                 changed[task.step.job] = None
+        self._context.late_starts.note_listed(self._worker.life.id, sent_at)
 
     def _may_resend_start(self, task: Task, run: Run) -> bool:
         """True if an unanswered start may be sent again to this worker."""
@@ -483,9 +498,9 @@
 def _update_run(task: Task, run: Run, entry: ListedRun, now: float) -> None:
     if run.state is RunState.SENT or run.state is RunState.UNSURE:
         run.enter(RunState.RUNNING, now)
-        run.note_start_settled()
         task.note_has_run()
     if not run.began_at:
+        run.note_start_settled()
         run.began_at = now
         run.percent_at = now
     if entry.percent != run.percent:
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -5,13 +5,16 @@
 behind every deadline, and nothing in the order distinguishes the lives of one
 id. Until the new life has received an order of its owner, it therefore carries
 out the old one, even if the task has run elsewhere meanwhile. Such a task isn't
-started elsewhere until the order can no longer be carried out.
+started elsewhere until the order can no longer be carried out, and until a
+lease that the new life may have granted for it has ended. It is earlier if a
+life of the id lists its runs once the order can't come any more.
 
 Where workers don't report when they were born, an id names a single life and
 none of this is needed.
 """
 
 from collections.abc import Callable, Iterable
+import math
 from typing import NamedTuple
 
 import trio
@@ -78,6 +81,7 @@
         self,
         book: JobRegistry,
         ledger: Ledger,
+        lease_most: float,
         wake: Callable[[], None],
         resent_starts: ResentStarts,
     ) -> None:
@@ -86,6 +90,8 @@
         Args:
             book: The jobs of the cell.
             ledger: Writes the record.
+            lease_most: Most seconds that a run may last after its start, unless
+                its lease is renewed.
             wake: Triggers another dispatch pass.
             resent_starts: Starts that may have been sent more than once.
         """
@@ -93,6 +99,9 @@
         self._book = book
         self._wake = wake
         self._ledger = ledger
+        self._lease_most = lease_most
+        # Held runs by the worker id that their starts named.
+        self._held: dict[str, list[tuple[Task, Run]]] = {}
         self._record = LazyRecord(records.LATE_STARTS, self._encode)
         # Runs whose starts may still be carried out. Settled ones are removed
         # when the record is next written.
@@ -195,7 +204,7 @@
         """Adopts a held run of a former owner. Its worker life has ended."""
         self.adopt(task, run, None)
         task.drop_run(run.number)
-        self.hold(task, run)
+        self.hold(task, run, None)
 
     def note_decided(self, task: Task, run: Run, life: WorkerLife) -> None:
         """Records a start together with its decision, before it is sent."""
@@ -235,15 +244,21 @@
             self._ledger.put_with_next(self._record)
 
     def drop(self, task: Task, number: int, worker: Worker) -> None:
-        """Drops a run that isn't on a worker, or holds it if it may begin."""
+        """Drops a run that isn't on a worker, or holds it if it may last."""
         run = drop_run(task, number, worker)
         if run is not None:
-            self.hold(task, run)
+            self.hold(task, run, worker)
 
-    def hold(self, task: Task, run: Run) -> None:
-        """Keeps a task waiting while a dropped run may still begin."""
+    def hold(self, task: Task, run: Run, worker: Worker | None) -> None:
+        """Keeps a task waiting while a dropped run may begin or last.
+
+        Args:
+            task: The task.
+            run: Its dropped run.
+            worker: A life of the id that the start named, None if not known.
+        """
         now = trio.current_time()
-        if not run.may_start_late(now) or task.done or task.step.job.ended:
+        if not self._may_last(run, now) or task.done or task.step.job.ended:
             return
         if task.step.spec.copies and not task.step.spec.gang:
             # Several runs of the task may run at once. One that begins late is
@@ -255,10 +270,43 @@
             "start_held",
             task=task.name,
             run=run.number,
-            seconds=round(run.late_until - now, 3),
+            seconds=round(run.late_until + self._lease_most - now, 3),
         )
+        if worker is not None:
+            self._held.setdefault(worker.life.id, []).append((task, run))
+        self._unsettled[task, run.number] = run
+        self._ledger.put_with_next(self._record)
         self._start_soon(self._release, task, run)
 
+    def listing_due(self, life_id: str) -> float:
+        """Returns when a life's listing releases a run, monotonic.
+
+        It is infinite without a run that is held for a life of the id.
+        """
+        held = self._held.get(life_id, ())
+        return min((run.late_until for _, run in held), default=math.inf)
+
+    def note_listed(self, life_id: str, asked_at: float) -> None:
+        """Releases runs that a life would list if they weren't over.
+
+        Args:
+            life_id: The id of the life that has listed all its runs.
+            asked_at: When it was asked, monotonic.
+        """
+        held = self._held.get(life_id)
+        if not held:
+            return
+        waiting = []
+        for task, run in held:
+            if run.late_until <= asked_at:
+                self._end_hold(task, run)
+            elif run.state is RunState.HELD:
+                waiting.append((task, run))
+        if waiting:
+            self._held[life_id] = waiting
+        else:
+            del self._held[life_id]
+
     def attach_held(
         self, task: Task, number: int, worker: Worker
     ) -> Run | None:
@@ -273,13 +321,20 @@
         return run
 
     async def _release(self, task: Task, run: Run) -> None:
-        while trio.current_time() < run.late_until:
-            await trio.sleep_until(run.late_until)
+        while self._may_last(run, trio.current_time()):
+            await trio.sleep_until(run.late_until + self._lease_most)
+        self._end_hold(task, run)
+
+    def _end_hold(self, task: Task, run: Run) -> None:
         if run.state is RunState.HELD and task.runs.get(run.number) is run:
             task.drop_run(run.number)
             self._book.changed(task.step.job)
             self._wake()
 
+    def _may_last(self, run: Run, now: float) -> bool:
+        """Returns whether a run may last on a life that nobody hears."""
+        return now < run.late_until + self._lease_most
+
     def _encode(self) -> bytes:
         """Returns the record of the starts that may still be carried out."""
         now = trio.current_time()
@@ -287,7 +342,7 @@
         for (task, number), run in list(self._unsettled.items()):
             in_flight = run.state in _IN_FLIGHT
             if task.runs.get(number) is not run or not (
-                in_flight or run.may_start_late(now)
+                in_flight or self._may_last(run, now)
             ):
                 del self._unsettled[task, number]
                 continue
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -169,7 +169,7 @@
             return None
         finally:
             late_starts.note_answered()
-        run.note_start_settled()
+        self._note_answered(run, worker, reply)
         if reply.clock is not None:
             if worker.clock.is_behind(reply.clock):
                 worker.maybe_replaced = True
@@ -180,9 +180,24 @@
                     worker=worker.life.id,
                     clock=round(reply.clock, 3),
                 )
-            worker.clock.note(reply.clock, now, trio.current_time())
+            if not worker.life.born:
+                worker.clock.note(reply.clock, now, trio.current_time())
         return reply
 
+    def _note_answered(
+        self, run: Run, worker: Worker, reply: StartReply
+    ) -> None:
+        """Notes which life may have carried a start out.
+
+        The answer doesn't tell. If it was the next life of the worker's id,
+        neither the former life's clock nor its leases bound the run.
+        """
+        started = reply.verdict is StartVerdict.STARTED
+        if started and worker.life.born and not run.began_at:
+            run.note_start_answered(trio.current_time())
+        else:
+            run.note_start_settled()
+
     def _may_start(self, task: Task, worker: Worker) -> bool:
         # These conditions may have changed since the run was decided.
         if not self._context.may_start_on(worker) or not worker.clock.known:
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -150,6 +150,7 @@
         self._late_starts = LateStarts(
             self._registry,
             self._ledger,
+            platform.terms.granted_lease_most,
             self._dispatcher.wake,
             self._resent_starts,
         )
--- a/pimentocross/owner/terms.py
+++ b/pimentocross/owner/terms.py
@@ -47,6 +47,14 @@
             self.confirmed_lease * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
         )
 
+    @property
+    def granted_lease_most(self) -> float:
+        """Longest duration of any lease on this process's clock.
+
+        A life grants it for a deadline that was meant for another life.
+        """
+        return self.granted_most * (1 + const.CLOCK_DRIFT) + const.LAPSE_MARGIN
+
     @property
     def unreleased_lease_most(self) -> float:
         """Longest time that leases of an owner last if it didn't hand over.
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 from enum import IntEnum, StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from pimentocross.work.crash_history import NO_CRASHES, CrashHistory
 from pimentocross.work.limits import MAX_CHECKPOINT_BYTES, max_open_occurrences
@@ -21,6 +21,9 @@
     CANCELLED = "cancelled"
 
 
+# `Run.late_until` of a run whose start can't be carried out any more, or was
+# carried out by the life that it was sent to.
+SETTLED: Final = float("-inf")
 TERMINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -60,8 +63,9 @@
         stopped_at: When the worker confirmed that it is stopping the run, or 0.
         starts_sent: How often the start was sent.
         lived_before: Seconds for which former owners saw the run running.
-        late_until: Until when an unanswered start of the run may still be
-            carried out by a life with the id of its worker, or 0.
+        late_until: Until when a start of the run may still be carried out by a
+            life with the id of its worker, or `SETTLED`. A start that was
+            answered, but by a life that isn't known, can't be from then on.
     """
 
     def __init__(
@@ -82,7 +86,7 @@
         self.stopped_at = 0.0
         self.starts_sent = 0
         self.lived_before = 0.0
-        self.late_until = 0.0
+        self.late_until = SETTLED
 
     @property
     def is_adopted(self) -> bool:
@@ -108,7 +112,12 @@
         carried out.
         """
         if self.starts_sent <= 1:
-            self.late_until = 0.0
+            self.late_until = SETTLED
+
+    def note_start_answered(self, now: float) -> None:
+        """Notes that a start was carried out by a life that isn't known."""
+        if self.starts_sent <= 1:
+            self.late_until = now
 
 
 class Destination(NamedTuple):
