The next owner knows how long leases for calls to former lives may last

It had started on a worker that was back under its id, the owner was killed, the worker cut off, and the next owner started the task elsewhere 5.4 s after its take-over. The first run lapsed 10 s after its start.

Cause: a call to the former life that reaches the next one gives it the longest lease. The owner that fences the life counts that; its record of leases doesn't hold it, so that its successor counted an ordinary lease from its own take-over.

Now the lives that no owner has fenced, and for how long those fenced lately may hold such a lease, are a record of their own (owner/next_lives.py). A successor waits for it, whether it reaches the life or not, and passes it on. A life that was recorded after that record counts as not fenced, by the offsets of the two, so that owners of earlier versions and ends between two appends leave no gap. The wait at a life's first answer no longer depends on whether runs were moved there, nor on whether it was given up before.

--- a/bench/large_owner.py
+++ b/bench/large_owner.py
@@ -29,6 +29,7 @@
 from pimentocross.owner.jobs import JobRegistry
 from pimentocross.owner.learned import LearnedEstimates
 from pimentocross.owner.ledger import Ledger
+from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.orders import Orders, Placement
 from pimentocross.owner.roster import Roster, RosterParts
 from pimentocross.owner.terms import OwnerTerms
@@ -80,6 +81,7 @@
             HttpWorkerDialer(),
             self.ledger,
             former_leases,
+            NextLives(self.ledger, OwnerTerms()),
             Witnesses(1, self.ledger),
             lambda: CONFIG,
             AllZonesOpen(),
--- a/bench/wire_parts.py
+++ b/bench/wire_parts.py
@@ -40,6 +40,7 @@
 from pimentocross.owner.learned import LearnedEstimates
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.listing_pace import ListingPace
+from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.resent_starts import ResentStarts
 from pimentocross.owner.silent_lives import SilentLives
 from pimentocross.owner.terms import OwnerTerms
@@ -162,9 +163,10 @@
 ) -> OwnerContext:
     """Returns the shared context of an owner with one worker."""
     lateness = LoopLateness()
+    terms = OwnerTerms(_LEASE_SECONDS)
     return OwnerContext(
         1,
-        OwnerTerms(_LEASE_SECONDS),
+        terms,
         CallTimeouts(lateness, _LEASE_SECONDS),
         ListingPace(lateness, _LEASE_SECONDS, lambda: 1),
         book,
@@ -175,9 +177,16 @@
         Crashes(book, lambda: (), SilentLives(ledger), WorkerEnds(ledger)),
         lambda _: True,
         _NoRestarts(),
-        LateStarts(book, ledger, lambda: None, ResentStarts(1, None, ledger)),
-        FormerLeases(1, (), OwnerTerms(_LEASE_SECONDS), ledger, quiet=True),
-        Confirmation(ledger, Witnesses(1, ledger), OwnerTerms(_LEASE_SECONDS)),
+        LateStarts(
+            book,
+            ledger,
+            terms.granted_lease_most,
+            lambda: None,
+            ResentStarts(1, None, ledger),
+        ),
+        FormerLeases(1, (), terms, ledger, quiet=True),
+        NextLives(ledger, terms),
+        Confirmation(ledger, Witnesses(1, ledger), terms),
     )
 
 
--- a/pimentocross/owner/absent.py
+++ b/pimentocross/owner/absent.py
@@ -4,7 +4,7 @@
 the lease has surely ended, or until another life of the same VM is listed.
 """
 
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 import trio
 
@@ -12,7 +12,6 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner.context import OwnerContext
 from pimentocross.owner.endings import log_lost_runs, log_waiting_runs
-from pimentocross.owner.former_leases import FormerLeases
 from pimentocross.owner.late_starts import clear_late_starts
 from pimentocross.owner.life_numbers import LifeNumbers
 from pimentocross.owner.worker import Worker
@@ -27,18 +26,19 @@
         self,
         numbers: LifeNumbers,
         dialer: WorkerDialer,
-        former_leases: FormerLeases,
+        leases_until: Callable[[int, int], float],
     ) -> None:
         """Initializes an empty set.
 
         Args:
             numbers: Tells which life has a number.
             dialer: Makes links to workers.
-            former_leases: Bounds the leases that former owners granted.
+            leases_until: Returns until when leases of others may last, by the
+                number of a life and when it was born.
         """
         self._numbers = numbers
         self._dialer = dialer
-        self._former_leases = former_leases
+        self._leases_until = leases_until
         self._by_number: dict[int, Worker] = {}
 
     def __iter__(self) -> Iterator[Worker]:
@@ -61,7 +61,7 @@
             born=known.born,
         )
         worker = Worker(life, number, self._dialer.link(life))
-        worker.former_leases_until = self._former_leases.until(number)
+        worker.former_leases_until = self._leases_until(number, known.born)
         worker.barred = True
         self._by_number[number] = worker
         note("worker_absent", worker=known.id, number=number)
--- a/pimentocross/owner/context.py
+++ b/pimentocross/owner/context.py
@@ -12,6 +12,7 @@
 from pimentocross.owner.late_starts import LateStarts
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.listing_pace import ListingPace
+from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import TaskName
@@ -79,6 +80,7 @@
         late_starts: Tracks starts that workers may still carry out, and drops
             their runs.
         former_leases: Tracks when the leases given by former owners end.
+        next_lives: Tracks when leases for calls to former lives end.
         confirmation: Tells for how long leases may run.
     """
 
@@ -96,6 +98,7 @@
     lives: LifeListener
     late_starts: LateStarts
     former_leases: FormerLeases
+    next_lives: NextLives
     confirmation: Confirmation
 
     def token_for(self, worker: Worker) -> int:
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -288,6 +288,7 @@
         if worker.clock.is_behind(reply.clock):
             note("worker_clock_back", worker=worker.life.id, clock=reply.clock)
         worker.clock.note(reply.clock, sent_at, now)
+        is_first = worker.last_reply_at == float("-inf")
         worker.last_reply_at = now
         self._failed_by_own_lateness = worker.maybe_replaced = False
         if not worker.reachable:
@@ -298,24 +299,36 @@
             self._context.crashes.note_responding(worker)
         if worker.barred:
             self._context.former_leases.clear(worker)
-        if worker.lease_end is None:
-            # A former owner is fenced from now on; this is the latest lease
-            # end that it may have set. A deadline meant for the clock of a
-            # former life lies far ahead, and the worker cuts it to the longest
-            # lease that it grants.
-            terms = self._context.terms
-            lease = (
-                terms.granted_most
-                if worker.may_get_former_orders
-                else terms.lease
-            )
-            worker.lease_end = worker.clock.after(lease, now)
-            note(
-                "leases_counted",
-                worker=worker.life.id,
-                clock=round(reply.clock, 3),
-                lease=lease,
-            )
+        if is_first:
+            self._count_leases_of_others(now)
+
+    def _count_leases_of_others(self, now: float) -> None:
+        """Bounds the leases that the first answered call finds on a life.
+
+        From now on the life refuses former owners, and calls that were sent to
+        the former life of its id.
+        """
+        worker, terms = self._worker, self._context.terms
+        lease = terms.lease
+        if worker.unfenced:
+            # A deadline that was meant for the clock of a former life may lie
+            # far ahead: the worker cuts it to its longest lease.
+            lease = max(lease, terms.granted_most)
+        elif worker.long_lease_until > now:
+            left = worker.long_lease_until - now
+            lease = max(lease, min(left, terms.granted_most))
+        lease_end = worker.clock.after(lease, now)
+        worker.lease_end = max(worker.lease_end or 0.0, lease_end)
+        if worker.unfenced:
+            worker.unfenced = False
+            worker.long_lease_until = worker.clock.latest_time_of(lease_end)
+            self._context.next_lives.record()
+        note(
+            "leases_counted",
+            worker=worker.life.id,
+            clock=round(worker.clock.reading, 3),
+            lease=round(lease, 3),
+        )
 
     def _process_reply(self, reply: HoldReply, sent_at: float) -> Batch | None:
         """Applies a listing; returns the batch of the records it changed."""
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -35,6 +35,7 @@
 from pimentocross.owner.ledger import LazyRecord, Ledger
 from pimentocross.owner.listing_pace import ListingPace
 from pimentocross.owner.lived_runs import LivedRuns
+from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.orders import Orders
 from pimentocross.owner.resent_starts import ResentStarts
 from pimentocross.owner.roster import Roster, RosterParts
@@ -124,12 +125,14 @@
             self._ledger,
             quiet=claim.former_quiet,
         )
+        self._next_lives = NextLives(self._ledger, platform.terms)
         self._witnesses = Witnesses(claim.epoch, self._ledger)
         self._roster = Roster(
             platform.directory,
             platform.workers,
             self._ledger,
             self._former_leases,
+            self._next_lives,
             self._witnesses,
             config,
             platform.zones,
@@ -224,6 +227,7 @@
         await self._ledger.open()
         self._opened_at = trio.current_time()
         self._former_leases.begin()
+        self._next_lives.begin()
         self.opened.set()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.lateness.run)
@@ -271,6 +275,9 @@
             self._former_leases.start_recording(
                 self._roster.lease_rows, self._roster.lease_clocks
             )
+            self._next_lives.start_recording(
+                self._roster.next_life_rows, self._roster.lease_clocks
+            )
             self.ready.set()
             self._take_over_log.note("owner_ready", jobs=len(self._registry))
             nursery.start_soon(self._run_decisions, orders)
@@ -313,6 +320,7 @@
             self._roster,
             self._late_starts,
             self._former_leases,
+            self._next_lives,
             Confirmation(self._ledger, self._witnesses, terms),
         )
 
@@ -393,6 +401,7 @@
                 continue
             try:
                 self._load_record(kind, name, record.value, jobs)
+                self._load_life(kind, name, record.value, record.offset)
             except (RecordError, ValueError) as error:
                 meters.add_unreadable(self._claim.topic)
                 note("record_unreadable", key=record.key, reason=str(error))
@@ -436,14 +445,22 @@
             self._former_leases.restore(value)
         elif kind == records.WITNESSES:
             self._witnesses.restore(value)
+
+    def _load_life(
+        self, kind: str, name: str, value: bytes, offset: int
+    ) -> None:
+        """Loads a record of a worker life, or of lives that hold leases."""
+        numbers = self._roster.numbers
+        if kind == records.NEXT_LIVES:
+            self._next_lives.restore(value, offset)
         elif kind == records.WORKER:
-            self._roster.numbers.restore(
-                whole_number(name), records.decode_worker(value)
-            )
+            number = whole_number(name)
+            numbers.restore(number, records.decode_worker(value))
+            self._next_lives.restore_life(number, offset)
         elif kind == records.BORN:
-            self._roster.numbers.restore_born(
-                whole_number(name), records.decode_born(value)
-            )
+            number = whole_number(name)
+            numbers.restore_born(number, records.decode_born(value))
+            self._next_lives.restore_life(number, offset)
 
     async def _sweep_periodically(self, crashes: Crashes) -> None:
         while True:
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -22,10 +22,11 @@
 from pimentocross.owner.keeper import LeaseKeeper
 from pimentocross.owner.ledger import Ledger
 from pimentocross.owner.life_numbers import LifeNumbers
+from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.witnesses import Witnesses
 from pimentocross.owner.worker import Worker
 from pimentocross.work.queue import WorkConfig
-from pimentocross.work.records import ClockRow, LeaseRow
+from pimentocross.work.records import ClockRow, LeaseRow, NextLifeRow
 from pimentocross.work.state import Run, RunState, Task
 
 
@@ -58,6 +59,7 @@
         dialer: WorkerDialer,
         ledger: Ledger,
         former_leases: FormerLeases,
+        next_lives: NextLives,
         witnesses: Witnesses,
         config: Callable[[], WorkConfig],
         zones: ZoneAccess,
@@ -69,6 +71,7 @@
             dialer: Makes links to workers.
             ledger: Records the numbers of lives.
             former_leases: Bounds the leases that former owners granted.
+            next_lives: Bounds the leases for calls to former lives.
             witnesses: Gets the answers of workers.
             config: Returns the configuration in force. Workers of services
                 that it doesn't name are not called.
@@ -82,10 +85,11 @@
         self._directory = directory
         self._dialer = dialer
         self._former_leases = former_leases
+        self._next_lives = next_lives
         self._witnesses = witnesses
         # The newest known life of each worker id.
         self._by_life: dict[str, Worker] = {}
-        self._absent = AbsentWorkers(self.numbers, dialer, former_leases)
+        self._absent = AbsentWorkers(self.numbers, dialer, self._leases_until)
         self._keepers: dict[str, LeaseKeeper] = {}
         # Keepers that have not been started yet.
         self._idle_keepers: list[LeaseKeeper] = []
@@ -166,6 +170,7 @@
             await self.start_keepers()
             self._witnesses.update()
             self._former_leases.refresh()
+            self._next_lives.refresh()
             self._parts.cell.late_starts.refresh()
             await self._wait_for_next_poll()
 
@@ -199,6 +204,19 @@
                 left = max(worker.lapses_at - now, 0.0)
                 yield LeaseRow(worker.number, round(left, 3), worker.barred)
 
+    def next_life_rows(self) -> Iterator[NextLifeRow]:
+        """Yields rows of lives with leases for calls to former lives."""
+        now = trio.current_time()
+        longest = self._parts.cell.terms.granted_lease_most
+        for worker in [*self._absent, *self._by_life.values()]:
+            if worker.gone:
+                continue
+            if worker.unfenced:
+                yield NextLifeRow(worker.number, longest, fenced=False)
+            elif worker.long_lease_until > now:
+                left = round(worker.long_lease_until - now, 3)
+                yield NextLifeRow(worker.number, left, fenced=True)
+
     def lease_clocks(self) -> Iterator[ClockRow]:
         """Yields the clocks of a few workers that answer."""
         now = trio.current_time()
@@ -226,11 +244,16 @@
 
     def _shorten_former_leases(self) -> None:
         for worker in [*self._absent, *self._by_life.values()]:
-            until = self._former_leases.until(worker.number)
+            until = self._leases_until(worker.number, worker.life.born)
             worker.former_leases_until = min(worker.former_leases_until, until)
         if self._has_adopted:
             self._end_absent_lives()
 
+    def _leases_until(self, number: int, born: int) -> float:
+        """Returns until when leases may last that others granted on a life."""
+        until = self._former_leases.until(number)
+        return max(until, self._next_lives.until(number)) if born else until
+
     async def start_keepers(self) -> None:
         """Starts the keepers of new lives, one per pass of the event loop.
 
@@ -336,6 +359,7 @@
         else:
             worker.life = life
             self.numbers.note_born(worker.number, born)
+            self._bound_long_leases(worker)
 
     def note_replaced(self, worker: Worker) -> None:
         """Drops the number of a replaced life; no run may be on it any more.
@@ -351,7 +375,8 @@
         if not worker.adopted:
             clock = worker.number, worker.life.born, worker.clock.reading
             self._parts.cell.late_starts.note_clock(*clock)
-            if self._former_leases.note_clock(*clock):
+            is_older = self._next_lives.note_clock(*clock)
+            if self._former_leases.note_clock(*clock) or is_older:
                 self._shorten_former_leases()
         self._witnesses.note_answer(worker.number, asked)
         if not self._witnesses.formers_fenced:
@@ -425,12 +450,13 @@
         number = self.numbers.number_of(life)
         at_once = self._parts.cell.terms.orders_at_once(self._listed_count)
         worker = Worker(life, number, self._dialer.link(life), at_once)
-        worker.former_leases_until = self._former_leases.until(number)
+        worker.former_leases_until = self._leases_until(number, life.born)
         if life.draining:
             worker.draining_since = trio.current_time()
         worker.newly_listed = not self.numbers.is_inherited(number)
         worker.restarts = self._met_lives[life.id]
         self._met_lives[life.id] += 1
+        self._bound_long_leases(worker)
         self._by_life[life.id] = worker
         keeper = LeaseKeeper(worker, self._parts.cell, self._parts.stops)
         self._keepers[life.id] = keeper
@@ -447,6 +473,21 @@
                 self._replace_absent(absent, worker)
         return worker
 
+    def _bound_long_leases(self, worker: Worker) -> None:
+        """Bounds the leases for calls to former lives of a worker's id."""
+        if not worker.life.born:
+            # An id names one life.
+            return
+        if self.numbers.is_inherited(worker.number):
+            worker.unfenced = self._next_lives.may_be_unfenced(worker.number)
+            worker.long_lease_until = self._next_lives.until(worker.number)
+        else:
+            worker.unfenced = (
+                worker.restarts > 0 or self._next_lives.has_formers
+            )
+        # Also without a row: the record tells that it knows the life.
+        self._next_lives.record()
+
     def _forget_worker(self, worker: Worker) -> None:
         """Drops the number and the connections of a life that has ended."""
         self.numbers.forget(worker.number)
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -80,6 +80,10 @@
         gone: Whether this life has surely ended.
         replaced: Whether another life of its VM is known.
         restarts: How many earlier lives of its id this owner has met.
+        unfenced: Whether perhaps no owner has called this life yet, so that it
+            may still grant leases for calls to the former life of its id.
+        long_lease_until: When leases that it granted for such calls must have
+            ended, monotonic.
         may_get_former_orders: Whether it may receive orders that were sent to
             an earlier life of its id.
         reachable: False from the first failed call to the next answered one.
@@ -135,6 +139,8 @@
         self.maybe_replaced = False
         self.restarts = 0
         self.may_get_former_orders = False
+        self.unfenced = False
+        self.long_lease_until = float("-inf")
         self.version = 0
         self.draining_since: float | None = None
         self.calls = trio.Semaphore(orders_at_once)
--- a/pimentocross/work/records.py
+++ b/pimentocross/work/records.py
@@ -49,6 +49,7 @@
 LIVED_RUNS: Final = "v"
 RESENT_STARTS: Final = "r"
 WITNESSES: Final = "t"
+NEXT_LIVES: Final = "n"
 # Used in the topic in which entry VMs store jobs and cancels for an owner.
 CANCEL: Final = "x"
 
@@ -359,6 +360,36 @@
     clocks: tuple[ClockRow, ...] = ()
 
 
+class NextLifeRow(NamedTuple):
+    """A life that may hold a lease for a call to a former life of its id.
+
+    Attributes:
+        number: Number of the life in the roster.
+        left: Most seconds, counted from the write of the record, for which such
+            a lease may be in force.
+        fenced: Whether an owner has called the life, so that it grants no more
+            such leases.
+    """
+
+    number: Number
+    left: FiniteNumber
+    fenced: bool
+
+
+class NextLivesRecord(NamedTuple):
+    """Lives that may hold leases for calls to former lives of their ids.
+
+    Attributes:
+        form: Version of the format.
+        rows: The lives.
+        clocks: As in `LeasesRecord`.
+    """
+
+    form: Number
+    rows: tuple[NextLifeRow, ...]
+    clocks: tuple[ClockRow, ...]
+
+
 class WitnessesRecord(NamedTuple):
     """Worker lives that confirm an owner; see `owner.witnesses`.
 
@@ -628,6 +659,23 @@
     return _decode(value, LeasesRecord)
 
 
+def encode_next_lives(
+    rows: Sequence[NextLifeRow], clocks: Sequence[ClockRow]
+) -> bytes:
+    """Returns the record of lives that may hold leases for former lives."""
+    record = NextLivesRecord(FORMAT_VERSION, tuple(rows), tuple(clocks))
+    return _encode(record)
+
+
+def decode_next_lives(value: bytes) -> NextLivesRecord:
+    """Returns the lives that may hold leases for former lives.
+
+    Raises:
+        RecordError: The record has another format.
+    """
+    return _decode(value, NextLivesRecord)
+
+
 def encode_witnesses(epoch: int, numbers: Sequence[int]) -> bytes:
     """Returns the record of the worker lives that confirm an owner."""
     return _encode(WitnessesRecord(FORMAT_VERSION, epoch, tuple(numbers)))
--- a/tests/test_next_lives.py
+++ b/tests/test_next_lives.py
@@ -5,19 +5,25 @@
 carries starts out and grants the longest lease.
 """
 
+from contextlib import suppress
 import random
 from typing import Final
+from unittest import mock
 
 import trio
 
 from pimentocross.owner import const
+from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.owner import Owner
+from pimentocross.owner.terms import OwnerTerms
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
     TaskPlan,
     TaskWorkerStandin,
 )
 from pimentocross.standins.worker_pool import WorkerPool
+from pimentocross.work import records
+from pimentocross.work.records import ClockRow, NextLifeRow
 from pimentocross.work.spec import JobSpec, Size, StepSpec, TaskName
 from tests.owner_fixtures import (
     QUEUE,
@@ -251,3 +257,84 @@
         await trio.sleep(const.CALL_TIMEOUT + const.LISTING_WAIT + 1.0)
         assert count(pool.journal, "start") == 8
     _check_never_twice(pool)
+
+
+_TERMS: Final = OwnerTerms()
+_FENCED: Final = 1
+_NOT_FENCED: Final = 2
+_LONG_AGO: Final = 3
+_LATER: Final = 4
+
+
+def _restored(value: bytes | None) -> NextLives:
+    """Returns what an owner knows that begins with a record at offset 9."""
+    lives = NextLives(mock.Mock(), _TERMS)
+    for number in (_FENCED, _NOT_FENCED, _LONG_AGO):
+        lives.restore_life(number, offset=number)
+    lives.restore_life(_LATER, offset=10)
+    if value is not None:
+        with suppress(records.RecordError):
+            lives.restore(value, offset=9)
+    lives.begin()
+    return lives
+
+
+def _record(seconds_left: float) -> bytes:
+    rows = [
+        NextLifeRow(_FENCED, seconds_left, fenced=True),
+        NextLifeRow(_NOT_FENCED, seconds_left, fenced=False),
+    ]
+    return records.encode_next_lives(rows, [ClockRow(_LONG_AGO, 1, 100.0)])
+
+
+async def test_a_life_that_no_record_knows_may_hold_the_longest_lease() -> None:
+    # Guards against a task that runs twice: the owner ended before it could
+    # record the life, it was of an earlier version, or its record is damaged.
+    lives = _restored(_record(4.0))
+    assert [n for n in range(1, 5) if lives.may_be_unfenced(n)] == [2, 4]
+    for value in (None, b"?", _record(float("inf"))):
+        lives = _restored(value)
+        assert all(lives.may_be_unfenced(number) for number in range(1, 5))
+    longest = trio.current_time() + _TERMS.granted_lease_most
+    assert lives.until(_LATER) == longest
+    assert lives.until(5) == float("-inf")
+
+
+async def test_a_long_lease_is_waited_for_once() -> None:
+    # Guards against a lost task: owners that follow one another would count the
+    # longest lease anew each time, and for lives that were fenced long ago.
+    lives = _restored(_record(4.0))
+    now = trio.current_time()
+    assert lives.until(_FENCED) == now + 4.0
+    assert lives.until(_LONG_AGO) == float("-inf")
+    assert lives.note_clock(_LONG_AGO, born=1, reading=102.0)
+    assert now + 2.0 <= lives.until(_FENCED) < now + 2.1
+
+
+async def test_a_former_record_is_kept_until_all_lives_are_known() -> None:
+    # Guards against a task that runs twice: an owner that ends while it takes
+    # over would leave a record without the lives of the one before.
+    ledger = mock.Mock()
+    lives = NextLives(ledger, _TERMS)
+    lives.record()
+    lives.refresh()
+    assert not ledger.method_calls
+    lives.start_recording(tuple, tuple)
+    assert ledger.put.called
+
+
+async def test_a_new_cell_counts_ordinary_leases() -> None:
+    # Guards against a lost task: nobody has called a former life of a worker
+    # that the first owner of a cell meets for the first time.
+    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    async with running(make_owner(store, pool, 1)) as owner:
+        await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=True))
+        await trio.sleep(2.0)
+        worker = next(iter(pool.workers.values()))
+        lost = len(worker.listing().running)
+        worker.crash()
+        worker.faults.silent = True
+        await wait_until(
+            lambda: count(pool.journal, "start") == 8 + lost,
+            const.LISTING_WAIT + const.LISTING_SLACK + _TERMS.lease_most + 1.0,
+        )
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -254,6 +254,7 @@
         ("jobs", records.SUBMISSION + "k"),
         ("jobs", records.LEASES),
         ("jobs", records.WITNESSES),
+        ("jobs", records.NEXT_LIVES),
         ("intake", submission_key("l")),
     ):
         await writer.append(topic, [Record(key, _NESTED_MSGPACK)], 1.0)
