A held task starts once its VM has another id, and a lasting start is settled at once

A VM that was back under another id settled the starts to its former life with a time that counts as a start in the first seconds of a process's clock, so that the tasks waited on (test_a_crashed_workers_tasks_start_ again failed); it now settles them as a listing does, and also those that were held before. A lasting task whose worker was gone for good within a second of its start was away for 10.5 s, where users allow 9 s, as no listing had shown which life had answered: the start of a lasting run is followed by a listing of its own. test_a_lasting_task_that_has_just_started_is_back_soon failed before.

--- a/pimentocross/owner/absent.py
+++ b/pimentocross/owner/absent.py
@@ -12,7 +12,6 @@
 from pimentocross.observe.decisions import note
 from pimentocross.owner.context import OwnerContext
 from pimentocross.owner.endings import log_lost_runs, log_waiting_runs
-from pimentocross.owner.late_starts import clear_late_starts
 from pimentocross.owner.life_numbers import LifeNumbers
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import NO_SIZE
@@ -97,7 +96,7 @@
         del self._by_number[worker.number]
         self._numbers.forget(worker.number)
         if replaced:
-            clear_late_starts(worker)
+            parts.late_starts.note_replaced(worker)
             parts.crashes.note_replaced(worker)
             parts.lives.note_replaced(worker)
         else:
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -22,7 +22,7 @@
     log_lost_runs,
     log_waiting_runs,
 )
-from pimentocross.owner.late_starts import clear_late_starts, may_resend_start
+from pimentocross.owner.late_starts import may_resend_start
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.worker import Worker
 from pimentocross.work.state import (
@@ -36,6 +36,7 @@
 
 # Endings that a run reaches by itself: its task did not crash the worker.
 _NORMAL_ENDINGS: Final = frozenset({EndKind.DONE, EndKind.FAILED})
+_NEVER: Final = float("-inf")
 
 
 class LeaseKeeper:
@@ -134,7 +135,7 @@
         worker.gone = True
         worker.replaced = replaced
         if replaced:
-            clear_late_starts(worker)
+            self._context.late_starts.note_replaced(worker)
             self._context.crashes.note_replaced(worker)
         else:
             self._context.crashes.note_absent(worker)
@@ -255,11 +256,10 @@
             or worker.unbar_recorded is not None
         ):
             return 0.0
-        due = self._context.late_starts.listing_due(worker.life.id) - now
-        return min(self._usual_wait(now), max(due, 0.0))
-
-    def _usual_wait(self, now: float) -> float:
-        worker = self._worker
+        late_starts = self._context.late_starts
+        if worker.life.id in late_starts.held:
+            due = late_starts.listing_due(worker.life.id) - now
+            return min(max(due, 0.0), const.LISTING_WAIT_SERVING)
         if not worker.serves:
             return self._context.pace.wait(now, serving=False)
         wait = self._context.pace.wait(now, serving=worker.best_effort_cpu > 0)
@@ -288,7 +288,7 @@
         if worker.clock.is_behind(reply.clock):
             note("worker_clock_back", worker=worker.life.id, clock=reply.clock)
         worker.clock.note(reply.clock, sent_at, now)
-        is_first = worker.last_reply_at == float("-inf")
+        is_first = worker.last_reply_at == _NEVER
         worker.last_reply_at = now
         self._failed_by_own_lateness = worker.maybe_replaced = False
         if not worker.reachable:
@@ -461,7 +461,9 @@
                     run.late_until = SETTLED
                 self._context.late_starts.drop(task, number, self._worker)
                 changed[task.step.job] = None
-        self._context.late_starts.note_listed(self._worker.life.id, sent_at)
+        late_starts = self._context.late_starts
+        if self._worker.life.id in late_starts.held:
+            late_starts.note_listed(self._worker.life.id, sent_at)
 
     def _may_resend_start(self, task: Task, run: Run) -> bool:
         """True if an unanswered start may be sent again to this worker."""
@@ -513,7 +515,8 @@
         run.enter(RunState.RUNNING, now)
         task.note_has_run()
     if not run.began_at:
-        run.note_start_settled()
+        if run.late_until != SETTLED:
+            run.note_start_settled()
         run.began_at = now
         run.percent_at = now
     if entry.percent != run.percent:
--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -31,7 +31,7 @@
 from pimentocross.work import records
 from pimentocross.work.records import ClockRow, LateStart
 from pimentocross.work.spec import TaskName
-from pimentocross.work.state import Run, RunState, Task
+from pimentocross.work.state import SETTLED, Run, RunState, Task
 
 _IN_FLIGHT = (RunState.DECIDED, RunState.SENT)
 
@@ -65,17 +65,12 @@
     return spec.lasting and not spec.gang and not asks_adviser
 
 
-def clear_late_starts(worker: Worker) -> None:
-    """Marks the starts of a worker as settled, as its VM has another id now.
+class LateStarts:
+    """Tracks starts from the decision until they can't be carried out.
 
-    The VM refuses orders that name the former id.
+    Attributes:
+        held: Held runs by the worker id that their starts named.
     """
-    for run in worker.runs.values():
-        run.late_until = 0.0
-
-
-class LateStarts:
-    """Tracks starts from the decision until they can't be carried out."""
 
     def __init__(
         self,
@@ -100,8 +95,7 @@
         self._wake = wake
         self._ledger = ledger
         self._lease_most = lease_most
-        # Held runs by the worker id that their starts named.
-        self._held: dict[str, list[tuple[Task, Run]]] = {}
+        self.held: dict[str, list[tuple[Task, Run]]] = {}
         self._record = LazyRecord(records.LATE_STARTS, self._encode)
         # Runs whose starts may still be carried out. Settled ones are removed
         # when the record is next written.
@@ -273,7 +267,7 @@
             seconds=round(run.late_until + self._lease_most - now, 3),
         )
         if worker is not None:
-            self._held.setdefault(worker.life.id, []).append((task, run))
+            self.held.setdefault(worker.life.id, []).append((task, run))
         self._unsettled[task, run.number] = run
         self._ledger.put_with_next(self._record)
         self._start_soon(self._release, task, run)
@@ -283,9 +277,20 @@
 
         It is infinite without a run that is held for a life of the id.
         """
-        held = self._held.get(life_id, ())
+        held = self.held.get(life_id, ())
         return min((run.late_until for _, run in held), default=math.inf)
 
+    def note_replaced(self, worker: Worker) -> None:
+        """Settles the starts to a worker, as its VM has another id now.
+
+        The VM refuses orders that name the former id, and all lives of that id
+        have ended.
+        """
+        for run in worker.runs.values():
+            run.late_until = SETTLED
+        for task, run in self.held.pop(worker.life.id, ()):
+            self._end_hold(task, run)
+
     def note_listed(self, life_id: str, asked_at: float) -> None:
         """Releases runs that a life would list if they weren't over.
 
@@ -293,7 +298,7 @@
             life_id: The id of the life that has listed all its runs.
             asked_at: When it was asked, monotonic.
         """
-        held = self._held.get(life_id)
+        held = self.held.get(life_id)
         if not held:
             return
         waiting = []
@@ -303,9 +308,9 @@
             elif run.state is RunState.HELD:
                 waiting.append((task, run))
         if waiting:
-            self._held[life_id] = waiting
+            self.held[life_id] = waiting
         else:
-            del self._held[life_id]
+            del self.held[life_id]
 
     def attach_held(
         self, task: Task, number: int, worker: Worker
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -19,7 +19,7 @@
 from pimentocross.owner.ledger import Batch
 from pimentocross.owner.worker import Worker
 from pimentocross.work.spec import TaskName
-from pimentocross.work.state import Run, RunState, Task
+from pimentocross.work.state import SETTLED, Run, RunState, Task
 
 # Seconds for which a refused task isn't started again, so that it isn't sent to
 # the same workers in a tight loop.
@@ -123,6 +123,7 @@
             reply = await self._send(placement)
         if reply is not None:
             self._on_reply(placement, reply)
+            await self._confirm(placement)
 
     async def _start_again(self, placement: Placement) -> None:
         task, run, worker, _ = placement
@@ -137,6 +138,35 @@
             reply = await self._send(placement)
         if reply is not None:
             self._on_reply(placement, reply)
+            await self._confirm(placement)
+
+    async def _confirm(self, placement: Placement) -> None:
+        """Settles the start of a lasting run by a listing of its life.
+
+        If its worker were gone before the next regular listing, the task would
+        be away for as long as a next life might run it.
+        """
+        task, run, worker, _ = placement
+        unsettled = run.state is RunState.RUNNING and run.late_until != SETTLED
+        if not unsettled or not task.step.spec.lasting or worker.gone:
+            return
+        try:
+            async with worker.calls:
+                with worker.calling():
+                    reply = await worker.link.hold(
+                        self._context.token_for(worker),
+                        seen=0,
+                        deadline=None,
+                        wait=0.0,
+                        timeout=self._context.patience.for_call(),
+                    )
+        except (WorkerUnreachableError, WorkerReplacedError):
+            return
+        listed = any(
+            (r.task, r.run) == (task.name, run.number) for r in reply.running
+        )
+        if listed and reply.born == worker.life.born:
+            run.note_start_settled()
 
     async def _send(self, placement: Placement) -> StartReply | None:
         """Sends a start; returns the worker's reply, or None without one."""
--- a/tests/test_next_lives.py
+++ b/tests/test_next_lives.py
@@ -39,6 +39,7 @@
 # Three tasks of this size fit on a worker.
 _SIZE: Final = Size(2500, 1000, 0)
 _WORKERS: Final = 4
+_TERMS: Final = OwnerTerms()
 # Longer than any wait for a lease, or for a late start and its lease.
 _LONG: Final = 40.0
 
@@ -259,7 +260,6 @@
     _check_never_twice(pool)
 
 
-_TERMS: Final = OwnerTerms()
 _FENCED: Final = 1
 _NOT_FENCED: Final = 2
 _LONG_AGO: Final = 3
@@ -338,3 +338,22 @@
             lambda: count(pool.journal, "start") == 8 + lost,
             const.LISTING_WAIT + const.LISTING_SLACK + _TERMS.lease_most + 1.0,
         )
+
+
+async def test_a_lasting_task_that_has_just_started_is_back_soon() -> None:
+    # Guards against a lost task: its worker is gone for good before the next
+    # regular listing shows which life has answered the start.
+    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    async with running(make_owner(store, pool, 1)) as owner:
+        await trio.sleep(3.0)
+        await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=True))
+        await wait_until(lambda: count(pool.journal, "start") == 8, 1.0)
+        await trio.sleep(0.1)
+        worker = next(w for w in pool.workers.values() if w.listing().running)
+        lost = len(worker.listing().running)
+        worker.crash()
+        worker.faults.silent = True
+        await wait_until(
+            lambda: count(pool.journal, "start") == 8 + lost,
+            const.LISTING_WAIT + const.LISTING_SLACK + _TERMS.lease_most + 1.0,
+        )
