The number of a life that a recorded run names is not given to another life

What callers could have seen: a task that runs twice. The number of a held run's life was the highest and had been forgotten; the next owner gave it to a new worker at its first poll, before it adopted the runs, took the run for one of that worker's, and ended the hold at its listing, 9 s before the first run lapsed.

--- a/pimentocross/owner/life_numbers.py
+++ b/pimentocross/owner/life_numbers.py
@@ -1,6 +1,6 @@
 """Numbers that identify worker lives in stored records."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from pimentocross.contracts.worker_link import WorkerLife
@@ -47,6 +47,11 @@
         """Restores the birth time of the life with a number."""
         self._known_lives[number] = self.find(number)._replace(born=born)
 
+    def reserve(self, numbers: Iterable[int]) -> None:
+        """Assigns none of some numbers that records still name."""
+        highest = max(numbers, default=-1)
+        self._next_number = max(self._next_number, highest + 1)
+
     def is_known(self, number: int) -> bool:
         """True unless the life of a number has ended and was removed."""
         return number in self._known_lives
--- a/pimentocross/owner/owner.py
+++ b/pimentocross/owner/owner.py
@@ -262,6 +262,7 @@
             self._former_leases.apply_former_record()
             self._witnesses.open(
                 self._opened_at,
+            self._roster.numbers.reserve(run.worker for _, run in runs)
                 lambda number: self._roster.numbers.find(number).machine,
                 self._roster.note_formers_fenced,
                 self._roster.heard_numbers,
