A start that was answered on a connection of the life that was called is settled

A connection ends with the life that accepted it: an answer on one that was opened before a listing was asked for, which the life that was called has answered, is of that life.

Only starts on new connections wait for a listing; those of lasting runs are followed by one of their own, and test_a_lasting_task_that_has_just_started_is_ back_soon fails without it.

--- a/pimentocross/contracts/worker_link.py
+++ b/pimentocross/contracts/worker_link.py
@@ -5,6 +5,7 @@
 """
 
 from enum import StrEnum
+import math
 from typing import NamedTuple, Protocol
 
 from pimentocross.work.spec import Size, TaskName
@@ -144,10 +145,18 @@
 
 
 class StartReply(NamedTuple):
-    """Verdict on a start, and the worker's clock if it was in the reply."""
+    """A worker's reply to a start.
+
+    Attributes:
+        verdict: Whether the run runs, or why not.
+        clock: The worker's clock, if it was in the reply.
+        connected_at: When the connection was opened on which the reply came,
+            monotonic; infinite if not known. One life holds it until its end.
+    """
 
     verdict: StartVerdict
     clock: float | None
+    connected_at: float = math.inf
 
 
 class WorkerUnreachableError(Exception):
--- a/pimentocross/links/asgi.py
+++ b/pimentocross/links/asgi.py
@@ -1,6 +1,7 @@
 """Reads requests and writes replies of ASGI apps, with size and time limits."""
 
 from collections.abc import Awaitable, Callable, Mapping
+import math
 from typing import Any, Final, NamedTuple, TypeAlias
 from urllib.parse import parse_qsl
 
@@ -55,11 +56,20 @@
 
 
 class HttpReply(NamedTuple):
-    """A complete HTTP response."""
+    """A complete HTTP response.
+
+    Attributes:
+        status: The status code.
+        headers: The headers.
+        body: The body.
+        connected_at: When the connection was opened on which it came,
+            monotonic; infinite if not known.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    connected_at: float = math.inf
 
 
 async def read_request(
--- a/pimentocross/links/http_pool.py
+++ b/pimentocross/links/http_pool.py
@@ -81,10 +81,11 @@
             reason = str(error) or type(error).__name__
             raise HttpCallError(reason, sent=sent) from error
         else:
+            opened_at = connection.opened_at
             if connection.reusable:
                 self._idle.append(connection)
                 connection = None
-            return reply
+            return reply._replace(connected_at=opened_at)
         finally:
             if connection is not None:
                 await connection.aclose()
--- a/pimentocross/links/target_connection.py
+++ b/pimentocross/links/target_connection.py
@@ -38,16 +38,21 @@
 
 
 class TargetConnection:
-    """An open connection to a target."""
+    """An open connection to a target.
+
+    Attributes:
+        opened_at: When it was opened, monotonic.
+    """
 
     def __init__(self, stream: trio.SocketStream, address: str) -> None:
-        """Wraps a connected stream, which `aclose` closes."""
+        """Wraps a stream that is just connected; `aclose` closes it."""
+        self.opened_at = trio.current_time()
         self._stream = stream
         self._host = address.encode()
         # False while an answer is pending, and once the connection can carry no
         # further request.
         self._open = True
-        self._used_at = trio.current_time()
+        self._used_at = self.opened_at
         self._progress: AnswerProgress | None = None
 
     @property
--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -301,6 +301,7 @@
         worker.clock.note(reply.clock, sent_at, now)
         is_first = worker.last_reply_at == _NEVER
         worker.last_reply_at = now
+        worker.heard_asked_at = sent_at
         self._failed_by_own_lateness = worker.maybe_replaced = False
         if not worker.reachable:
             note("worker_heard", worker=worker.life.id)
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -201,7 +201,6 @@
             return None
         finally:
             late_starts.note_answered()
-        late_starts.note_renewal(worker, answered=True)
         self._note_answered(run, worker, reply)
         if reply.clock is not None:
             if worker.clock.is_behind(reply.clock):
@@ -223,10 +222,15 @@
         """Notes which life may have carried a start out.
 
         The answer doesn't tell. If it was the next life of the worker's id,
-        neither the former life's clock nor its leases bound the run.
+        neither the former life's clock nor its leases bound the run. But a
+        connection ends with the life that accepted it: the answer is of the
+        life that was called if that life has answered a call since then.
         """
+        is_known = reply.connected_at <= worker.heard_asked_at
+        if not is_known:
+            self._context.late_starts.note_renewal(worker, answered=True)
         started = reply.verdict is StartVerdict.STARTED
-        if started and worker.life.born and not run.began_at:
+        if started and worker.life.born and not (is_known or run.began_at):
             run.note_start_answered(trio.current_time())
         else:
             run.note_start_settled()
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -65,6 +65,8 @@
             it; see `FormerLeases`.
         unbar_recorded: Set once a lease record that doesn't bar it is stored;
             None unless a record barred it.
+        heard_asked_at: When the newest listing was asked for that this life has
+            answered, monotonic.
         last_reply_at: When it last listed its runs, monotonic.
         newest_stored_ending: Number of the newest ending whose record is
             stored.
@@ -126,6 +128,7 @@
         self.former_leases_until = 0.0
         self.barred = False
         self.unbar_recorded: trio.Event | None = None
+        self.heard_asked_at = float("-inf")
         self.last_reply_at = float("-inf")
         self.newest_stored_ending = 0
         self.adopted = False
--- a/pimentocross/platform/workers.py
+++ b/pimentocross/platform/workers.py
@@ -89,7 +89,7 @@
         refusal = read_refusal(reply.body)
         clock = None if refusal.clock_ms is None else refusal.clock_ms / _MS
         if reply.status == _OK:
-            return StartReply(StartVerdict.STARTED, clock)
+            return StartReply(StartVerdict.STARTED, clock, reply.connected_at)
         if reply.status == _CONFLICT:
             verdict = _VERDICTS.get(refusal.reason, StartVerdict.INVALID)
             return StartReply(verdict, clock)
--- a/pimentocross/standins/worker_pool.py
+++ b/pimentocross/standins/worker_pool.py
@@ -32,6 +32,9 @@
         """Initializes a link with the lives that this VM cannot reach."""
         self._worker = worker
         self._cut = cut
+        # The life to which connections are open, by its birth time.
+        self._connected_to: int | None = None
+        self._connected_at = 0.0
 
     async def hold(
         self,
@@ -68,7 +71,7 @@
         await self._send_order(
             lambda: verdicts.append(worker.handle_start(order)), timeout
         )
-        return StartReply(verdicts[0], worker.clock())
+        return StartReply(verdicts[0], worker.clock(), self._connected_at)
 
     async def stop(
         self, task: TaskName, run: int, token: int, timeout: float
@@ -110,6 +113,9 @@
             trio.lowlevel.spawn_system_task(self._carry_out_late, carry_out)
             await trio.sleep(timeout)
             raise WorkerUnreachableError("no answer in time")
+        if self._connected_to != self._worker.life.born:
+            self._connected_to = self._worker.life.born
+            self._connected_at = trio.current_time()
         carry_out()
         if faults.random.random() < faults.lost:
             await trio.sleep(timeout)
--- a/tests/test_next_lives.py
+++ b/tests/test_next_lives.py
@@ -6,12 +6,15 @@
 """
 
 from contextlib import suppress
+import math
 import random
 from typing import Final
 from unittest import mock
 
 import trio
 
+from pimentocross.contracts.worker_link import StartReply
+from pimentocross.links.http_pool import HttpPool
 from pimentocross.owner import const
 from pimentocross.owner.next_lives import NextLives
 from pimentocross.owner.owner import Owner
@@ -36,6 +39,7 @@
     spec,
     wait_until,
 )
+from tests.test_http import real_time
 
 # Three tasks of this size fit on a worker.
 _SIZE: Final = Size(2500, 1000, 0)
@@ -344,13 +348,13 @@
         )
 
 
-async def test_a_lasting_task_that_has_just_started_is_back_soon() -> None:
-    # Guards against a lost task: its worker is gone for good before the next
-    # regular listing shows which life has answered the start.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+async def _lose_worker_after_start(
+    store: StoreStandin, pool: WorkerPool, *, lasting: bool
+) -> None:
+    """Loses a worker for good before a listing shows what it has started."""
     async with running(make_owner(store, pool, 1)) as owner:
         await trio.sleep(3.0)
-        await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=True))
+        await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=lasting))
         await wait_until(lambda: count(pool.journal, "start") == 8, 1.0)
         await trio.sleep(0.1)
         worker = next(w for w in pool.workers.values() if w.listing().running)
@@ -363,6 +367,47 @@
         )
 
 
+async def test_a_task_that_has_just_started_is_back_soon() -> None:
+    # Guards against a lost task: a connection ends with the life that accepted
+    # it, which tells that no next life has answered the start.
+    pool = make_worker_pool(_WORKERS, _long)
+    await _lose_worker_after_start(StoreStandin(), pool, lasting=False)
+
+
+async def test_a_lasting_task_that_has_just_started_is_back_soon() -> None:
+    # Guards against a lost task: the start went out on a new connection, and
+    # the worker is gone for good before its next regular listing.
+    pool = make_worker_pool(_WORKERS, _long)
+    unknown = mock.patch.object(StartReply, "connected_at", math.inf)
+    with unknown:
+        await _lose_worker_after_start(StoreStandin(), pool, lasting=True)
+
+
+@real_time
+async def test_an_answer_tells_when_its_connection_was_opened() -> None:
+    # Guards against a task that runs twice: the start that a next life answers
+    # on a new connection would be taken for one of the life that was called.
+    async def answer(stream: trio.SocketStream) -> None:
+        while await stream.receive_some(4096):
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+            )
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, answer, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        pool = HttpPool(f"127.0.0.1:{port}")
+        began = trio.current_time()
+        first = await pool.call("GET", "/", b"", 1.0)
+        second = await pool.call("GET", "/", b"", 1.0)
+        assert began <= first.connected_at == second.connected_at
+        await pool.aclose()
+        third = await pool.call("GET", "/", b"", 1.0)
+        assert third.connected_at > second.connected_at
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_late_start_lasts_while_other_late_calls_renew_its_lease() -> (
     None
 ):
