A repeated start that was answered holds its task no longer than the first one

The former owner had stopped the run at a life that restarted; the next owner repeated the start, which was refused as superseded at once, but the task then waited 12.8 s from the repeat, as if that could still come.

What starts without an answer leave open is now kept apart, so that an answered repeat adds nothing. test_a_repeated_start_that_is_refused_holds_a_task_no_longer failed before (TooSlowError).

--- a/pimentocross/owner/late_starts.py
+++ b/pimentocross/owner/late_starts.py
@@ -195,6 +195,7 @@
             self._resent_starts.adopt(task, run)
         if left is not None:
             run.late_until = self._former_age.written_at + left
+        run.unanswered_until = run.late_until
         self._adopted[run] = _AdoptedStart(
             task, run, left, lasts or None, silent, run.starts_sent
         )
@@ -212,6 +213,7 @@
                 continue
             until = self._former_age.written_at + adopted.left
             run.late_until = min(run.late_until, until)
+            run.unanswered_until = min(run.unanswered_until, until)
             if run.state is RunState.HELD:
                 self._start_soon(self._release, task, run)
 
--- a/pimentocross/owner/orders.py
+++ b/pimentocross/owner/orders.py
@@ -194,6 +194,7 @@
             worker.maybe_replaced = True
             worker.late_until = trio.current_time() + const.LATE_START_WINDOW
             if _may_arrive_late(error):
+                run.note_start_unanswered(worker.late_until)
                 late_starts.note_renewal(worker, answered=False)
             else:
                 run.note_start_settled()
--- a/pimentocross/work/state.py
+++ b/pimentocross/work/state.py
@@ -66,6 +66,7 @@
         late_until: Until when a start of the run may still be carried out by a
             life with the id of its worker, or `SETTLED`. A start that was
             answered, but by a life that isn't known, can't be from then on.
+        unanswered_until: The same, as far as starts without an answer tell.
         renewable_until: Until when a call may come to a life with the id of its
             worker that lengthens its lease there, or `SETTLED`.
     """
@@ -89,6 +90,7 @@
         self.starts_sent = 0
         self.lived_before = 0.0
         self.late_until = SETTLED
+        self.unanswered_until = SETTLED
         self.renewable_until = SETTLED
 
     @property
@@ -112,15 +114,25 @@
         """Notes that a start was carried out or refused.
 
         If the start was sent repeatedly, another of these calls may still be
-        carried out.
+        carried out, unless that was answered as well.
         """
         if self.starts_sent <= 1:
             self.late_until = SETTLED
+        else:
+            self.late_until = min(self.late_until, self.unanswered_until)
+
+    def note_start_unanswered(self, until: float) -> None:
+        """Notes that a start may still be carried out until a time.
+
+        Not if a listing has shown the run meanwhile and it was the only start.
+        """
+        if self.late_until != SETTLED:
+            self.unanswered_until = max(self.unanswered_until, until)
+            self.late_until = max(self.late_until, until)
 
     def note_start_answered(self, now: float) -> None:
         """Notes that a start was carried out by a life that isn't known."""
-        if self.starts_sent <= 1:
-            self.late_until = now
+        self.late_until = max(self.unanswered_until, now)
 
 
 class Destination(NamedTuple):
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -273,3 +273,32 @@
     longest = const.LATE_START_WINDOW + const.CALL_TIMEOUT
     assert took < longest + _WRITES_EVERY + _START_WITHIN, took
     _check_journal(worker_pool)
+
+
+async def test_a_repeated_start_that_is_refused_holds_a_task_no_longer() -> (
+    None
+):
+    # Guards against a lost task: the next owner repeats a start that the former
+    # one had stopped, and the refusal made the task wait for 12 s more.
+    store, worker_pool = StoreStandin(), make_worker_pool(2, _plan)
+    async with running(make_owner(store, worker_pool, 1)) as owner:
+        await trio.sleep(0.5)
+        with _delay_orders(worker_pool):
+            await owner.job_api.submit("last", QUEUE, _LASTING_JOB)
+            await trio.sleep(0.1)
+        sent_at = trio.current_time()
+    for worker in worker_pool.workers.values():
+        worker.handle_stop(TaskName("last", 0, 0, 0), 1, worker._token)
+    worker_pool.access("b")
+    worker_pool.cut["b"].update(worker_pool.workers)
+    async with running(make_owner(store, worker_pool, 2, vm="b")):
+        await trio.sleep(4.0)
+        worker_pool.cut["b"].clear()
+        await wait_until(
+            lambda: count(worker_pool.journal, "start") == 1,
+            sent_at
+            + const.ADOPTED_LATE_START_WINDOW
+            + _START_WITHIN
+            - trio.current_time(),
+        )
+    _check_journal(worker_pool)
