A run that is cleared of its crashes no longer keeps its worker to itself

Cause: a run that is isolated keeps others off its worker for up to 5 s, and a lasting task is cleared of its crashes after 3 s. Isolation was only ended while a task that isn't cleared ran on the worker, so that it lasted as long as the run if an earlier run had lived for more than 2.5 s.

Now each listing of a worker that is isolating ends what is over. The new test of test_crashing_tasks failed before and passes.

--- a/pimentocross/owner/keeper.py
+++ b/pimentocross/owner/keeper.py
@@ -350,8 +350,9 @@
         if len(reply.endings) < const.ENDINGS_PAGE:
             self._reconcile_missing(found, sent_at, changed)
         self._context.listed(self._worker)
-        if self._worker.suspects:
-            isolating = self._worker.is_isolating
+        # A run may be cleared of its crashes before its isolation is over.
+        isolating = self._worker.is_isolating
+        if isolating or self._worker.suspects:
             self._context.crashes.note_listed_runs(self._worker)
             if isolating:
                 self._context.wake()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -332,6 +332,33 @@
             assert trio.current_time() - crashed_at > 1.0
 
 
+async def test_a_cleared_lasting_task_keeps_its_worker_no_longer() -> None:
+    # Guards against lost tasks: once a lasting task has outlived its crashes,
+    # other tasks may start beside it although it runs on.
+    async with _owned_cell(2) as (owner, worker_pool):
+        step = _LASTING._replace(width=1)
+        await owner.job_api.submit("0-lasting", QUEUE, spec(step))
+        await _crash_under(worker_pool, "0-lasting", run=1, lived=6.0)
+        await _crash_under(worker_pool, "0-lasting", run=2, lived=0.1)
+        await wait_until(lambda: _starts(worker_pool, "0-lasting") == 3)
+        await trio.sleep(6.0)
+        wide = _LASTING._replace(width=2, per_worker=1)
+        await owner.job_api.submit("1-lasting", QUEUE, spec(wide))
+        await wait_until(lambda: _starts(worker_pool, "1-lasting") == 2, 5.0)
+
+
+async def _crash_under(
+    worker_pool: WorkerPool, job: str, run: int, lived: float
+) -> None:
+    """Crashes the worker of a job's only task, which is up again at once."""
+    await wait_until(lambda: _starts(worker_pool, job) == run)
+    await trio.sleep(lived)
+    newest = [e for e in worker_pool.journal if e.what == "start"][-1]
+    worker = worker_pool.workers[newest.worker]
+    worker.crash()
+    worker.restart()
+
+
 def test_an_isolated_task_looks_at_a_few_workers_of_a_large_cell() -> None:
     step = make_step("job", StepSpec(1, SMALL))
     workers = [make_worker(life(number), number) for number in range(350)]
