A worker's entry with a negative birth time or a broken address names no worker

What callers saw: nothing yet. An address with a newline at its end was listed and dialled.

Cause: `born` had no lower bound, and `$` matches before a newline.

Now both are refused at reading, so that the entry names no worker.

The other tests of test_odd_entries play whole owners with odd entries (deep nesting, numbers, addresses, keys, texts, entries of 1 MB, also dialled over HTTP, also by an entry VM at its own ports); they passed before: none of these ended an owner or its successor.

--- a/pimentocross/platform/wire.py
+++ b/pimentocross/platform/wire.py
@@ -17,6 +17,7 @@
     WorkerLife,
 )
 from pimentocross.decoding import (
+    MAX_NUMBER,
     FiniteNumber,
     Number,
     json_decoder,
@@ -47,7 +48,7 @@
 # A day: workers announce that they leave at most that far in advance.
 _MAX_REMAINING_MS = 86_400_000
 _Amount = Annotated[int, msgspec.Meta(gt=0, le=_MAX_AMOUNT)]
-_HOST_AND_PORT = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+_HOST_AND_PORT = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z"
 _MAX_PORT = 65_535
 # Longest name of a service, zone, label, machine or image. Names are part of
 # the owner's records.
@@ -82,7 +83,7 @@
     labels: list[_Name]
     machine_id: _Name = ""
     # Start time of the worker, in milliseconds since 1970.
-    born: FiniteNumber = 0
+    born: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
     # While the worker drains: minimum time that remains until it leaves.
     remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_REMAINING_MS)] = 0
 
