--- a/tests/test_next_lives.py
+++ b/tests/test_next_lives.py
@@ -21,61 +21,33 @@
 from pimentocross.owner.terms import OwnerTerms
 from pimentocross.standins.store import StoreStandin
 from pimentocross.standins.task_worker import (
-    TaskPlan,
     TaskWorkerStandin,
 )
 from pimentocross.standins.worker_pool import WorkerPool
 from pimentocross.work import records
 from pimentocross.work.records import ClockRow, NextLifeRow
-from pimentocross.work.spec import JobSpec, Size, StepSpec, TaskName
+from tests.next_life_fixtures import (
+    LONG,
+    WORKERS,
+    check_never_twice,
+    cut_off,
+    cut_off_soon,
+    long_task,
+    long_tasks,
+    starts_on,
+)
 from tests.owner_fixtures import (
     QUEUE,
     count,
-    find_overlapping_starts,
     life,
     make_owner,
     make_worker_pool,
     running,
-    spec,
     wait_until,
 )
 from tests.test_http import real_time
 
-# Three tasks of this size fit on a worker.
-_SIZE: Final = Size(2500, 1000, 0)
-_WORKERS: Final = 4
 _TERMS: Final = OwnerTerms()
-# Longer than any wait for a lease, or for a late start and its lease.
-_LONG: Final = 40.0
-
-
-def _long(_: TaskName) -> TaskPlan:
-    return TaskPlan(60.0, _SIZE)
-
-
-def _tasks(number: int, *, lasting: bool = False) -> JobSpec:
-    return spec(StepSpec(number, _SIZE, lasting=lasting))
-
-
-def _check_never_twice(pool: WorkerPool) -> None:
-    for worker in pool.workers.values():
-        worker.advance()
-    journal = sorted(pool.journal, key=lambda e: (e.at, e.what == "start"))
-    found = find_overlapping_starts(journal)
-    assert not found, found
-
-
-def _starts_on(pool: WorkerPool, worker: TaskWorkerStandin) -> int:
-    return sum(
-        event.what == "start" and event.worker == worker.life.id
-        for event in pool.journal
-    )
-
-
-def _cut(pool: WorkerPool, worker: TaskWorkerStandin, *vms: str) -> None:
-    for vm in vms:
-        pool.access(vm)
-        pool.cut[vm].add(worker.life.id)
 
 
 async def _start_on_next_life(
@@ -90,10 +62,10 @@
     await trio.sleep(3.0)
     worker = next(iter(pool.workers.values()))
     worker.go_dark()
-    await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=lasting))
+    await owner.job_api.submit("job", QUEUE, long_tasks(8, lasting=lasting))
     await trio.sleep(0.4)
     worker.restart()
-    await wait_until(lambda: _starts_on(pool, worker) > 0, 1.0)
+    await wait_until(lambda: starts_on(pool, worker) > 0, 1.0)
     return worker
 
 
@@ -102,15 +74,15 @@
 ):
     # Guards against a task that runs twice: the first owner has met the next
     # life of the worker, and the second waits for an ordinary lease there.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker = await _start_on_next_life(owner, pool)
         await wait_until(lambda: bool(worker.listing().running), 2.0)
         await trio.sleep(0.8)
-    _cut(pool, worker, "a", "b")
+    cut_off(pool, worker, "a", "b")
     async with running(make_owner(store, pool, 2, vm="b")):
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
@@ -119,28 +91,28 @@
 ):
     # Guards against a task that runs twice: the second owner never reaches the
     # worker, and the third knows of it by the record of the second alone.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker = await _start_on_next_life(owner, pool)
         await trio.sleep(0.8)
-    _cut(pool, worker, "a", "b")
+    cut_off(pool, worker, "a", "b")
     async with running(make_owner(store, pool, 2, vm="b")):
         await trio.sleep(2.0)
     async with running(make_owner(store, pool, 3)):
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
 async def test_a_start_that_the_next_life_answered_is_waited_for() -> None:
     # Guards against a task that runs twice: the worker is cut off before it has
     # listed the run, and the owner counts on the clock of the former life.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker = await _start_on_next_life(owner, pool)
-        _cut(pool, worker, "a")
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        cut_off(pool, worker, "a")
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
@@ -149,14 +121,14 @@
 ):
     # Guards against a task that runs twice: the start counts as answered, so
     # that the second owner waits for the lease of the former life.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker = await _start_on_next_life(owner, pool)
-        _cut(pool, worker, "a", "b")
+        cut_off(pool, worker, "a", "b")
         await trio.sleep(0.3)
     async with running(make_owner(store, pool, 2, vm="b")):
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
@@ -184,10 +156,10 @@
     worker = next(iter(pool.workers.values()))
     worker.faults.late, worker.faults.random = 1.0, _Latest()
     sent_at = trio.current_time()
-    await owner.job_api.submit("job", QUEUE, _tasks(8))
+    await owner.job_api.submit("job", QUEUE, long_tasks(8))
     await trio.sleep(0.5)
     worker.faults.late = 0.0
-    _cut(pool, worker, "a", "b")
+    cut_off(pool, worker, "a", "b")
     worker.restart()
     return worker, sent_at + const.LATE_START_WINDOW - 0.1
 
@@ -195,27 +167,27 @@
 async def test_a_late_start_is_waited_for_as_long_as_its_lease_lasts() -> None:
     # Guards against a task that runs twice: its start comes at the last moment
     # to a life that nobody reaches, and the lease that it gets isn't counted.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker, comes_at = await _send_late_start(owner, pool)
         await trio.sleep_until(comes_at + 0.5)
         assert worker.listing().running
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
 async def test_the_next_owner_waits_for_a_late_start_and_its_lease() -> None:
     # Guards against a task that runs twice: as above, after a take-over.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker, comes_at = await _send_late_start(owner, pool)
         await trio.sleep(1.0)
     async with running(make_owner(store, pool, 2, vm="b")):
         await trio.sleep_until(comes_at + 0.5)
         assert worker.listing().running
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
@@ -224,7 +196,7 @@
 ):
     # Guards against a task that runs twice: the worker is cut off again right
     # after its first listing, and the owner took its leases for ended.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         worker, comes_at = await _send_late_start(owner, pool)
         await trio.sleep(1.0)
@@ -236,24 +208,19 @@
             token: int, seen: int, deadline: float | None
         ) -> None:
             handle_hold(token, seen, deadline)
-            trio.lowlevel.spawn_system_task(_cut_soon, pool, worker)
+            trio.lowlevel.spawn_system_task(cut_off_soon, pool, worker, "b")
 
         worker.handle_hold = cut_off_after  # type: ignore[method-assign]
         pool.cut["b"].clear()
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") > 0
 
 
-async def _cut_soon(pool: WorkerPool, worker: TaskWorkerStandin) -> None:
-    await trio.sleep(0.001)
-    _cut(pool, worker, "b")
-
-
 async def test_a_held_task_starts_once_its_worker_lists_its_runs() -> None:
     # Guards against a task that is late: the worker answers, and its listing
     # shows that a start that can't come any more hasn't come.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         _, comes_at = await _send_late_start(owner, pool)
         pool.cut["a"].clear()
@@ -262,7 +229,7 @@
         assert before < 8
         await trio.sleep(const.CALL_TIMEOUT + const.LISTING_WAIT + 1.0)
         assert count(pool.journal, "start") == 8
-    _check_never_twice(pool)
+    check_never_twice(pool)
 
 
 _FENCED: Final = 1
@@ -334,9 +301,9 @@
 async def test_a_new_cell_counts_ordinary_leases() -> None:
     # Guards against a lost task: nobody has called a former life of a worker
     # that the first owner of a cell meets for the first time.
-    store, pool = StoreStandin(), make_worker_pool(_WORKERS, _long)
+    store, pool = StoreStandin(), make_worker_pool(WORKERS, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
-        await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=True))
+        await owner.job_api.submit("job", QUEUE, long_tasks(8, lasting=True))
         await trio.sleep(2.0)
         worker = next(iter(pool.workers.values()))
         lost = len(worker.listing().running)
@@ -354,7 +321,7 @@
     """Loses a worker for good before a listing shows what it has started."""
     async with running(make_owner(store, pool, 1)) as owner:
         await trio.sleep(3.0)
-        await owner.job_api.submit("job", QUEUE, _tasks(8, lasting=lasting))
+        await owner.job_api.submit("job", QUEUE, long_tasks(8, lasting=lasting))
         await wait_until(lambda: count(pool.journal, "start") == 8, 1.0)
         await trio.sleep(0.1)
         worker = next(w for w in pool.workers.values() if w.listing().running)
@@ -370,14 +337,14 @@
 async def test_a_task_that_has_just_started_is_back_soon() -> None:
     # Guards against a lost task: a connection ends with the life that accepted
     # it, which tells that no next life has answered the start.
-    pool = make_worker_pool(_WORKERS, _long)
+    pool = make_worker_pool(WORKERS, long_task)
     await _lose_worker_after_start(StoreStandin(), pool, lasting=False)
 
 
 async def test_a_lasting_task_that_has_just_started_is_back_soon() -> None:
     # Guards against a lost task: the start went out on a new connection, and
     # the worker is gone for good before its next regular listing.
-    pool = make_worker_pool(_WORKERS, _long)
+    pool = make_worker_pool(WORKERS, long_task)
     unknown = mock.patch.object(StartReply, "connected_at", math.inf)
     with unknown:
         await _lose_worker_after_start(StoreStandin(), pool, lasting=True)
@@ -413,18 +380,18 @@
 ):
     # Guards against a task that runs twice: a start that was sent later to the
     # same worker lengthens the lease after all waits for the first were over.
-    store, pool = StoreStandin(), make_worker_pool(1, _long)
+    store, pool = StoreStandin(), make_worker_pool(1, long_task)
     async with running(make_owner(store, pool, 1)) as owner:
         await trio.sleep(3.0)
         worker = next(iter(pool.workers.values()))
         worker.faults.late, worker.faults.random = 1.0, _Latest()
-        await owner.job_api.submit("job0", QUEUE, _tasks(1))
+        await owner.job_api.submit("job0", QUEUE, long_tasks(1))
         await trio.sleep(1.5)
-        await owner.job_api.submit("job1", QUEUE, _tasks(1))
+        await owner.job_api.submit("job1", QUEUE, long_tasks(1))
         await trio.sleep(0.5)
-        _cut(pool, worker, "a")
+        cut_off(pool, worker, "a")
         worker.restart()
-        pool.add(TaskWorkerStandin(life(1), _long, pool.journal, seed=1))
-        await trio.sleep(_LONG)
-    _check_never_twice(pool)
+        pool.add(TaskWorkerStandin(life(1), long_task, pool.journal, seed=1))
+        await trio.sleep(LONG)
+    check_never_twice(pool)
     assert count(pool.journal, "lapsed") == 2
