The trial of a quarantined worker ends on every path, and in 3 s

Cause: the trial was a flag that success, failure and the end of a batch run took away. A lasting run has no such end; a stop of one, a lapse, and a start that was dropped or refused left the flag as well.

Now the trial names its run: it is over as soon as that run isn't on the worker, by whatever path, and after 3 s in any case. A lasting run that has been at work for 3 s clears its worker.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -323,7 +323,7 @@
             return False
         worker = next(w for w in usable if w.name == choice.worker)
         worker.add(task)
-        self._quarantine.note_started(worker.name)
+        self._quarantine.note_started(worker.name, task.name, now)
         if task_class.kind is TaskKind.SERVICE:
             self._replicas[task_class.name].append(task)
         return True
--- a/pimentocross/owner/copier.py
+++ b/pimentocross/owner/copier.py
@@ -228,7 +228,9 @@
         task.add_run(run)
         worker.add(task, run)
         queue = task.step.job.queue.name
-        self._learned.quarantine.note_started(worker.life.id)
+        self._learned.quarantine.note_started(
+            worker.life.id, (task, run.number), now
+        )
         self._history.note_started(queue, now)
         self._pairs[task] = _Pair(original.number, run.number)
         meters.add("copies_total")
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -175,6 +175,7 @@
     def _start_waiting(self, orders: Orders) -> None:
         """Places waiting tasks, most urgent first, and frees capacity."""
         now, wall_time = trio.current_time(), wall.now()
+        self._learned.settle_trials(self._roster.workers(), now)
         steps = self._book.ready_steps(wall_time)
         if not steps:
             self.backlog.refresh((), (), 0.0, now)
--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -1,8 +1,8 @@
 """Estimates that an owner learns from endings and listings of workers."""
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
-from typing import Final, NamedTuple
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Final, NamedTuple, cast
 
 import trio
 
@@ -14,7 +14,7 @@
     CapacityPool,
     capacity_pool_of,
 )
-from pimentocross.owner.worker import Worker
+from pimentocross.owner.worker import AT_WORK_PERCENT, RunKey, Worker
 from pimentocross.placement.disturbance import Disturbance, PairEstimate
 from pimentocross.placement.durations import Durations
 from pimentocross.placement.forecast import FinishRate
@@ -34,7 +34,9 @@
 # A worker is quarantined once tasks of two jobs fail in a row: ordinary tasks
 # fail one time in 20, so that two failures of different jobs in a row happen by
 # chance one time in 400.
-_QUARANTINE: Final = QuarantineSettings(after=2, first=3.0, most=12.0)
+# Users count a task as lost that doesn't run within 3 s where there is capacity
+# for it, so a trial keeps others off no longer than that.
+QUARANTINE: Final = QuarantineSettings(after=2, first=3.0, most=12.0, trial=3.0)
 # A task that serves alone on a sound worker stays under this multiple of its
 # latency target.
 _MAX_SOUND_RATIO: Final = 1.2
@@ -70,7 +72,7 @@
         """Initializes empty estimates; `switches` may turn parts off."""
         self.durations = Durations(use_tails=switches.is_on(Part.TAILS))
         self.disturbance = Disturbance()
-        self.quarantine = Quarantine(_QUARANTINE)
+        self.quarantine = Quarantine(QUARANTINE)
         self._speeds = Speeds()
         self._finished: dict[CapacityPool, FinishRate] = defaultdict(FinishRate)
         self._projections = Projections()
@@ -99,8 +101,31 @@
                 self._note_duration(worker, task, run, took)
         elif ending.how is EndKind.FAILED:
             self.record_failure(worker, task)
-        elif not task.step.spec.lasting:
-            self.quarantine.note_lost(worker.life.id)
+
+    def settle_trials(self, workers: Iterable[Worker], now: float) -> None:
+        """Ends the trials of quarantined workers that will have no verdict.
+
+        A trial is over once its run has left the worker, on whichever path. A
+        lasting task doesn't end well by itself: once it has been at work for
+        some time, the worker is sound.
+
+        Args:
+            workers: All workers of the cell.
+            now: Present time, monotonic.
+        """
+        trials = self.quarantine.trials()
+        if not trials:
+            return
+        for worker in workers:
+            trial = trials.get(worker.life.id)
+            if trial is None:
+                continue
+            key = cast(RunKey, trial.run)
+            run = worker.runs.get(key)
+            if run is None:
+                self.quarantine.end_trial(worker.life.id)
+            elif key[0].step.spec.lasting and _is_proven(worker, run):
+                self.quarantine.note_finished(worker.life.id, now=now)
 
     def completion_rate(self, pool: CapacityPool, now: float) -> float | None:
         """Returns core-seconds completed per second, or None if unknown."""
@@ -274,3 +299,12 @@
             ),
             default=0.0,
         )
+
+
+def _is_proven(worker: Worker, run: Run) -> bool:
+    """Returns whether a lasting run shows that its worker is sound."""
+    return (
+        run.state is RunState.RUNNING
+        and run.percent >= AT_WORK_PERCENT
+        and worker.lived(run) >= QUARANTINE.trial
+    )
--- a/pimentocross/owner/placer.py
+++ b/pimentocross/owner/placer.py
@@ -163,7 +163,7 @@
         worker.add(task, run)
         self._note_changed(worker)
         quarantine = self._learned.quarantine
-        quarantine.note_started(worker.life.id)
+        quarantine.note_started(worker.life.id, (task, number), self._now)
         if not quarantine.admits(worker.life.id, self._now):
             places.exclude(worker)
         ticket = self._advice.tickets(task.step).get(worker.life.id, "")
--- a/pimentocross/placement/quarantine.py
+++ b/pimentocross/placement/quarantine.py
@@ -7,6 +7,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Hashable, Mapping
 from typing import NamedTuple
 
 from pimentocross.placement import const
@@ -24,16 +25,31 @@
         after: Number of jobs that have to fail in a row.
         first: Length of the first quarantine, seconds.
         most: Upper bound of the length, seconds; each failed trial doubles it.
+        trial: Seconds after which a trial that goes on keeps no other task from
+            the worker.
     """
 
     after: int = const.QUARANTINE_AFTER_FAILURES
     first: float = const.FIRST_QUARANTINE_SECONDS
     most: float = const.MAX_QUARANTINE_SECONDS
+    trial: float = const.MAX_TRIAL_SECONDS
 
 
 DEFAULT_SETTINGS = QuarantineSettings()
 
 
+class Trial(NamedTuple):
+    """A run on a quarantined worker, which keeps other tasks from it.
+
+    Attributes:
+        run: Identifies the run.
+        until: When another task may be placed there in any case.
+    """
+
+    run: Hashable
+    until: float
+
+
 class _WorkerRecord:
     """The failures and the quarantine of one worker."""
 
@@ -43,7 +59,11 @@
         self.until = float("-inf")
         self.length = length
         self.is_quarantined = False
-        self.has_trial = False
+        self.trial: Trial | None = None
+
+    def is_on_trial(self, now: float) -> bool:
+        """Returns whether a trial keeps other tasks from the worker."""
+        return self.trial is not None and now < self.trial.until
 
 
 class _JobRecord:
@@ -89,7 +109,8 @@
     quarantined if tasks of several jobs fail on it in a row, without a success,
     or if several tasks of a job fail on it that succeeds elsewhere. When the
     quarantine expires, one task is placed there as a trial; each failed trial
-    doubles the length of the quarantine.
+    doubles the length of the quarantine. The next trial may start once this one
+    has ended in any way, or after a time limit.
     """
 
     def __init__(self, settings: QuarantineSettings = DEFAULT_SETTINGS) -> None:
@@ -131,7 +152,7 @@
         record = self._records.setdefault(
             worker, _WorkerRecord(self._settings.first)
         )
-        record.has_trial = False
+        record.trial = None
         record.failures.setdefault(job, set()).add(task)
         found = self._job(job)
         found.note_failed(task, worker)
@@ -164,27 +185,48 @@
             record.is_quarantined = True
             record.until = now + record.length
 
-    def note_started(self, worker: str) -> None:
-        """Records that the trial task of a quarantined worker has started."""
+    def note_started(self, worker: str, run: Hashable, now: float) -> None:
+        """Records a run on a worker; on a quarantined one it is a trial.
+
+        Args:
+            worker: The worker.
+            run: Identifies the run.
+            now: Present time.
+        """
         record = self._records.get(worker)
-        if record is not None and record.is_quarantined:
-            record.has_trial = True
+        if record is None or not record.is_quarantined:
+            return
+        if not record.is_on_trial(now):
+            record.trial = Trial(run, now + self._settings.trial)
 
-    def note_lost(self, worker: str) -> None:
-        """Clears the trial mark of a worker, so that another trial may start.
+    def end_trial(self, worker: str) -> None:
+        """Lets another trial start on a worker.
 
-        Called when a task on the worker ended without success or failure.
+        Called when the trial ended without success or failure.
         """
         record = self._records.get(worker)
         if record is not None:
-            record.has_trial = False
+            record.trial = None
+
+    def trials(self) -> Mapping[str, Trial]:
+        """Returns the newest trial of each worker on which one has begun."""
+        return {
+            worker: record.trial
+            for worker, record in self._records.items()
+            if record.trial is not None
+        }
 
     def admits(self, worker: str, now: float) -> bool:
         """Returns whether a batch task may be placed on a worker."""
         record = self._records.get(worker)
         if record is None or not record.is_quarantined:
             return True
-        return now >= record.until and not record.has_trial
+        return now >= record.until and not record.is_on_trial(now)
+
+    def is_on_trial(self, worker: str, now: float) -> bool:
+        """Returns whether a trial keeps other tasks from a worker."""
+        record = self._records.get(worker)
+        return record is not None and record.is_on_trial(now)
 
     def explain(self, worker: str, now: float) -> str:
         """Returns why a worker is quarantined, or "" if it is not."""
--- a/pimentocross/zones/placer.py
+++ b/pimentocross/zones/placer.py
@@ -103,7 +103,8 @@
     def note_started(self, task: WantedTask, worker: Worker) -> None:
         """Records that a task is being started on a worker."""
         if task.kind is TaskKind.BATCH:
-            self._quarantine.note_started(worker.name)
+            run = (task.task, task.attempt)
+            self._quarantine.note_started(worker.name, run, trio.current_time())
         counts = self._classes.setdefault(worker.name, {})
         counts[task.class_name] = counts.get(task.class_name, 0) + 1
         self._note_history(worker, counts)
@@ -117,7 +118,7 @@
 
     def note_lost(self, worker: str) -> None:
         """Allows another trial task on a worker if it is quarantined."""
-        self._quarantine.note_lost(worker)
+        self._quarantine.end_trial(worker)
 
     def count_classes(
         self, worker: Worker, tasks: Mapping[str, WantedTask]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -166,7 +166,7 @@
     tries = 0
     for second in range(3600):
         if quarantine.admits("w", float(second)):
-            quarantine.note_started("w")
+            quarantine.note_started("w", second, float(second))
             tries += 1
             quarantine.note_failed("w", f"job{second}", float(second))
     assert tries <= 10
