A reservation for an isolated run has a bound in time, and pauses in series

What callers could have seen: jobs that fit on one worker only don't start while a run that may crash workers is isolated there.

Cause: the reservation ended with the run, or once a listing showed that the run had lived long enough. A run that is never listed (a start or a stop without an answer, a decision whose record waits, an adopted run that never began) kept it for as long as it was counted there, up to 24 s, and a new owner began anew. Runs that were isolated one after the other left no pass to others.

Now each reservation ends after the time that the run has to live and 3 s at the latest (8 s at most), in any scheduling pass; and after 8 s of reservations in series the worker is open to all tasks for a second.

--- a/pimentocross/owner/crashes.py
+++ b/pimentocross/owner/crashes.py
@@ -234,7 +234,7 @@
                 self._book.record_crashes(task.step.job)
             if not task.crash_history.crashes:
                 worker.suspects.discard((task, number))
-        worker.end_isolation()
+        worker.end_isolation(trio.current_time())
 
     def _affected_runs(self, worker: Worker) -> list[_AffectedRun]:
         return [
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -175,7 +175,7 @@
     def _start_waiting(self, orders: Orders) -> None:
         """Places waiting tasks, most urgent first, and frees capacity."""
         now, wall_time = trio.current_time(), wall.now()
-        self._learned.settle_trials(self._roster.workers(), now)
+        self._end_what_withholds(now)
         steps = self._book.ready_steps(wall_time)
         if not steps:
             self.backlog.refresh((), (), 0.0, now)
@@ -242,6 +242,13 @@
                 unplaced, healthy, orders, self._reserve, now
             )
 
+    def _end_what_withholds(self, now: float) -> None:
+        """Ends what keeps tasks from workers and is over by now."""
+        for worker in self._roster.workers():
+            if worker.is_isolating:
+                worker.end_isolation(now)
+        self._learned.settle_trials(self._roster.workers(), now)
+
     def _start_copies(self, orders: Orders) -> None:
         """Starts copies of straggling runs in the capacity left over."""
         placements = self._copier.pass_over(
--- a/pimentocross/owner/isolation.py
+++ b/pimentocross/owner/isolation.py
@@ -26,16 +26,27 @@
             WeakKeyDictionary()
         )
 
-    def find(self, task: Task, workers: Sequence[Worker]) -> list[Worker]:
+    def find(
+        self, task: Task, workers: Sequence[Worker], now: float
+    ) -> list[Worker]:
         """Returns workers on which a task may be isolated, the best first.
 
         A worker on which a run of another job has only just started is left
         out, as its crash could have two causes.
+
+        Args:
+            task: The task.
+            workers: The workers that may be used.
+            now: Present time, monotonic.
         """
         step = task.step
         allowed = [worker for worker in workers if allows(worker, step)]
         allowed.sort(key=lambda worker: len(worker.runs))
-        proven = (w for w in allowed[:_MAX_CHECKED] if w.is_proven(step.job))
+        proven = (
+            worker
+            for worker in allowed[:_MAX_CHECKED]
+            if worker.is_proven(step.job) and worker.may_isolate(now)
+        )
         return list(itertools.islice(proven, _MAX_CANDIDATES))
 
     def has_waited_too_long(self, task: Task, now: float) -> bool:
--- a/pimentocross/owner/placer.py
+++ b/pimentocross/owner/placer.py
@@ -173,7 +173,7 @@
         self, task: Task, number: int, places: HostPool[Worker], rack: str
     ) -> Placement | None:
         """Places a task in isolation, or without it after a time limit."""
-        found = self._isolation.find(task, places.hosts)
+        found = self._isolation.find(task, places.hosts, self._now)
         if found:
             places = HostList(found, self._rebalancer.view)
         elif not self._isolation.has_waited_too_long(task, self._now):
@@ -193,7 +193,7 @@
         """
         for task, run, worker, _ in self._isolated_placements:
             if run.number in task.runs:
-                worker.isolate(task, run)
+                worker.isolate(task, run, self._now)
                 self._note_changed(worker)
         self._isolated_placements = []
 
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -335,7 +335,7 @@
             )
             worker.add(task, run)
         for worker in by_number.values():
-            worker.isolate_adopted()
+            worker.isolate_adopted(trio.current_time())
         self._parts.cell.crashes.adopt(by_number.values())
         for worker in self._absent:
             successor = self._by_life.get(worker.life.id)
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -17,7 +17,10 @@
 from pimentocross.owner import const
 from pimentocross.owner.clock import WorkerClock
 from pimentocross.placement.pacing import Reading
-from pimentocross.work.crash_history import STARTUP_CRASH_WINDOW
+from pimentocross.work.crash_history import (
+    MAX_RESERVATION,
+    STARTUP_CRASH_WINDOW,
+)
 from pimentocross.work.spec import NO_SIZE, Size, StepSpec
 from pimentocross.work.state import Job, Run, RunState, Step, Task
 
@@ -31,6 +34,20 @@
 # Figures are read every half second and one in thirty is over the target by
 # chance, so a second one in a row is needed.
 SUFFERS_AFTER: Final = 0.8
+# Seconds for which a worker that was reserved in series is open to all tasks.
+_OPEN_AFTER_RESERVATIONS: Final = 1.0
+
+
+class IsolatedRun(NamedTuple):
+    """A run beside which nothing else may start.
+
+    Attributes:
+        least: Seconds that it has to live before that ends.
+        until: When that ends in any case, monotonic seconds.
+    """
+
+    least: float
+    until: float
 
 
 class StoppedBestEffortRun(NamedTuple):
@@ -94,8 +111,7 @@
             place: a call failed, or its clock went back.
         late_until: Until when a start that it didn't answer may begin on it,
             monotonic.
-        isolated: Runs beside which nothing else may start, and the seconds
-            that each has to live before that ends.
+        isolated: Runs beside which nothing else may start, and when that ends.
         suspects: Runs of tasks under which workers have crashed.
         version: Increases with each run that is added or removed, and with
             each listing.
@@ -121,7 +137,11 @@
         self.link = link
         self.clock = WorkerClock()
         self.runs: dict[RunKey, Run] = {}
-        self.isolated: dict[RunKey, float] = {}
+        self.isolated: dict[RunKey, IsolatedRun] = {}
+        # When the newest isolation ended, and when the first of those began
+        # that followed one another until then, monotonic.
+        self._isolation_ended_at = float("-inf")
+        self._isolating_since = float("-inf")
         self.suspects: set[RunKey] = set()
         self.committed = NO_SIZE
         self.lease_end: float | None = None
@@ -245,7 +265,8 @@
         if run is None:
             return
         self.version += 1
-        self.isolated.pop((task, number), None)
+        if self.isolated.pop((task, number), None) is not None:
+            self._note_isolation_ended(trio.current_time())
         self.suspects.discard((task, number))
         if task.step.spec.fills and run.figure:
             now = trio.current_time()
@@ -389,15 +410,40 @@
         since = run.state_at if running else run.began_at
         return run.lived_before + max(self.last_reply_at - since, 0.0)
 
-    def isolate(self, task: Task, run: Run) -> None:
-        """Lets nothing else start here until a run has lived long enough."""
-        self.isolated[(task, run.number)] = task.crash_history.isolation_seconds
+    def may_isolate(self, now: float) -> bool:
+        """Returns whether this worker may be reserved for one more run.
+
+        Reservations that follow one another leave it open to all tasks from
+        time to time.
+        """
+        if now - self._isolation_ended_at >= _OPEN_AFTER_RESERVATIONS:
+            return True
+        return now - self._isolating_since < MAX_RESERVATION
+
+    def isolate(self, task: Task, run: Run, now: float) -> None:
+        """Lets nothing else start here until a run has lived long enough.
 
-    def isolate_adopted(self) -> None:
+        It ends with the run and after a time limit as well.
+        """
+        is_series = (
+            self.isolated
+            or now - self._isolation_ended_at < _OPEN_AFTER_RESERVATIONS
+        )
+        if not is_series:
+            self._isolating_since = now
+        history = task.crash_history
+        self.isolated[(task, run.number)] = IsolatedRun(
+            history.isolation_seconds, now + history.reservation_seconds
+        )
+
+    def isolate_adopted(self, now: float) -> None:
         """Isolates the runs that a former owner had isolated here.
 
         These are runs of a single job. If runs of several jobs need isolation,
         the former owner had isolated none of them.
+
+        Args:
+            now: Present time, monotonic.
         """
         found = [
             (task, run)
@@ -406,17 +452,28 @@
         ]
         if len({task.step.job for task, _ in found}) == 1:
             for task, run in found:
-                self.isolate(task, run)
+                self.isolate(task, run, now)
+
+    def end_isolation(self, now: float) -> None:
+        """Ends the isolation of runs that have lived long enough.
 
-    def end_isolation(self) -> None:
-        """Ends the isolation of runs that have lived long enough."""
+        Args:
+            now: Present time, monotonic.
+        """
         over = [
             key
-            for key, least in self.isolated.items()
-            if self.lived(self.runs[key]) >= least
+            for key, isolated in self.isolated.items()
+            if now >= isolated.until
+            or self.lived(self.runs[key]) >= isolated.least
         ]
         for key in over:
             del self.isolated[key]
+        if over:
+            self._note_isolation_ended(now)
+
+    def _note_isolation_ended(self, now: float) -> None:
+        if not self.isolated:
+            self._isolation_ended_at = now
 
     def is_proven(self, job: Job) -> bool:
         """True if all runs of other jobs here have outlived the crash window.
--- a/pimentocross/work/crash_history.py
+++ b/pimentocross/work/crash_history.py
@@ -22,8 +22,14 @@
 _CRASHES_CLEARED_AFTER_LASTING: Final = 3.0
 # A task with this many crashes is isolated however long its runs lived.
 _ISOLATE_FROM_CRASHES: Final = 3
-# Seconds for which a worker is reserved for an isolated run at most.
+# Seconds that an isolated run has to live at most.
 _MAX_ISOLATION: Final = 5.0
+# Seconds in which an isolated run is started, listed for the first time, and
+# listed once it has lived long enough.
+_ISOLATION_SLACK: Final = 3.0
+# Seconds for which a worker is reserved for an isolated run at most, whatever
+# becomes of the run.
+MAX_RESERVATION: Final = _MAX_ISOLATION + _ISOLATION_SLACK
 # Seconds that a task waits for an isolated place before it starts without one.
 # Users count a lasting task as lost once it is away for 6 s.
 _ISOLATION_WAIT: Final = 1.5
@@ -127,6 +133,11 @@
         """Seconds that an isolated run must live before others may join it."""
         return min(self.survived + STARTUP_CRASH_WINDOW, _MAX_ISOLATION)
 
+    @property
+    def reservation_seconds(self) -> float:
+        """Seconds for which a worker is reserved for the next run at most."""
+        return self.isolation_seconds + _ISOLATION_SLACK
+
     def max_isolation_wait(self, *, lasting: bool) -> float:
         """Returns the seconds that a task waits for an isolated place."""
         if lasting or self.early < _LONG_WAIT_FROM_EARLY:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -365,7 +365,7 @@
     with mock.patch.object(
         Worker, "is_proven", return_value=False
     ) as is_proven:
-        assert not Isolation().find(step.tasks[0], workers)
+        assert not Isolation().find(step.tasks[0], workers, 0.0)
     assert is_proven.call_count <= 32
 
 
--- a/tests/test_lived_runs.py
+++ b/tests/test_lived_runs.py
@@ -58,13 +58,13 @@
     step = _add_suspect_run(worker)
     (run,) = worker.runs.values()
     _restored_record(step, 7).adopt([(step.tasks[0], run)])
-    worker.isolate_adopted()
+    worker.isolate_adopted(10.0)
     run.began_at = run.state_at = 10.0
     worker.last_reply_at = 10.4
-    worker.end_isolation()
+    worker.end_isolation(10.4)
     assert worker.is_isolating
     worker.last_reply_at = 10.6
-    worker.end_isolation()
+    worker.end_isolation(10.6)
     assert not worker.is_isolating
 
 
