What is learned of a worker goes with its life, on each way in which one ends

Cause: the failures and the tickets of a worker were dropped only as the next life of its id took its place. A life that was replaced by one of another id, or that left, was kept for as long as the owner lived.

Now they go together with the number of the life. test_quarantine, test_nothing_is_kept_for_a_worker_that_was_replaced, failed before: the record of the former life was still there.

--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -149,7 +149,7 @@
         self._copier.note_ended(task, run, ending)
 
     def forget_life(self, life: str) -> None:
-        """Drops the state of a worker life, as the next life reuses its id."""
+        """Drops the state of a worker life that has ended."""
         self.advice.forget_life(life)
         self._learned.quarantine.forget(life)
 
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -438,7 +438,6 @@
         )
         self._forget_worker(former)
         self._witnesses.note_ended(former.number)
-        self._parts.forget_life(life.id)
         worker = self._add(life)
         self._move_runs(unsure, worker)
         self._parts.cell.wake()
@@ -500,9 +499,10 @@
         self._next_lives.record()
 
     def _forget_worker(self, worker: Worker) -> None:
-        """Drops the number and the connections of a life that has ended."""
+        """Drops what is kept for a life that has ended."""
         self.numbers.forget(worker.number)
         self._witnesses.forget(worker.number)
+        self._parts.forget_life(worker.life.id)
         self._parts.nursery.start_soon(worker.link.aclose)
 
     def _end_replaced_lives(self, lives: list[WorkerLife]) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -22,6 +22,7 @@
     QUEUE,
     SMALL,
     count,
+    life,
     make_owner,
     make_worker_pool,
     running,
@@ -137,6 +138,23 @@
         assert await _batch_runs_within(cell) < 0.5
 
 
+async def test_nothing_is_kept_for_a_worker_that_was_replaced() -> None:
+    # Guards against memory that grows with each worker that fails and leaves.
+    async with _quarantined() as cell:
+        former, worker_pool = cell.worker, cell.worker_pool
+        former.crash()
+        del worker_pool.workers[former.life.id]
+        born = former.life.born + 1
+        successor = TaskWorkerStandin(
+            life(0, 1)._replace(born=born), _plan, worker_pool.journal, seed=1
+        )
+        worker_pool.add(successor)
+        await trio.sleep(2.0)
+        quarantine = cell.owner._learned.quarantine
+        assert not quarantine.explain(former.life.id, 0.0)
+        assert await _batch_runs_within(cell) < 0.5
+
+
 def test_a_trial_has_an_end_in_time() -> None:
     quarantine = Quarantine(_SETTINGS)
     quarantine.note_failed("w", "job", 0.0)
