A worker whose figures stay bad gets new tasks again after 12 s

What callers could have seen: work that fits on one worker only waits as long as the serving tasks there are over their targets, though these can't be moved and may be the cause themselves. Found by reading: each listing with bad figures lengthened the exclusion by 2 s, without a limit.

Now 12 s on end are the most, as for a quarantine; for a second after that the worker gets tasks whatever its figures are. The new test of test_withheld failed before: the worker was never open within 60 s.

--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -43,6 +43,11 @@
 # Seconds for which an unsound worker gets no new tasks. Most such faults last
 # longer, so that tasks placed afterwards show whether the fault has ended.
 UNSOUND_SECONDS: Final = 2.0
+# Seconds after which an unsound worker gets new tasks again although its figures
+# are still bad: tasks that can't be moved away may be the cause.
+MAX_UNSOUND_SECONDS: Final = 12.0
+# Seconds for which it then gets them.
+UNSOUND_TRIAL_SECONDS: Final = 1.0
 
 
 class MeasuredRun(NamedTuple):
@@ -282,11 +287,16 @@
             )
         ]
         slow = self._speeds.is_slow(worker.number, runs, now)
-        if not sick and not slow:
+        if not (sick or slow) or now < worker.tried_until:
             return
         if now > worker.unsound_until:
+            worker.unsound_since = now
             note("worker_unsound", worker=worker.life.id, sick=sick, slow=slow)
-        worker.unsound_until = now + UNSOUND_SECONDS
+        if now - worker.unsound_since >= MAX_UNSOUND_SECONDS:
+            worker.unsound_until = now
+            worker.tried_until = now + UNSOUND_TRIAL_SECONDS
+        else:
+            worker.unsound_until = now + UNSOUND_SECONDS
 
     def _rise_from_best_effort(
         self, worker: Worker, loads: Mapping[str, float]
--- a/pimentocross/owner/worker.py
+++ b/pimentocross/owner/worker.py
@@ -90,6 +90,9 @@
         paced_at: When its best-effort runs were last slowed or sped up,
             monotonic.
         unsound_until: Until when it gets no new runs, monotonic.
+        unsound_since: Since when it has got none on end, monotonic.
+        tried_until: Until when it gets new runs whatever its figures are,
+            monotonic.
         draining_since: When it was first listed as draining, or None.
         calls: Limits the concurrent orders to it.
         adopted: Whether it has listed its runs to this owner.
@@ -169,6 +172,8 @@
         self.calls = trio.Semaphore(orders_at_once)
         self.paced_at = 0.0
         self.unsound_until = float("-inf")
+        self.unsound_since = float("-inf")
+        self.tried_until = float("-inf")
         self._stopped_best_effort: deque[StoppedBestEffortRun] = deque()
         self._step_counts: dict[Step, int] = {}
         self._short_run_counts: dict[Step, int] = {}
--- a/tests/test_withheld.py
+++ b/tests/test_withheld.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from pimentocross.owner.learned import MAX_UNSOUND_SECONDS, LearnedEstimates
 from pimentocross.owner.worker import Worker
 from pimentocross.work.crash_history import (
     MAX_RESERVATION,
@@ -11,7 +12,12 @@
 from pimentocross.work.spec import StepSpec
 from pimentocross.work.state import Run, RunState, Task
 from tests.owner_fixtures import QUEUE, SMALL, chain, life, wait_until
-from tests.pass_fixtures import DispatcherHarness, make_step, make_worker
+from tests.pass_fixtures import (
+    DispatcherHarness,
+    add_running_tasks,
+    make_step,
+    make_worker,
+)
 
 # Seconds between two scheduling passes, and some time for them.
 _SLACK = 0.5
@@ -107,3 +113,21 @@
     worker.last_reply_at = trio.current_time()
     worker.end_isolation(trio.current_time())
     assert not worker.is_isolating
+
+
+async def test_a_worker_whose_figures_stay_bad_is_tried_again() -> None:
+    # Guards against a lost job: tasks that stay on their worker and are over
+    # their targets for good kept all others off it.
+    worker, learned = make_worker(life(0), 0), LearnedEstimates()
+    serving = StepSpec(2, SMALL, lasting=True, target_tail=20, image="slow")
+    add_running_tasks(worker, make_step("slow", serving), figure=60)
+    open_at = [trio.current_time()]
+    while trio.current_time() < 60.0:
+        worker.last_reply_at = now = trio.current_time()
+        learned.on_listed(worker)
+        if worker.unsound_until <= now:
+            open_at.append(now)
+        await trio.sleep(0.5)
+    gaps = [b - a for a, b in zip(open_at, open_at[1:], strict=False)]
+    assert MAX_UNSOUND_SECONDS <= max(gaps) <= MAX_UNSOUND_SECONDS + _SLACK
+    assert open_at[-1] > 40.0
