A quarantine and a worker's bad figures end within 12 s, whatever fails meanwhile

What callers could have seen: a worker with room got no work for longer than the 12 s that a quarantine may last.

Cause: each task that failed on a quarantined worker counted as its trial and lengthened the quarantine, also those that had been there before; and the last listing before the limit of 12 s left the worker unsound for 2 s more.

Now the end of both is cut at 12 s after their beginning; only a trial that fails begins a further quarantine. test_quarantine, test_tasks_that_fail_in_turn, failed before; the test of test_withheld looks at listings 1 s apart as well now.

--- a/pimentocross/owner/learned.py
+++ b/pimentocross/owner/learned.py
@@ -43,7 +43,7 @@
 # Seconds for which an unsound worker gets no new tasks. Most such faults last
 # longer, so that tasks placed afterwards show whether the fault has ended.
 UNSOUND_SECONDS: Final = 2.0
-# Seconds after which an unsound worker gets new tasks again although its figures
+# Seconds after which an unsound worker gets new tasks again though its figures
 # are still bad: tasks that can't be moved away may be the cause.
 MAX_UNSOUND_SECONDS: Final = 12.0
 # Seconds for which it then gets them.
@@ -292,11 +292,10 @@
         if now > worker.unsound_until:
             worker.unsound_since = now
             note("worker_unsound", worker=worker.life.id, sick=sick, slow=slow)
-        if now - worker.unsound_since >= MAX_UNSOUND_SECONDS:
-            worker.unsound_until = now
-            worker.tried_until = now + UNSOUND_TRIAL_SECONDS
-        else:
-            worker.unsound_until = now + UNSOUND_SECONDS
+        last = worker.unsound_since + MAX_UNSOUND_SECONDS
+        worker.unsound_until = min(now + UNSOUND_SECONDS, last)
+        if worker.unsound_until == last:
+            worker.tried_until = last + UNSOUND_TRIAL_SECONDS
 
     def _rise_from_best_effort(
         self, worker: Worker, loads: Mapping[str, float]
--- a/pimentocross/placement/quarantine.py
+++ b/pimentocross/placement/quarantine.py
@@ -56,6 +56,8 @@
     def __init__(self, length: float) -> None:
         # Tasks that failed since the last success, by job.
         self.failures: dict[str, set[str]] = {}
+        # When the quarantine, or its part after a failed trial, began.
+        self.since = float("-inf")
         self.until = float("-inf")
         self.length = length
         self.is_quarantined = False
@@ -152,13 +154,19 @@
         record = self._records.setdefault(
             worker, _WorkerRecord(self._settings.first)
         )
+        is_trial_over = record.trial is not None
         record.trial = None
         record.failures.setdefault(job, set()).add(task)
         found = self._job(job)
         found.note_failed(task, worker)
         if record.is_quarantined and found.weight({task}):
             record.length = min(record.length * 2, self._settings.most)
-            record.until = now + record.length
+            if is_trial_over:
+                record.since = now
+            # Tasks that were there before may fail one after the other.
+            record.until = min(
+                now + record.length, record.since + self._settings.most
+            )
         self._update_quarantine(worker, now)
 
     def forget(self, worker: str) -> None:
@@ -183,6 +191,7 @@
         )
         if weight >= self._settings.after:
             record.is_quarantined = True
+            record.since = now
             record.until = now + record.length
 
     def note_started(self, worker: str, run: Hashable, now: float) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -173,3 +173,17 @@
     quarantine.note_started("w", "second", 5.0)
     assert quarantine.trials()["w"].run == "first"
     assert quarantine.admits("w", 6.0)
+
+
+def test_tasks_that_fail_in_turn_lengthen_a_quarantine_no_further() -> None:
+    # Guards against a lost job: each task that had been there before lengthened
+    # the quarantine as it failed.
+    quarantine = Quarantine(_SETTINGS)
+    for second in range(12):
+        quarantine.note_failed("w", "job", float(second))
+        assert not quarantine.admits("w", float(second))
+    assert quarantine.admits("w", 12.0)
+    quarantine.note_started("w", "trial", 12.0)
+    quarantine.note_failed("w", "job", 12.5)
+    assert not quarantine.admits("w", 24.0)
+    assert quarantine.admits("w", 24.5)
--- a/tests/test_withheld.py
+++ b/tests/test_withheld.py
@@ -1,5 +1,7 @@
 """Tests that what keeps work from a worker has an end on every path."""
 
+import itertools
+
 import trio
 
 from pimentocross.owner.learned import MAX_UNSOUND_SECONDS, LearnedEstimates
@@ -118,16 +120,18 @@
 async def test_a_worker_whose_figures_stay_bad_is_tried_again() -> None:
     # Guards against a lost job: tasks that stay on their worker and are over
     # their targets for good kept all others off it.
-    worker, learned = make_worker(life(0), 0), LearnedEstimates()
-    serving = StepSpec(2, SMALL, lasting=True, target_tail=20, image="slow")
-    add_running_tasks(worker, make_step("slow", serving), figure=60)
-    open_at = [trio.current_time()]
-    while trio.current_time() < 60.0:
-        worker.last_reply_at = now = trio.current_time()
-        learned.on_listed(worker)
-        if worker.unsound_until <= now:
-            open_at.append(now)
-        await trio.sleep(0.5)
-    gaps = [b - a for a, b in zip(open_at, open_at[1:], strict=False)]
-    assert MAX_UNSOUND_SECONDS <= max(gaps) <= MAX_UNSOUND_SECONDS + _SLACK
-    assert open_at[-1] > 40.0
+    for interval in (0.5, 1.0):
+        worker, learned = make_worker(life(0), 0), LearnedEstimates()
+        serving = StepSpec(2, SMALL, lasting=True, target_tail=20, image="slow")
+        add_running_tasks(worker, make_step("slow", serving), figure=60)
+        open_at = [trio.current_time()]
+        until = trio.current_time() + 60.0
+        while trio.current_time() < until:
+            worker.last_reply_at = now = trio.current_time()
+            learned.on_listed(worker)
+            if worker.unsound_until <= now:
+                open_at.append(now)
+            await trio.sleep(interval)
+        gaps = [b - a for a, b in itertools.pairwise(open_at)]
+        assert 0 <= max(gaps) - MAX_UNSOUND_SECONDS <= interval
+        assert open_at[-1] > until - 20.0
