What keeps work from a worker is looked for in each pass, bounded and logged

Cause of the class: a worker is reserved, quarantined, on trial, unsound or barred by one path, and the mark was taken away by some of those on which its cause ends.

Now owner/withheld.py ends in each scheduling pass what is over, with a limit for each reason, and logs `withheld` and `withheld_ended`; closed zones and unlisted workers are logged the same way.

--- a/pimentocross/cli/explain.py
+++ b/pimentocross/cli/explain.py
@@ -27,6 +27,8 @@
         "owner_ends",
         "suspect",
         "runs_lost",
+        "withheld",
+        "withheld_ended",
         "worker_suspect",
         "worker_unsound",
     }
--- a/pimentocross/owner/dispatcher.py
+++ b/pimentocross/owner/dispatcher.py
@@ -28,6 +28,7 @@
 from pimentocross.owner.reclaimer import Reclaimer
 from pimentocross.owner.roster import Roster
 from pimentocross.owner.run_control import RunController
+from pimentocross.owner.withheld import WithheldWorkers
 from pimentocross.owner.worker import Worker
 from pimentocross.placement.reclaim import SMALL_CELL_TASK_LIMIT
 from pimentocross.placement.triage import Order
@@ -69,6 +70,7 @@
     Attributes:
         advice: Tickets for steps that only some workers may run.
         backlog: The steps that wait for free capacity.
+        withheld: The workers that get no new tasks.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.backlog = Backlog(
             learned.durations, puts_back=switches.is_on(Part.TRIAGE)
         )
+        self.withheld = WithheldWorkers(roster, learned)
         self._book = book
         self._roster = roster
         self._config = config
@@ -132,6 +135,7 @@
     def _run_pass(self, orders: Orders) -> None:
         self._apply_config()
         self._learned.disturbance.advance(trio.current_time())
+        self.withheld.pass_over(trio.current_time())
         self._run_controller.pass_over(orders)
         if not self._round.interrupted:
             self._round = PlacementRound()
@@ -175,7 +179,6 @@
     def _start_waiting(self, orders: Orders) -> None:
         """Places waiting tasks, most urgent first, and frees capacity."""
         now, wall_time = trio.current_time(), wall.now()
-        self._end_what_withholds(now)
         steps = self._book.ready_steps(wall_time)
         if not steps:
             self.backlog.refresh((), (), 0.0, now)
@@ -242,13 +245,6 @@
                 unplaced, healthy, orders, self._reserve, now
             )
 
-    def _end_what_withholds(self, now: float) -> None:
-        """Ends what keeps tasks from workers and is over by now."""
-        for worker in self._roster.workers():
-            if worker.is_isolating:
-                worker.end_isolation(now)
-        self._learned.settle_trials(self._roster.workers(), now)
-
     def _start_copies(self, orders: Orders) -> None:
         """Starts copies of straggling runs in the capacity left over."""
         placements = self._copier.pass_over(
--- a/pimentocross/owner/roster.py
+++ b/pimentocross/owner/roster.py
@@ -136,6 +136,10 @@
         closed = self._closed_zones(usable)
         return sum(w.life.capacity.cpu for w in usable if w.life.zone in closed)
 
+    def closed_zones(self) -> set[str]:
+        """Returns the zones of usable workers that take no new runs."""
+        return self._closed_zones(w for w in self.workers() if w.usable)
+
     def _closed_zones(self, workers: Iterable[Worker]) -> set[str]:
         """Returns the zones of workers to which no new runs may be sent.
 
--- a/tests/pass_fixtures.py
+++ b/tests/pass_fixtures.py
@@ -81,6 +81,10 @@
         """Returns 0, as no zone is evacuated."""
         return 0
 
+    def closed_zones(self) -> set[str]:
+        """Returns nothing, as no zone is evacuated."""
+        return set()
+
     def usable(self) -> list[Worker]:
         """Returns the workers to which new runs may be sent."""
         return [worker for worker in self._workers if worker.usable]
