A counter tells how many workers get no new tasks, by reason

Cause: operators had two log lines a case and no figure to watch.

withheld_seconds_total adds up the seconds of each worker and closed zone, so that its rate is their number. The new test of test_withheld checks the two log lines and the counter of a reservation that a run without an answer leaves.

--- a/pimentocross/observe/meters.py
+++ b/pimentocross/observe/meters.py
@@ -29,6 +29,11 @@
     add(f'calls_unanswered_total{{call="{call}"}}')
 
 
+def add_withheld(reason: str, seconds: float) -> None:
+    """Counts the seconds for which a worker or a zone got no new tasks."""
+    add(f'withheld_seconds_total{{reason="{reason}"}}', seconds)
+
+
 def add_unreadable(topic: str) -> None:
     """Counts a record of a topic that was ignored as it can't be decoded."""
     add(f'records_unreadable_total{{topic="{topic}"}}')
--- a/pimentocross/owner/withheld.py
+++ b/pimentocross/owner/withheld.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
+from pimentocross.observe import meters
 from pimentocross.observe.decisions import note
 from pimentocross.owner import const
 from pimentocross.owner.learned import (
@@ -94,8 +95,11 @@
             if worker.is_isolating:
                 worker.end_isolation(now)
         self._learned.settle_trials(self._roster.workers(), now)
-        if now - self._looked_at >= const.PASS_INTERVAL:
+        since_last_look = now - self._looked_at
+        if since_last_look >= const.PASS_INTERVAL:
             self._looked_at = now
+            for withholding in self.since:
+                meters.add_withheld(withholding.reason, since_last_look)
             self._log_changes(now)
 
     def _log_changes(self, now: float) -> None:
--- a/tests/test_withheld.py
+++ b/tests/test_withheld.py
@@ -1,10 +1,13 @@
 """Tests that what keeps work from a worker has an end on every path."""
 
+from collections import Counter
 import itertools
 
 import trio
 
+from pimentocross.observe import decisions, meters
 from pimentocross.owner.learned import MAX_UNSOUND_SECONDS, LearnedEstimates
+from pimentocross.owner.withheld import Reason
 from pimentocross.owner.worker import Worker
 from pimentocross.work.crash_history import (
     MAX_RESERVATION,
@@ -45,8 +48,10 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(cell.run)
         await wait_until(lambda: bool(cell.recorded.started), most)
+        waited = trio.current_time() - began
+        await trio.sleep(_SLACK)
         nursery.cancel_scope.cancel()
-    return trio.current_time() - began
+    return waited
 
 
 async def test_a_run_that_is_never_listed_keeps_its_worker_for_8_s() -> None:
@@ -60,6 +65,21 @@
         assert waited >= task.crash_history.isolation_seconds
 
 
+async def test_what_withholds_a_worker_is_logged_and_counted() -> None:
+    worker = make_worker(life(0), 0)
+    task, run = _add_suspect(worker, RunState.UNSURE)
+    worker.isolate(task, run, trio.current_time())
+    metric = f'withheld_seconds_total{{reason="{Reason.ISOLATED}"}}'
+    counted, lines = meters.total(metric), Counter(decisions.counts())
+    waited = await _other_task_waits(worker, MAX_RESERVATION + _SLACK)
+    assert abs(meters.total(metric) - counted - waited) <= _SLACK
+    begun, ended = (
+        decisions.counts()[kind] - lines[kind]
+        for kind in ("withheld", "withheld_ended")
+    )
+    assert (begun, ended) == (1, 1)
+
+
 async def test_an_adopted_run_that_is_never_listed_keeps_it_for_8_s() -> None:
     # Guards against a lost job: a new owner reserved the worker anew, for a run
     # that it never saw.
