KNOWN-RED: a job given up for starts that no worker carried out, seed 1

Cause: a start without an answer counts as a crash at a start once its worker is gone, before this work as well.

The test, its check and its seeds are as they were; a second test keeps the eleven other seeds from being passed over with it.

--- a/tests/test_owner_chaos.py
+++ b/tests/test_owner_chaos.py
@@ -52,6 +52,7 @@
 
 # Each seed takes about a second. To try more seeds, widen this range.
 SEEDS = range(12)
+_LISTED_SEED = 1
 _WORKERS = 5
 _ROUNDS = 6
 # Seconds within which all jobs end once the faults are over.
@@ -348,6 +349,13 @@
         run_virtual(lambda s=seed: run_history(s, restarts=True), seed)  # type: ignore[misc]
 
 
+def test_random_faults_and_restarts_break_none_with_other_seeds() -> None:
+    # The test above is listed in KNOWN-RED.txt for one of its seeds.
+    for seed in SEEDS:
+        if seed != _LISTED_SEED:
+            run_virtual(lambda s=seed: run_history(s, restarts=True), seed)  # type: ignore[misc]
+
+
 def test_random_faults_and_frequent_restarts_break_no_promise() -> None:
     for seed in SEEDS:
         run_virtual(
