--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -388,8 +388,22 @@
         labels: list[str],
         service: str = SERVICE,
         guards: bool = True,
+        born: int = 0,
     ) -> None:
-        """Initializes a life that isn't open yet."""
+        """Initializes a life that isn't open yet.
+
+        Args:
+            world: What all workers share.
+            store: The store to which it writes its entry.
+            name: Its id.
+            machine: Its machine.
+            capacity: What its tasks may take together.
+            labels: Its kind and its rack.
+            service: The service that it belongs to.
+            guards: Whether it refuses what doesn't fit.
+            born: The Unix millisecond of its start, 0 if it doesn't tell.
+        """
+        self.born = born
         self.world = world
         self.store = store
         self.id = name
@@ -441,6 +455,15 @@
         for run in lost:
             self._break_gang(run)
 
+    def go_dark(self) -> None:
+        """Ends the life; its machine doesn't answer any more."""
+        self.dead = self.cut = True
+        for task in self._tasks:
+            task.cancel()
+        for run in list(self.runs.values()):
+            self.world.note("lost", self.id, run.task, run.number)
+        self.runs.clear()
+
     def write_entry(self) -> None:
         """Writes the worker's report about itself."""
         self._sequence += 1
@@ -460,6 +483,8 @@
         }
         if self.draining:
             entry["remaining_ms"] = 4500
+        if self.born:
+            entry["born"] = self.born
         self.store.put("keyed.servers", self.id, entry)
 
     async def _beat(self) -> None:
@@ -704,14 +729,14 @@
             [r.task, r.number, self._saved(r), self._percent(r), 0]
             for r in self.runs.values()
         ]
-        return json_reply(
-            200,
-            {
-                "clock_ms": int(self.clock() * 1000),
-                "running": running,
-                "completions": self.ends[:500],
-            },
-        )
+        listing = {
+            "clock_ms": int(self.clock() * 1000),
+            "running": running,
+            "completions": self.ends[:500],
+        }
+        if self.born:
+            listing["born"] = self.born
+        return json_reply(200, listing)
 
 
 def _size(spec: dict[str, Any]) -> dict[str, int]:
@@ -897,6 +922,7 @@
         labels: tuple[str, ...] = ("a",),
         gpus: int = 0,
         racks: int = 3,
+        born: int = 0,
     ) -> Worker:
         """Opens a life of a worker's machine."""
         worker = Worker(
@@ -908,6 +934,7 @@
             [*labels, f"r1-{number % racks + 1}"],
             service,
             self.services[service],
+            born,
         )
         await worker.open()
         self.workers.append(worker)
